--- /dev/null
+++ b/Kernel/include/Kernel/Fleet/Manifest.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <Kernel/Request/RequestTypes.h>
+#include <LibBase/Error.h>
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Peridot {
+
+/// Amount of each resource of a worker, or need of a task.
+struct Resources
+{
+    double processors = 0; ///< cores
+    double memoryGigabytes = 0;
+    unsigned accelerators = 0;
+};
+
+struct PoolSpecification
+{
+    std::string name;
+    unsigned availabilityBudget = 1; ///< hosts that may be unavailable at once
+    bool spare = false; ///< other pools borrow their buffer here first
+    unsigned minimumFailureDomains = 1; ///< racks over which the pool is spread
+};
+
+struct HostSpecification
+{
+    std::string name;
+    std::string pool; ///< desired pool; the host row decides the actual one
+    std::string rack;
+    std::string dataCentre;
+    std::string region;
+    Resources capacity;
+};
+
+struct BackendServerSpecification
+{
+    std::string name;
+    std::string host;
+    std::string address;
+    std::uint16_t port = 0;
+    unsigned slots = 8;
+    unsigned connections = 64;
+};
+
+struct ServiceSpecification
+{
+    std::string name;
+    double share = 1.0;
+    Duration deadline = std::chrono::seconds(10);
+    std::vector<std::string> pools; ///< home pool first, then pools it may borrow from
+};
+
+struct TeamSpecification
+{
+    std::string name;
+    Resources quota;
+};
+
+struct JobSpecification
+{
+    std::string name;
+    std::string pool;
+    std::string team;
+    Urgency urgency = Urgency::Normal;
+    unsigned tasks = 1;
+    Resources taskSize; ///< declared; reported usage overrides it with time
+    std::optional<Duration> declaredRunTime; ///< nothing: runs until it is removed
+};
+
+struct MaintenanceSpecification
+{
+    Duration drainTimeout = std::chrono::minutes(5);
+    Duration rebootTimeout = std::chrono::minutes(10);
+    std::uint64_t generation = 0; ///< a wave brings every host to this generation
+};
+
+struct Manifest
+{
+    std::vector<PoolSpecification> pools;
+    std::vector<HostSpecification> hosts;
+    std::vector<BackendServerSpecification> backendServers;
+    std::vector<ServiceSpecification> services;
+    std::vector<TeamSpecification> teams;
+    std::vector<JobSpecification> jobs;
+    MaintenanceSpecification maintenance;
+};
+
+/// Parses and checks a manifest: JSON with comments, schema, unique names, resolved references.
+/// Errors: InvalidJson, SchemaViolation, DuplicateName, UnknownReference, InvalidValue; the field
+/// is the path of the value at fault.
+Result<Manifest> parseManifest(std::string_view text);
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Request/RoutingTable.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+struct ServiceRoute
+{
+    std::string name;
+    double weight = 1.0; ///< share of the slots relative to the other services
+    Duration deadline = std::chrono::seconds(10); ///< when the caller names none
+};
+
+struct BackendServerRoute
+{
+    std::string name;
+    std::string address; ///< IP address
+    std::uint16_t port = 0;
+    unsigned slots = 8; ///< requests it executes at the same time
+    unsigned connections = 64; ///< limit over all entry processes
+    std::vector<std::string> services; ///< services it may execute
+    bool leaving = false; ///< finishes what it has, receives no new work
+};
+
+/// Services and backend servers at one configuration version. Immutable once published.
+struct RoutingTable
+{
+    std::uint64_t version = 0;
+    std::vector<ServiceRoute> services;
+    std::vector<BackendServerRoute> backendServers;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Libraries/LibBase/Json.cpp
@@ -0,0 +1,92 @@
+#include <LibBase/Json.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+#include <valijson/adapters/jsoncpp_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace Peridot {
+
+namespace {
+
+// Deep nesting is refused before the recursive reader can exhaust the stack.
+constexpr int nestingLimit = 64;
+
+std::string joinPath(const std::vector<std::string> &context)
+{
+    std::string path;
+    for (const auto &part : context)
+        path += part;
+    return path;
+}
+
+} // namespace
+
+Result<Json::Value> parseJson(std::string_view text, bool allowComments)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["allowComments"] = allowComments;
+    builder["strictRoot"] = false;
+    builder["stackLimit"] = nestingLimit;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string errors;
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+            return makeError(ErrorCode::InvalidJson, {}, errors);
+    } catch (const Json::Exception &exception) {
+        return makeError(ErrorCode::InvalidJson, {}, exception.what());
+    }
+    return value;
+}
+
+std::string writeJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
+std::string writeIndentedJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "  ";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
+Result<void> validateSchema(const Json::Value &value, std::string_view schemaText)
+{
+    BOOST_LEAF_AUTO(schemaValue, parseJson(schemaText));
+    valijson::Schema schema;
+    valijson::SchemaParser parser;
+    try {
+        parser.populateSchema(valijson::adapters::JsonCppAdapter(schemaValue), schema);
+    } catch (const std::exception &exception) {
+        return makeError(ErrorCode::InvalidJson, "schema", exception.what());
+    }
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    if (validator.validate(schema, valijson::adapters::JsonCppAdapter(value), &results))
+        return {};
+    // The last result names the innermost value at fault, the first ones its enclosing objects.
+    std::string path;
+    std::string detail;
+    valijson::ValidationResults::Error failure;
+    while (results.popError(failure)) {
+        const std::string failurePath = joinPath(failure.context);
+        if (failurePath.size() >= path.size()) {
+            path = failurePath;
+            detail = failure.description;
+        }
+    }
+    return makeError(ErrorCode::SchemaViolation, path, detail);
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Libraries/LibBase/include/LibBase/Json.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibBase/Error.h>
+#include <json/value.h>
+#include <string>
+#include <string_view>
+
+namespace Peridot {
+
+/// Parses strict JSON. Duplicate keys and trailing text are errors; comments are allowed only when
+/// \a allowComments is set (settings and manifests).
+/// Errors: InvalidJson, with the line and column in the detail.
+Result<Json::Value> parseJson(std::string_view text, bool allowComments = false);
+
+/// Writes \a value on one line without insignificant white space.
+std::string writeJson(const Json::Value &value);
+
+/// Writes \a value indented, for people.
+std::string writeIndentedJson(const Json::Value &value);
+
+/// Validates \a value against a JSON Schema.
+/// Errors: SchemaViolation, with the path of the offending value in the field; InvalidJson when the
+/// schema itself is malformed.
+Result<void> validateSchema(const Json::Value &value, std::string_view schemaText);
+
+} // namespace Peridot
--- /dev/null
+++ b/Meta/peridot.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# Developer entry point: install, build, format, lint, test, demo, measure.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+
+readonly build_directory="${PERIDOT_BUILD_DIRECTORY:-Build/release}"
+# Compilation of one file can take over 1 GB, so the number of jobs is bounded by memory as well.
+jobs="${PERIDOT_JOBS:-$(nproc)}"
+
+usage() {
+    cat <<'USAGE'
+Usage: Meta/peridot.sh COMMAND [ARGUMENT...]
+
+  demo              install packages, build, run the whole system once, stop it
+  test              build, then run every test under ctest
+  build             configure and build
+  install           install the packages of Meta/packages.txt
+  format [--check]  format the sources, or check their format
+  lint [FILE...]    run clang-tidy; warnings are errors
+  sanitize KIND     build and run the tests under: address,undefined | thread
+  measure NAME      print key=value lines: flood | overhead | rollout | placement | config | store | slopes
+USAGE
+}
+
+sources() {
+    git ls-files --cached --others --exclude-standard '*.cpp' '*.h'
+}
+
+install_packages() {
+    local missing=()
+    while read -r package; do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+    done < Meta/packages.txt
+    [ "${#missing[@]}" -eq 0 ] && return
+    local elevate=()
+    [ "$(id -u)" -eq 0 ] || elevate=(sudo)
+    "${elevate[@]}" apt-get update -q
+    DEBIAN_FRONTEND=noninteractive "${elevate[@]}" apt-get install -y -q --no-install-recommends "${missing[@]}"
+}
+
+configure() {
+    local directory="$1"
+    shift
+    cmake -S . -B "$directory" -G Ninja "$@" > /dev/null
+}
+
+build() {
+    configure "$build_directory"
+    cmake --build "$build_directory" -j "$jobs"
+}
+
+format() {
+    if [ "${1:-}" = --check ]; then
+        sources | xargs -r clang-format --dry-run --Werror
+    else
+        sources | xargs -r clang-format -i
+    fi
+}
+
+lint() {
+    configure "$build_directory"
+    local files=("$@")
+    [ "${#files[@]}" -gt 0 ] || mapfile -t files < <(sources | grep '\.cpp$' | grep -v EasyLogging.cpp)
+    printf '%s\n' "${files[@]}" | xargs -P "$jobs" -n 1 clang-tidy --quiet -p "$build_directory" 2> >(grep -v 'warnings generated' >&2 || true)
+}
+
+run_tests() {
+    build
+    ctest --test-dir "$build_directory" --output-on-failure -j "$jobs" "$@"
+}
+
+sanitize() {
+    local kind="$1"
+    shift
+    local directory="Build/${kind//,/-}"
+    configure "$directory" -DPERIDOT_SANITIZE="$kind" -DCMAKE_BUILD_TYPE=RelWithDebInfo
+    cmake --build "$directory" -j "$jobs"
+    ctest --test-dir "$directory" --output-on-failure -j "$jobs" "$@"
+}
+
+demo() {
+    install_packages
+    build
+    exec Meta/demo.sh "$build_directory"
+}
+
+measure() {
+    build
+    exec "$build_directory/Utilities/Measure/peridot-measure" "$@"
+}
+
+command="${1:-}"
+[ "$#" -gt 0 ] && shift
+case "$command" in
+    demo) demo ;;
+    test) run_tests "$@" ;;
+    build) build ;;
+    install) install_packages ;;
+    format) format "$@" ;;
+    lint) lint "$@" ;;
+    sanitize) sanitize "$@" ;;
+    measure) measure "$@" ;;
+    *) usage; exit 2 ;;
+esac
--- /dev/null
+++ b/Tests/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
