Kernel: Add the request kernel

RequestDispatcher moves each request through claim lookup, queue, slot, claim, attempt and answer. Admission and routing are plug-in families. SlotExchange divides and lends the slots of backend servers, ClaimLedger writes and reads back the claim rows, and BackendServerPool keeps an index of the servers with free slots for each service, so that no event scans all servers.

A refusal before the claim is reported as not run only when the request is idempotent or declared to be the first send. For any other non-idempotent request a delayed copy in another entry process may still run, so reading an absent row beforehand was ruled out as a proof.

The outcome table of the tests covers each result of an attempt; the slot exchange has no test yet.

--- /dev/null
+++ b/Kernel/Request/RequestDispatcher.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "RequestState.h"
+
+#include <Kernel/Request/AdmissionPolicy.h>
+#include <Kernel/Request/BackendServerPool.h>
+#include <Kernel/Request/ClaimLedger.h>
+#include <Kernel/Request/RequestKernel.h>
+#include <Kernel/Request/RetryBudget.h>
+#include <Kernel/Request/ServiceCounters.h>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace Peridot {
+
+/// The request kernel: moves each request through claim lookup, queue, slot, claim, attempt and
+/// answer, and connects the parts that decide.
+class RequestDispatcher : public RequestKernel
+{
+public:
+    RequestDispatcher(const RequestKernelSettings &settings,
+                      std::unique_ptr<AdmissionPolicy> admission,
+                      std::unique_ptr<RoutingPolicy> routing);
+
+    void routingTableChanged(TimePoint now, std::shared_ptr<const RoutingTable> table) override;
+    void membersChanged(TimePoint now, const EntryMembers &members) override;
+    void backendServerLeaving(TimePoint now, const std::string &backendServer,
+                              bool leaving) override;
+    void requestArrived(TimePoint now, const RequestDescription &request) override;
+    void requestCancelled(TimePoint now, RequestToken token) override;
+    void attemptFinished(TimePoint now, std::uint64_t attempt, AttemptStatus status,
+                         std::shared_ptr<const RecordedAnswer> answer) override;
+    void claimRead(TimePoint now, RequestToken token, ReadStatus status, const Row &row) override;
+    void claimCommitted(TimePoint now, RequestToken token, const CommitResult &result) override;
+    void peerMessageReceived(TimePoint now, const std::string &instance,
+                             const std::string &message) override;
+    void leaseChanged(TimePoint now, TimePoint leaseEnd) override;
+    void tick(TimePoint now) override;
+    void stopRequested(TimePoint now) override;
+    std::vector<RequestAction> takeActions() override;
+    std::size_t openRequests() const override;
+    std::string dumpState(TimePoint now) const override;
+
+private:
+    using Phase = RequestState::Phase;
+
+    struct Service
+    {
+        std::string name;
+        bool listed = false;
+        RetryBudget budget;
+        ServiceCounters counters;
+        Duration lastWait{0}; ///< wait of the request that left the queue last
+        TimePoint lastWaitAt;
+    };
+
+    // Arrival
+    std::optional<RefusalReason> checkArrival(TimePoint now, const RequestDescription &request,
+                                              ServiceIndex &service) const;
+    std::optional<RefusalReason> checkClaimable(TimePoint now, const RequestDescription &request);
+    std::optional<RefusalReason> checkQueue(TimePoint now, const RequestDescription &request,
+                                            ServiceIndex service);
+    Duration expectedWait(TimePoint now, ServiceIndex service, Urgency urgency) const;
+    bool makeRoom(TimePoint now, ServiceIndex service, Urgency urgency);
+    RefusalReason overloadReason(ServiceIndex service, RefusalReason otherwise) const;
+    void admit(TimePoint now, const RequestDescription &request, ServiceIndex service);
+
+    // Life of a request
+    void enqueue(TimePoint now, RequestState &request, bool front);
+    void dispatchWaiting(TimePoint now);
+    bool startNext(TimePoint now);
+    void start(TimePoint now, RequestState &request);
+    void dispatch(TimePoint now, RequestState &request);
+    void freeSlot(TimePoint now, RequestState &request, AttemptVerdict verdict);
+    AttemptVerdict judge(TimePoint now, const RequestState &request, AttemptStatus status,
+                         const RecordedAnswer *answer) const;
+    bool retry(TimePoint now, RequestState &request);
+    void attemptNotRun(TimePoint now, RequestState &request, RefusalReason reason);
+    void attemptUnknown(TimePoint now, RequestState &request, RefusalReason reason);
+    void releaseClaim(TimePoint now, RequestState &request, RefusalReason reason);
+    void refuse(TimePoint now, RequestState &request, RefusalReason reason);
+    void answer(TimePoint now, RequestState &request, AnswerRequest action);
+    void refuseArrival(TimePoint now, const RequestDescription &request,
+                       std::optional<ServiceIndex> service, RefusalReason reason);
+    void refuseWithoutServers(TimePoint now);
+    Duration retryAfter(TimePoint now, std::optional<ServiceIndex> service,
+                        RefusalReason reason) const;
+
+    // Claims
+    ClaimLedger::Hooks claimHooks();
+    void claimRepeated(TimePoint now, RequestToken token, const RepeatAnswer &repeat);
+    void claimStoreFailed(TimePoint now, RequestToken token);
+
+    // Time
+    void advance(TimePoint now);
+    void setTimer(RequestState &request, TimePoint time);
+    void clearTimer(RequestState &request);
+    void timerExpired(TimePoint now, RequestState &request);
+    void finishEvent(TimePoint now);
+    bool leaseIsLive(TimePoint now) const { return now < m_leaseEnd; }
+    RequestState *find(RequestToken token);
+
+    const RequestKernelSettings m_settings;
+    std::unique_ptr<AdmissionPolicy> m_admission;
+    BackendServerPool m_pool;
+    ClaimLedger m_claims;
+    std::shared_ptr<const RoutingTable> m_table;
+    std::unordered_map<std::string, ServiceIndex> m_serviceIndex;
+    std::vector<Service> m_services;
+    std::unordered_map<RequestToken, RequestState> m_requests;
+    std::unordered_map<std::uint64_t, RequestToken> m_attempts;
+    std::set<std::pair<TimePoint, RequestToken>> m_timers;
+    std::unordered_set<std::string> m_members;
+    std::vector<RequestAction> m_actions;
+    std::vector<ServiceIndex> m_blocked; ///< services without a usable server, in one pass
+    Duration m_attemptLimit;
+    TimePoint m_leaseEnd;
+    TimePoint m_lastEvent;
+    std::optional<TimePoint> m_suspendedUntil;
+    std::uint64_t m_lastAttempt = 0;
+    std::uint64_t m_lastSequence = 0;
+    std::uint64_t m_invalidMessages = 0;
+    unsigned m_goneMessages = 0;
+    bool m_hasMembers = false;
+    bool m_stopping = false;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/Request/RequestExecution.cpp
@@ -0,0 +1,378 @@
+#include "RequestDispatcher.h"
+
+#include <algorithm>
+
+namespace Peridot {
+
+namespace {
+
+/// Attempts of one request.
+constexpr unsigned attemptCountLimit = 4;
+/// A claim that is not written after this time counts as failed.
+constexpr Duration claimLimit = std::chrono::seconds(1);
+constexpr int firstServerError = 500;
+/// An attempt that timed out speaks against its server when it ran for this many typical times.
+constexpr int slowAttemptFactor = 4;
+constexpr Duration slowAttemptTime = std::chrono::seconds(1);
+
+RefusalReason reasonOf(AttemptStatus status)
+{
+    switch (status) {
+    case AttemptStatus::Refused:
+        return RefusalReason::BackendRefused;
+    case AttemptStatus::NotSent:
+        return RefusalReason::BackendConnectionFailed;
+    case AttemptStatus::ConnectionLost:
+        return RefusalReason::BackendConnectionLost;
+    case AttemptStatus::Truncated:
+        return RefusalReason::TruncatedAnswer;
+    case AttemptStatus::TimedOut:
+        return RefusalReason::BackendTimeout;
+    case AttemptStatus::Answered:
+        break;
+    }
+    return RefusalReason::None;
+}
+
+} // namespace
+
+void RequestDispatcher::enqueue(TimePoint now, RequestState &request, bool front)
+{
+    request.phase = Phase::Queued;
+    request.node.queuedAt = now;
+    setTimer(request, request.deadline);
+    if (front)
+        m_admission->pushFront(request.node);
+    else
+        m_admission->push(request.node);
+}
+
+void RequestDispatcher::dispatchWaiting(TimePoint now)
+{
+    if (m_suspendedUntil)
+        return;
+    m_blocked.clear();
+    while (m_admission->waiting() > 0 && m_pool.hasFreeServer()) {
+        if (!startNext(now))
+            return;
+    }
+}
+
+bool RequestDispatcher::startNext(TimePoint now)
+{
+    QueuedRequest *node = m_admission->take(now, [this](ServiceIndex service) {
+        return m_pool.hasFreeServer(service)
+               && std::find(m_blocked.begin(), m_blocked.end(), service) == m_blocked.end();
+    });
+    if (!node)
+        return false;
+    RequestState &request = *find(node->token);
+    Service &service = m_services[request.service];
+    service.lastWait = now - node->queuedAt;
+    service.lastWaitAt = now;
+    if (now + m_pool.latency(request.service) / 2 > request.deadline) {
+        if (request.claimed)
+            releaseClaim(now, request, RefusalReason::DeadlineExceeded);
+        else
+            refuse(now, request, RefusalReason::DeadlineExceeded);
+        return true;
+    }
+    const bool needsClaim = !request.idempotent && !request.claimed;
+    if (needsClaim && (!leaseIsLive(now) || !m_claims.breaker().wouldPass(now))) {
+        refuse(now, request, RefusalReason::StoreUnavailable);
+        return true;
+    }
+    request.reservation = m_pool.reserve(now, request.service, request.idempotent, request.avoid);
+    if (!request.reservation) {
+        m_admission->pushFront(*node);
+        m_blocked.push_back(request.service);
+        return true;
+    }
+    m_admission->slotTaken(request.service);
+    start(now, request);
+    return true;
+}
+
+void RequestDispatcher::start(TimePoint now, RequestState &request)
+{
+    clearTimer(request);
+    if (request.idempotent || request.claimed) {
+        dispatch(now, request);
+        return;
+    }
+    request.phase = Phase::Claiming;
+    setTimer(request, std::min(request.deadline, now + claimLimit));
+    m_claims.breaker().mayCall(now);
+    m_claims.claim(now, request.token);
+}
+
+void RequestDispatcher::dispatch(TimePoint now, RequestState &request)
+{
+    clearTimer(request);
+    // The process may have been frozen since the claim: without a live lease the other processes
+    // treat its claims as lost.
+    if (!request.idempotent && !leaseIsLive(now)) {
+        freeSlot(now, request, AttemptVerdict::None);
+        releaseClaim(now, request, RefusalReason::StoreUnavailable);
+        return;
+    }
+    if (now >= request.deadline) {
+        freeSlot(now, request, AttemptVerdict::None);
+        releaseClaim(now, request, RefusalReason::DeadlineExceeded);
+        return;
+    }
+    if (!m_pool.mayWork(request.reservation->server)) {
+        freeSlot(now, request, AttemptVerdict::None);
+        if (m_pool.hasServer(request.service))
+            enqueue(now, request, true);
+        else
+            releaseClaim(now, request, RefusalReason::NoBackendServer);
+        return;
+    }
+    request.phase = Phase::Running;
+    request.attempt = ++m_lastAttempt;
+    ++request.attempts;
+    ++m_services[request.service].counters.attempts;
+    m_attempts[request.attempt] = request.token;
+    StartAttempt action;
+    action.token = request.token;
+    action.attempt = request.attempt;
+    action.backendServer = m_pool.nameOf(request.reservation->server);
+    // Counted from the reservation: a lent slot is held for this long at most.
+    action.deadline = std::min(request.deadline, request.reservation->startedAt + m_attemptLimit);
+    request.reservation->startedAt = now;
+    m_actions.emplace_back(std::move(action));
+}
+
+void RequestDispatcher::freeSlot(TimePoint now, RequestState &request, AttemptVerdict verdict)
+{
+    if (!request.reservation)
+        return;
+    m_pool.release(now, *request.reservation, verdict);
+    m_admission->slotReleased(request.service);
+    request.reservation.reset();
+}
+
+AttemptVerdict RequestDispatcher::judge(TimePoint now, const RequestState &request,
+                                        AttemptStatus status, const RecordedAnswer *answer) const
+{
+    if (status == AttemptStatus::Answered)
+        return answer && answer->status >= firstServerError ? AttemptVerdict::Failure
+                                                            : AttemptVerdict::Success;
+    if (status != AttemptStatus::TimedOut)
+        return AttemptVerdict::Failure;
+    // A caller with a short deadline must not get a healthy server ejected.
+    const Duration slow
+        = std::min(slowAttemptTime, m_pool.latency(request.service) * slowAttemptFactor);
+    return now - request.reservation->startedAt >= slow ? AttemptVerdict::Failure
+                                                        : AttemptVerdict::None;
+}
+
+void RequestDispatcher::attemptFinished(TimePoint now, std::uint64_t attempt, AttemptStatus status,
+                                        std::shared_ptr<const RecordedAnswer> recorded)
+{
+    advance(now);
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    RequestState &request = *find(found->second);
+    m_attempts.erase(found);
+    request.avoid = request.reservation->server;
+    freeSlot(now, request, judge(now, request, status, recorded.get()));
+    switch (status) {
+    case AttemptStatus::Answered: {
+        if (!request.idempotent)
+            m_claims.recordAnswer(now, request.token, std::move(recorded));
+        AnswerRequest action;
+        action.outcome = Outcome::Answer;
+        action.attempt = attempt;
+        answer(now, request, std::move(action));
+        break;
+    }
+    case AttemptStatus::Refused:
+    case AttemptStatus::NotSent:
+        attemptNotRun(now, request, reasonOf(status));
+        break;
+    case AttemptStatus::ConnectionLost:
+    case AttemptStatus::Truncated:
+    case AttemptStatus::TimedOut:
+        attemptUnknown(now, request, reasonOf(status));
+        break;
+    }
+    finishEvent(now);
+}
+
+bool RequestDispatcher::retry(TimePoint now, RequestState &request)
+{
+    if (request.cancelled || request.attempts >= attemptCountLimit
+        || !m_pool.hasServer(request.service)
+        || now + m_pool.latency(request.service) / 2 >= request.deadline)
+        return false;
+    Service &service = m_services[request.service];
+    if (!service.budget.withdraw(now)) {
+        ++service.counters.retriesDenied;
+        return false;
+    }
+    ++service.counters.retries;
+    enqueue(now, request, true);
+    return true;
+}
+
+void RequestDispatcher::attemptNotRun(TimePoint now, RequestState &request, RefusalReason reason)
+{
+    if (retry(now, request))
+        return;
+    if (request.idempotent)
+        refuse(now, request, reason);
+    else
+        releaseClaim(now, request, reason);
+}
+
+void RequestDispatcher::attemptUnknown(TimePoint now, RequestState &request, RefusalReason reason)
+{
+    request.mayHaveRun = true;
+    request.reason = reason;
+    if (request.idempotent && retry(now, request))
+        return;
+    if (!request.idempotent) {
+        m_claims.recordUnknown(now, request.token, reason);
+        request.claimed = false;
+    }
+    refuse(now, request, reason);
+}
+
+void RequestDispatcher::releaseClaim(TimePoint now, RequestState &request, RefusalReason reason)
+{
+    if (request.idempotent) {
+        refuse(now, request, reason);
+        return;
+    }
+    clearTimer(request);
+    request.phase = Phase::Releasing;
+    request.reason = reason;
+    m_claims.release(now, request.token);
+}
+
+void RequestDispatcher::refuse(TimePoint now, RequestState &request, RefusalReason reason)
+{
+    const bool claimIsOpen = request.phase == Phase::LookingUp || request.phase == Phase::Queued
+                             || request.phase == Phase::Claiming;
+    if (!request.idempotent && claimIsOpen)
+        m_claims.abandon(now, request.token);
+    const bool certain = !request.mayHaveRun
+                         && (request.idempotent || request.declaredFirstAttempt || request.claimed);
+    AnswerRequest action;
+    action.outcome = certain ? Outcome::NotRun : Outcome::Unknown;
+    action.reason = request.mayHaveRun ? request.reason : reason;
+    action.retryAfter = retryAfter(now, request.service, action.reason);
+    answer(now, request, std::move(action));
+}
+
+void RequestDispatcher::answer(TimePoint, RequestState &request, AnswerRequest action)
+{
+    clearTimer(request);
+    action.token = request.token;
+    auto &counters = m_services[request.service].counters;
+    ++counters.outcomes[static_cast<std::size_t>(action.outcome)];
+    if (action.outcome == Outcome::Answer)
+        ++(action.recorded ? counters.answeredFromRecord : counters.answered);
+    else
+        ++counters.refused[static_cast<std::size_t>(action.reason)];
+    m_actions.emplace_back(std::move(action));
+    m_requests.erase(request.token);
+}
+
+void RequestDispatcher::requestCancelled(TimePoint now, RequestToken token)
+{
+    advance(now);
+    RequestState *request = find(token);
+    if (!request || request->cancelled)
+        return;
+    request->cancelled = true;
+    ++m_services[request->service].counters.cancelled;
+    if (request->phase == Phase::Queued) {
+        m_admission->remove(request->node);
+        if (request->claimed)
+            releaseClaim(now, *request, RefusalReason::None);
+        else
+            refuse(now, *request, RefusalReason::None);
+    } else if (request->phase == Phase::LookingUp || request->phase == Phase::Claiming) {
+        freeSlot(now, *request, AttemptVerdict::None);
+        refuse(now, *request, RefusalReason::None);
+    }
+    finishEvent(now);
+}
+
+ClaimLedger::Hooks RequestDispatcher::claimHooks()
+{
+    ClaimLedger::Hooks hooks;
+    hooks.commit = [this](CommitClaim action) {
+        m_actions.emplace_back(std::move(action));
+    };
+    hooks.read = [this](ReadClaim action) {
+        m_actions.emplace_back(std::move(action));
+    };
+    hooks.mayClaim = [this](TimePoint now, RequestToken token) {
+        if (RequestState *request = find(token))
+            enqueue(now, *request, false);
+    };
+    hooks.claimed = [this](TimePoint now, RequestToken token) {
+        RequestState &request = *find(token);
+        request.claimed = true;
+        dispatch(now, request);
+    };
+    hooks.repeated = [this](TimePoint now, RequestToken token, const RepeatAnswer &repeat) {
+        claimRepeated(now, token, repeat);
+    };
+    hooks.storeFailed = [this](TimePoint now, RequestToken token) {
+        claimStoreFailed(now, token);
+    };
+    hooks.released = [this](TimePoint now, RequestToken token) {
+        if (RequestState *request = find(token))
+            refuse(now, *request, request->reason);
+    };
+    hooks.isMember = [this](const std::string &instance) {
+        return m_members.contains(instance);
+    };
+    return hooks;
+}
+
+void RequestDispatcher::claimRepeated(TimePoint now, RequestToken token, const RepeatAnswer &repeat)
+{
+    RequestState &request = *find(token);
+    freeSlot(now, request, AttemptVerdict::None);
+    AnswerRequest action;
+    action.outcome = repeat.outcome;
+    action.reason = repeat.reason;
+    action.recorded = repeat.recorded;
+    if (repeat.outcome != Outcome::Answer)
+        action.retryAfter = retryAfter(now, request.service, repeat.reason);
+    answer(now, request, std::move(action));
+}
+
+void RequestDispatcher::claimStoreFailed(TimePoint now, RequestToken token)
+{
+    RequestState &request = *find(token);
+    freeSlot(now, request, AttemptVerdict::None);
+    // The ledger ends the claim itself.
+    request.phase = Phase::Releasing;
+    refuse(now, request, RefusalReason::StoreUnavailable);
+}
+
+void RequestDispatcher::claimRead(TimePoint now, RequestToken token, ReadStatus status,
+                                  const Row &row)
+{
+    advance(now);
+    m_claims.claimRead(now, token, status, row);
+    finishEvent(now);
+}
+
+void RequestDispatcher::claimCommitted(TimePoint now, RequestToken token,
+                                       const CommitResult &result)
+{
+    advance(now);
+    m_claims.claimCommitted(now, token, result);
+    finishEvent(now);
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/Request/StrictPriorityAdmission.cpp
@@ -0,0 +1,29 @@
+#include <Kernel/Request/AdmissionPolicy.h>
+
+namespace Peridot {
+
+namespace {
+
+/// Serves the most urgent requests of all services first, in the order of their arrival.
+class StrictPriorityAdmission : public AdmissionPolicy
+{
+protected:
+    Key keyOf(const Service &service) const override
+    {
+        const QueuedRequest *head = service.queue.mostUrgentHead();
+        return {static_cast<double>(head->urgency), head->sequence};
+    }
+
+    QueuedRequest *select(TimePoint, Service &service) const override
+    {
+        return service.queue.mostUrgentHead();
+    }
+};
+
+const PluginRegistrar<AdmissionRegistry> registrar("strict-priority", [] {
+    return std::make_unique<StrictPriorityAdmission>();
+});
+
+} // namespace
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Request/ClaimLedger.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <Kernel/Request/ClaimRecord.h>
+#include <Kernel/Request/RequestKernel.h>
+#include <Kernel/Request/StoreBreaker.h>
+#include <array>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Peridot {
+
+/// What a claim row, or local knowledge of it, says to a repeat of the request.
+struct RepeatAnswer
+{
+    Outcome outcome = Outcome::Unknown;
+    RefusalReason reason = RefusalReason::None;
+    std::shared_ptr<const RecordedAnswer> recorded;
+};
+
+/// Ensures that a non-idempotent request runs at most once, over all entry processes.
+///
+/// The row of a request is written with a check that it is absent (or released) before the request
+/// is dispatched. A commit whose outcome is unknown is read back: the row carries the operation id
+/// of the commit that wrote it. Claims outlive their requests here, until the outcome is recorded
+/// or the row is released.
+class ClaimLedger
+{
+public:
+    /// Records of one entry process in the retention period.
+    static constexpr std::uint64_t recordLimit = 10'000'000;
+    /// Claims whose outcome or release is not yet written, and lookups in progress.
+    static constexpr std::size_t openLimit = 20'000;
+    static constexpr Duration retention = std::chrono::hours(24);
+    static constexpr Duration futureLimit = std::chrono::minutes(5);
+
+    struct Hooks
+    {
+        std::function<void(CommitClaim)> commit;
+        std::function<void(ReadClaim)> read;
+        /// The row allows a claim.
+        std::function<void(TimePoint, RequestToken)> mayClaim;
+        std::function<void(TimePoint, RequestToken)> claimed;
+        /// The row says what became of the request. The claim is closed.
+        std::function<void(TimePoint, RequestToken, RepeatAnswer)> repeated;
+        /// The store did not answer, or not with certainty. The claim goes on without its caller.
+        std::function<void(TimePoint, RequestToken)> storeFailed;
+        /// The release of the row has ended, written or not.
+        std::function<void(TimePoint, RequestToken)> released;
+        std::function<bool(const std::string &)> isMember;
+    };
+
+    ClaimLedger(std::string instance, std::uint64_t seed, Hooks hooks);
+
+    /// What an open claim of this process says to a repeat, or nothing when there is none.
+    std::optional<RepeatAnswer> findOpen(const std::string &key,
+                                         const std::string &fingerprint) const;
+    bool hasRoom(TimePoint now);
+    StoreBreaker &breaker() { return m_breaker; }
+    const StoreBreaker &breaker() const { return m_breaker; }
+
+    /// Opens the claim of a request.
+    void open(RequestToken token, const std::string &key, const std::string &fingerprint);
+    /// Reads the row first; ends with mayClaim, repeated or storeFailed.
+    void lookUp(RequestToken token);
+    /// Writes the claim; ends with claimed, repeated or storeFailed.
+    void claim(TimePoint now, RequestToken token);
+    /// Closes a claim that was not written, or releases it in the background when it may have been.
+    void abandon(TimePoint now, RequestToken token);
+    void recordAnswer(TimePoint now, RequestToken token,
+                      std::shared_ptr<const RecordedAnswer> answer);
+    void recordUnknown(TimePoint now, RequestToken token, RefusalReason reason);
+    /// The request was claimed and certainly not run: marks the row as released.
+    void release(TimePoint now, RequestToken token);
+
+    void claimRead(TimePoint now, RequestToken token, ReadStatus status, const Row &row);
+    void claimCommitted(TimePoint now, RequestToken token, const CommitResult &result);
+    void tick(TimePoint now);
+    /// Ends the writing of outcomes that the store does not accept by \a deadline.
+    void stopAt(TimePoint deadline) { m_stopDeadline = deadline; }
+
+    /// Claims that the kernel's requests no longer refer to.
+    std::size_t background() const { return m_background; }
+    std::size_t size() const { return m_claims.size(); }
+    std::uint64_t anomalies() const { return m_anomalies; }
+    std::uint64_t unrecorded() const { return m_unrecorded; }
+
+private:
+    enum class Phase { Idle, LookingUp, Claiming, Held, Recording, Releasing };
+
+    struct Claim
+    {
+        std::string key;
+        std::string fingerprint;
+        Phase phase = Phase::Idle;
+        bool callPending = false; ///< a read or commit has not been reported yet
+        bool abandoned = false; ///< the request was answered while the claim was in doubt
+        bool maybeWritten = false; ///< a commit of the claim has an unknown outcome
+        bool background = false;
+        bool releaseReported = false;
+        unsigned rounds = 0;
+        Version version = absentVersion; ///< of the row as far as known
+        std::string operation; ///< of the last commit
+        ClaimRecord record; ///< value of the last commit
+        Duration backoff{0};
+        std::optional<TimePoint> retryAt;
+    };
+
+    using Claims = std::unordered_map<RequestToken, Claim>;
+
+    Claim *find(RequestToken token);
+    void close(RequestToken token);
+    void moveToBackground(Claim &claim);
+    void read(RequestToken token, Claim &claim);
+    void write(TimePoint now, RequestToken token, Claim &claim, ClaimState state);
+    void repeatWrite(RequestToken token, Claim &claim);
+    void retryLater(TimePoint now, RequestToken token, Claim &claim);
+    void storeFailed(TimePoint now, RequestToken token, Claim &claim);
+    void reportReleased(TimePoint now, RequestToken token, Claim &claim);
+    void written(TimePoint now, RequestToken token, Claim &claim);
+    void readBack(TimePoint now, RequestToken token, Claim &claim, const Row &row);
+    void readBackClaim(TimePoint now, RequestToken token, Claim &claim, const Row &row,
+                       const std::optional<ClaimRecord> &record);
+    void readBackWrite(TimePoint now, RequestToken token, Claim &claim, const Row &row,
+                       const std::optional<ClaimRecord> &record);
+    void startRelease(TimePoint now, RequestToken token, Claim &claim);
+    void endClaimFailure(TimePoint now, RequestToken token, Claim &claim);
+    RepeatAnswer interpret(const std::optional<ClaimRecord> &record,
+                           const std::string &fingerprint) const;
+    void countRecord(TimePoint now);
+
+    const std::string m_instance;
+    Hooks m_hooks;
+    StoreBreaker m_breaker;
+    RandomSource m_random;
+    Claims m_claims;
+    std::unordered_map<std::string, RequestToken> m_byKey;
+    std::set<std::pair<TimePoint, RequestToken>> m_retries;
+    std::uint64_t m_operations = 0;
+    std::size_t m_background = 0;
+    std::uint64_t m_anomalies = 0;
+    std::uint64_t m_unrecorded = 0;
+    std::optional<TimePoint> m_stopDeadline;
+    // Records written in each of the last 25 hours, by hour modulo the size.
+    std::array<std::uint64_t, 25> m_recordsByHour{};
+    std::uint64_t m_records = 0;
+    std::int64_t m_hour = -1;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Request/RetryBudget.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibBase/Time.h>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace Peridot {
+
+/// Limits the retries of one service to a part of its requests plus a constant rate, both over a
+/// sliding window (Finagle user guide, "Retries"), so that an outage does not multiply the load.
+class RetryBudget
+{
+public:
+    static constexpr double retryFraction = 0.2; ///< retries for each request
+    static constexpr double retriesPerSecond = 10; ///< allowed besides the fraction
+    static constexpr std::size_t windowSeconds = 10;
+
+    void requestArrived(TimePoint now);
+    /// Takes one retry out of the budget, or returns false when the budget is used up.
+    bool withdraw(TimePoint now);
+    double balance(TimePoint now);
+
+private:
+    struct Bucket
+    {
+        std::int64_t second = -1;
+        std::uint64_t requests = 0;
+        std::uint64_t retries = 0;
+    };
+
+    void advance(TimePoint now);
+    Bucket &bucket() { return m_buckets[static_cast<std::size_t>(m_second) % windowSeconds]; }
+
+    std::array<Bucket, windowSeconds> m_buckets;
+    std::int64_t m_second = -1;
+    std::uint64_t m_requests = 0; ///< sum over the window
+    std::uint64_t m_retries = 0;
+    std::int64_t m_firstSecond = -1;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Request/RoutingPolicy.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <Kernel/Request/SlotTable.h>
+#include <LibBase/PluginRegistry.h>
+#include <LibBase/Random.h>
+#include <functional>
+#include <vector>
+
+namespace Peridot {
+
+/// Chooses the backend server of an attempt. Plug-in family.
+class RoutingPolicy
+{
+public:
+    virtual ~RoutingPolicy() = default;
+
+    /// Whether each entry process uses only slots that it owns or has borrowed. Otherwise only the
+    /// limit on connections bounds the attempts.
+    virtual bool dividesSlots() const = 0;
+    /// Whether idle slots are lent to other entry processes.
+    virtual bool lendsSlots() const { return false; }
+    /// Chooses among \a candidates, which is not empty.
+    virtual ServerIndex choose(const std::vector<ServerIndex> &candidates,
+                               const std::function<double(ServerIndex)> &loadOf,
+                               RandomSource &random) const = 0;
+};
+
+using RoutingRegistry = PluginRegistry<RoutingPolicy>;
+
+} // namespace Peridot
--- /dev/null
+++ b/Tests/Kernel/Request/TestRequestOutcomes.cpp
@@ -0,0 +1,170 @@
+#include "KernelDriver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+
+namespace {
+
+struct OutcomeCase
+{
+    const char *name;
+    bool idempotent;
+    std::vector<AttemptStatus> attempts; ///< results of the successive attempts
+    Outcome outcome;
+    RefusalReason reason;
+};
+
+const std::vector<OutcomeCase> outcomeCases{
+    {"answered", true, {AttemptStatus::Answered}, Outcome::Answer, RefusalReason::None},
+    {"answered, claimed", false, {AttemptStatus::Answered}, Outcome::Answer, RefusalReason::None},
+    {"a request that was not sent is sent again",
+     false,
+     {AttemptStatus::NotSent, AttemptStatus::Answered},
+     Outcome::Answer,
+     RefusalReason::None},
+    {"a refused request is sent again",
+     false,
+     {AttemptStatus::Refused, AttemptStatus::Answered},
+     Outcome::Answer,
+     RefusalReason::None},
+    {"attempts are limited",
+     false,
+     {AttemptStatus::Refused, AttemptStatus::Refused, AttemptStatus::Refused,
+      AttemptStatus::Refused},
+     Outcome::NotRun,
+     RefusalReason::BackendRefused},
+    {"a lost non-idempotent request is not sent again",
+     false,
+     {AttemptStatus::ConnectionLost},
+     Outcome::Unknown,
+     RefusalReason::BackendConnectionLost},
+    {"a truncated answer is no answer",
+     false,
+     {AttemptStatus::Truncated},
+     Outcome::Unknown,
+     RefusalReason::TruncatedAnswer},
+    {"a timed out non-idempotent request is not sent again",
+     false,
+     {AttemptStatus::TimedOut},
+     Outcome::Unknown,
+     RefusalReason::BackendTimeout},
+    {"not sent, then lost",
+     false,
+     {AttemptStatus::NotSent, AttemptStatus::ConnectionLost},
+     Outcome::Unknown,
+     RefusalReason::BackendConnectionLost},
+    {"a lost idempotent request is sent again",
+     true,
+     {AttemptStatus::ConnectionLost, AttemptStatus::Truncated, AttemptStatus::Answered},
+     Outcome::Answer,
+     RefusalReason::None},
+    {"lost, then refused: an earlier attempt may have run",
+     true,
+     {AttemptStatus::ConnectionLost, AttemptStatus::Refused, AttemptStatus::Refused,
+      AttemptStatus::Refused},
+     Outcome::Unknown,
+     RefusalReason::BackendConnectionLost},
+    {"idempotent and never sent",
+     true,
+     {AttemptStatus::NotSent, AttemptStatus::NotSent, AttemptStatus::NotSent,
+      AttemptStatus::NotSent},
+     Outcome::NotRun,
+     RefusalReason::BackendConnectionFailed},
+};
+
+} // namespace
+
+TEST_CASE("Each sequence of attempt results ends with the outcome that is true")
+{
+    for (const OutcomeCase &outcomeCase : outcomeCases) {
+        DYNAMIC_SECTION(outcomeCase.name)
+        {
+            MemoryTable table;
+            KernelDriver entry(table, "entry-a");
+            entry.ready(makeTable(8, 4, {"treasury"}), {"entry-a"});
+            const auto token = entry.arrive(entry.describe("treasury", outcomeCase.idempotent));
+            std::string previous;
+            for (const AttemptStatus status : outcomeCase.attempts) {
+                entry.serveStore();
+                REQUIRE(entry.attempts.size() == 1);
+                CHECK(entry.attempts.front().backendServer != previous);
+                previous = entry.attempts.front().backendServer;
+                entry.advance(std::chrono::milliseconds(5));
+                entry.finish(status);
+            }
+            entry.serveStore();
+            REQUIRE(entry.attempts.empty());
+            REQUIRE(entry.answerCount == 1);
+            CHECK(entry.answers[token].outcome == outcomeCase.outcome);
+            CHECK(entry.answers[token].reason == outcomeCase.reason);
+            CHECK(entry.kernel->openRequests() == 0);
+        }
+    }
+}
+
+TEST_CASE("A request that cannot be accepted is refused with its reason")
+{
+    MemoryTable table;
+    KernelDriver entry(table, "entry-a");
+    const auto routes = makeTable(1, 1, {"treasury"});
+
+    SECTION("before the process knows routes and members")
+    {
+        const auto token = entry.arrive(entry.describe("treasury", true));
+        CHECK(entry.answers[token].reason == RefusalReason::NotReady);
+        CHECK(entry.answers[token].outcome == Outcome::NotRun);
+    }
+    SECTION("unknown service")
+    {
+        entry.ready(routes, {"entry-a"});
+        const auto token = entry.arrive(entry.describe("absent", true));
+        CHECK(entry.answers[token].reason == RefusalReason::UnknownService);
+    }
+    SECTION("ids of non-idempotent requests")
+    {
+        entry.ready(routes, {"entry-a"});
+        auto request = entry.describe("treasury", false);
+        request.requestId.clear();
+        CHECK(entry.answers[entry.arrive(request)].reason == RefusalReason::MissingRequestId);
+        request = entry.describe("treasury", false);
+        request.requestId = "0190b5a0-1111-4000-8000-000000000000";
+        CHECK(entry.answers[entry.arrive(request)].reason == RefusalReason::InvalidRequestId);
+        request = entry.describe("treasury", false);
+        request.requestId = makeRequestId(entry.now + std::chrono::minutes(6), 1);
+        CHECK(entry.answers[entry.arrive(request)].outcome == Outcome::NotRun);
+        // Its record may have been deleted, so that nothing is known of an earlier run.
+        request = entry.describe("treasury", false);
+        request.requestId = makeRequestId(entry.now - std::chrono::hours(25), 1);
+        const auto token = entry.arrive(request);
+        CHECK(entry.answers[token].reason == RefusalReason::RecordExpired);
+        CHECK(entry.answers[token].outcome == Outcome::Unknown);
+    }
+    SECTION("a waiting request whose deadline passes was not run")
+    {
+        entry.ready(routes, {"entry-a"});
+        entry.arrive(entry.describe("treasury", true));
+        const auto waiting = entry.arrive(entry.describe("treasury", true));
+        entry.advance(std::chrono::seconds(10));
+        CHECK(entry.answers[waiting].reason == RefusalReason::DeadlineExceeded);
+        CHECK(entry.answers[waiting].outcome == Outcome::NotRun);
+        CHECK(entry.answers[waiting].retryAfter > Duration::zero());
+    }
+    SECTION("a full queue gives up its least urgent request for a more urgent one")
+    {
+        RequestKernelSettings settings;
+        settings.queueLimit = 2;
+        KernelDriver small(table, "entry-a", settings);
+        small.ready(routes, {"entry-a"});
+        small.arrive(small.describe("treasury", true));
+        small.arrive(small.describe("treasury", true));
+        auto request = small.describe("treasury", true);
+        request.urgency = Urgency::Deferrable;
+        const auto deferrable = small.arrive(request);
+        const auto refused = small.arrive(small.describe("treasury", true));
+        CHECK(small.answers[deferrable].reason == RefusalReason::OverShare);
+        CHECK_FALSE(small.answered(refused));
+        const auto second = small.arrive(small.describe("treasury", true));
+        CHECK(small.answers[second].reason == RefusalReason::OverShare);
+    }
+}
