Kernel: Refuse a copy whose claim row was released by a later copy

A copy that was declared to be the first, or that found no row before, may be held up in a frozen process while a later copy claims the row, is not run and releases it. Its caller has then been told that the request was not run, so the delayed copy must not run.

The tests cover each fault of a claim commit, repeats at another entry process, a frozen holder, a store outage and the recording of outcomes.

--- a/Kernel/Request/ClaimLedger.cpp
+++ b/Kernel/Request/ClaimLedger.cpp
@@ -339,11 +339,14 @@
         written(now, token, claim);
         return;
     }
-    const bool free = row.version == absentVersion
-                      || (record && record->state == ClaimState::Released
-                          && record->fingerprint == claim.fingerprint);
-    if (!free) {
-        const RepeatAnswer answer = interpret(record, claim.fingerprint);
+    const bool released = record && record->state == ClaimState::Released
+                          && record->fingerprint == claim.fingerprint;
+    if (row.version != absentVersion && (claiming || !released)) {
+        // A row that was released since this copy was looked up, or declared to be the first,
+        // belongs to a later copy, whose caller may have been told that the request was not run.
+        const RepeatAnswer answer
+            = released ? RepeatAnswer{Outcome::InProgress, RefusalReason::AlreadyRunning, nullptr}
+                       : interpret(record, claim.fingerprint);
         const bool report = !claim.abandoned;
         close(token);
         if (report)
--- /dev/null
+++ b/Tests/Kernel/Request/TestClaims.cpp
@@ -0,0 +1,325 @@
+#include "KernelDriver.h"
+
+#include <Kernel/Request/ClaimRecord.h>
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> bothEntries{"entry-a", "entry-b"};
+
+struct Fixture
+{
+    MemoryTable table;
+    std::shared_ptr<RoutingTable> routes = makeTable(4, 4, {"treasury"});
+    KernelDriver first{table, "entry-a"};
+    KernelDriver second{table, "entry-b"};
+
+    Fixture()
+    {
+        first.ready(routes, {"entry-a"});
+        second.ready(routes, {"entry-b"});
+        // Each is told of the other as a live holder, after its slots were free to use.
+        first.kernel->membersChanged(first.now, {2, bothEntries});
+        second.kernel->membersChanged(second.now, {2, bothEntries});
+        exchange();
+    }
+
+    void exchange()
+    {
+        for (int round = 0; round < 4; ++round) {
+            first.collect();
+            second.collect();
+            for (const auto &message : std::exchange(first.messages, {}))
+                second.kernel->peerMessageReceived(second.now, "entry-a", message.message);
+            for (const auto &message : std::exchange(second.messages, {}))
+                first.kernel->peerMessageReceived(first.now, "entry-b", message.message);
+        }
+    }
+
+    ClaimRecord rowOf(const RequestDescription &request) const
+    {
+        return decodeClaimRecord(table.read(claimKey(request.service, request.requestId)).value)
+            .value();
+    }
+
+    RequestDescription repeatOf(RequestDescription request)
+    {
+        request.token += 1000;
+        request.declaredFirstAttempt = false;
+        return request;
+    }
+};
+
+/// Sends a request through \a entry until it runs.
+RequestDescription startRequest(KernelDriver &entry)
+{
+    const auto request = entry.describe("treasury", false);
+    entry.arrive(request);
+    entry.serveStore();
+    REQUIRE(entry.attempts.size() == 1);
+    return request;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A claim is written before the dispatch, whatever the store does")
+{
+    const auto request = first.describe("treasury", false);
+    first.arrive(request);
+    REQUIRE(first.commits.size() == 1);
+    REQUIRE(first.attempts.empty());
+    const auto answerOf = [&] {
+        return first.answers.at(request.token);
+    };
+
+    SECTION("written")
+    {
+        first.serveCommit();
+        CHECK(first.attempts.size() == 1);
+    }
+    SECTION("refused: not run, and no row")
+    {
+        first.serveCommit(StoreFault::Refused);
+        CHECK(answerOf().outcome == Outcome::NotRun);
+        CHECK(answerOf().reason == RefusalReason::StoreUnavailable);
+        CHECK(first.kernel->openRequests() == 0);
+    }
+    SECTION("answer lost after the effect: the row tells that the claim is ours")
+    {
+        first.serveCommit(StoreFault::LostAfter);
+        CHECK(first.attempts.empty());
+        first.serveRead();
+        CHECK(first.attempts.size() == 1);
+        CHECK(first.commits.empty());
+    }
+    SECTION("lost before the effect: written again under the same operation id")
+    {
+        const auto operation = first.commits.front().operationId;
+        first.serveCommit(StoreFault::LostBefore);
+        first.serveRead();
+        CHECK(first.attempts.empty());
+        REQUIRE(first.commits.size() == 1);
+        CHECK(first.commits.front().operationId == operation);
+        first.serveCommit();
+        CHECK(first.attempts.size() == 1);
+    }
+    SECTION("the lost commit takes effect after the row was read back")
+    {
+        const auto late = first.commits.front();
+        first.serveCommit(StoreFault::LostBefore);
+        first.serveRead();
+        table.commit(late.check, late.write);
+        first.serveStore();
+        CHECK(first.attempts.size() == 1);
+        CHECK(first.started == 1);
+    }
+    SECTION("lost, and the row cannot be read: not run, and released when the store is back")
+    {
+        first.serveCommit(StoreFault::LostAfter);
+        first.serveRead(ReadStatus::Unavailable);
+        CHECK(answerOf().outcome == Outcome::NotRun);
+        CHECK(first.attempts.empty());
+        first.serveStore();
+        CHECK(rowOf(request).state == ClaimState::Released);
+        second.arrive(repeatOf(request));
+        second.serveStore();
+        CHECK(second.attempts.size() == 1);
+    }
+    SECTION("delayed past the limit: not run, and released when it takes effect after all")
+    {
+        first.advance(1s);
+        CHECK(answerOf().reason == RefusalReason::StoreUnavailable);
+        first.serveStore();
+        CHECK(first.attempts.empty());
+        CHECK(rowOf(request).state == ClaimState::Released);
+        CHECK(first.kernel->openRequests() == 0);
+    }
+    SECTION("the caller is gone before the claim is written")
+    {
+        first.kernel->requestCancelled(first.now, request.token);
+        first.collect();
+        first.serveStore();
+        CHECK(first.attempts.empty());
+        CHECK(rowOf(request).state == ClaimState::Released);
+    }
+    SECTION("the holder was frozen past its lease while the claim was written")
+    {
+        first.now += 2h;
+        first.serveCommit();
+        CHECK(first.attempts.empty());
+        first.serveStore();
+        CHECK(rowOf(request).state == ClaimState::Released);
+        CHECK(answerOf().outcome == Outcome::NotRun);
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "A repeat is answered from the row and never run again")
+{
+    const auto request = startRequest(first);
+    const auto repeat = repeatOf(request);
+
+    SECTION("another process runs it")
+    {
+        second.arrive(repeat);
+        second.serveStore();
+        CHECK(second.answers[repeat.token].outcome == Outcome::InProgress);
+    }
+    SECTION("this process runs it")
+    {
+        first.arrive(repeat);
+        CHECK(first.answers[repeat.token].outcome == Outcome::InProgress);
+    }
+    SECTION("a repeat that declares itself the first is found by the absent check")
+    {
+        auto declared = repeat;
+        declared.declaredFirstAttempt = true;
+        second.arrive(declared);
+        second.serveStore();
+        CHECK(second.answers[repeat.token].outcome == Outcome::InProgress);
+        CHECK(second.started == 0);
+    }
+    SECTION("its answer is recorded")
+    {
+        first.finish();
+        first.serveStore();
+        second.arrive(repeat);
+        second.serveStore();
+        REQUIRE(second.answers[repeat.token].outcome == Outcome::Answer);
+        CHECK(second.answers[repeat.token].recorded->body == "fee recorded");
+    }
+    SECTION("its answer is known here and not yet recorded")
+    {
+        first.finish();
+        first.arrive(repeat);
+        REQUIRE(first.answers[repeat.token].outcome == Outcome::Answer);
+        CHECK(first.answers[repeat.token].recorded->status == 200);
+    }
+    SECTION("its result is unknown")
+    {
+        first.finish(AttemptStatus::ConnectionLost);
+        first.serveStore();
+        second.arrive(repeat);
+        second.serveStore();
+        CHECK(second.answers[repeat.token].outcome == Outcome::Unknown);
+        CHECK(second.answers[repeat.token].reason == RefusalReason::BackendConnectionLost);
+    }
+    SECTION("its holder crashed, and its lease has expired")
+    {
+        second.kernel->membersChanged(second.now, {3, {"entry-b"}});
+        second.arrive(repeat);
+        second.serveStore();
+        CHECK(second.answers[repeat.token].outcome == Outcome::Unknown);
+        CHECK(second.answers[repeat.token].reason == RefusalReason::HolderLost);
+        CHECK(second.started == 0);
+    }
+    SECTION("it was not run: the repeat runs, and a delayed first copy does not")
+    {
+        first.kernel->stopRequested(first.now);
+        first.finish(AttemptStatus::Refused);
+        while (!first.attempts.empty())
+            first.finish(AttemptStatus::Refused);
+        CHECK_FALSE(first.answered(request.token));
+        first.serveStore();
+        CHECK(first.answers[request.token].outcome == Outcome::NotRun);
+        auto delayed = request;
+        delayed.token = 5000;
+        second.arrive(delayed);
+        second.serveStore();
+        CHECK(second.answers[5000].outcome == Outcome::InProgress);
+        second.arrive(repeat);
+        second.serveStore();
+        CHECK(second.attempts.size() == 1);
+    }
+    SECTION("another content under the same id is a typed error")
+    {
+        auto other = repeat;
+        other.fingerprint = "f1";
+        second.arrive(other);
+        second.serveStore();
+        CHECK(second.answers[repeat.token].reason == RefusalReason::FingerprintMismatch);
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "An outcome is recorded whatever the store does")
+{
+    const auto request = startRequest(first);
+    first.finish();
+    REQUIRE(first.answers[request.token].outcome == Outcome::Answer);
+    const auto fault = GENERATE(StoreFault::Refused, StoreFault::LostBefore, StoreFault::LostAfter);
+    for (int round = 0; round < 3; ++round) {
+        REQUIRE(first.commits.size() == 1);
+        CHECK(first.kernel->openRequests() == 1);
+        first.serveCommit(fault);
+        while (first.commits.empty() && first.kernel->openRequests() > 0)
+            first.advance(1s);
+    }
+    first.serveStore();
+    CHECK(rowOf(request).state == ClaimState::Done);
+    CHECK(first.kernel->openRequests() == 0);
+    CHECK(first.started == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "During a store outage idempotent requests are served and others refused")
+{
+    for (int count = 0; count < 3; ++count) {
+        first.arrive(first.describe("treasury", false));
+        first.serveCommit(StoreFault::Refused);
+    }
+    const auto refused = first.arrive(first.describe("treasury", false));
+    CHECK(first.commits.empty());
+    CHECK(first.answers[refused].outcome == Outcome::NotRun);
+    CHECK(first.answers[refused].reason == RefusalReason::StoreUnavailable);
+    CHECK(first.answers[refused].retryAfter >= 1s);
+
+    SECTION("without the declaration an earlier copy may have run")
+    {
+        auto request = first.describe("treasury", false);
+        request.declaredFirstAttempt = false;
+        first.arrive(request);
+        CHECK(first.reads.empty());
+        CHECK(first.answers[request.token].outcome == Outcome::Unknown);
+        CHECK(first.answers[request.token].reason == RefusalReason::StoreUnavailable);
+    }
+    SECTION("idempotent requests need no store, nor a lease")
+    {
+        first.kernel->leaseChanged(first.now, first.now);
+        for (int count = 0; count < 100; ++count) {
+            first.arrive(first.describe("treasury", true));
+            first.advance(1ms);
+            first.finish();
+        }
+        CHECK(first.started == 100);
+    }
+    SECTION("a single probe closes the breaker")
+    {
+        first.advance(1s);
+        first.arrive(first.describe("treasury", false));
+        const auto other = first.arrive(first.describe("treasury", false));
+        CHECK(first.commits.size() == 1);
+        CHECK(first.answers[other].reason == RefusalReason::StoreUnavailable);
+        first.serveCommit();
+        first.arrive(first.describe("treasury", false));
+        CHECK(first.commits.size() == 1);
+    }
+    SECTION("without a lease nothing is claimed, even when the store answers")
+    {
+        first.advance(1s);
+        first.kernel->leaseChanged(first.now, first.now);
+        const auto late = first.arrive(first.describe("treasury", false));
+        CHECK(first.commits.empty());
+        CHECK(first.answers[late].outcome == Outcome::NotRun);
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "The outcome of a running request is recorded after its caller is gone")
+{
+    const auto request = startRequest(first);
+    first.kernel->requestCancelled(first.now, request.token);
+    first.finish();
+    first.serveStore();
+    CHECK(rowOf(request).state == ClaimState::Done);
+    CHECK(first.answerCount == 1);
+}
