LibHttp: Add the backend client and the HTTP server glue

The client drives a libcurl multi handle from an Asio context and counts the calls of CURLOPT_PREREQFUNCTION: libcurl resends a request on its own when a reused connection closes before the first byte of the answer, which would run a non-idempotent request twice.

--- /dev/null
+++ b/Libraries/LibHttp/CurlMulti.cpp
@@ -0,0 +1,168 @@
+#include <LibHttp/CurlMulti.h>
+
+#include <asio/post.hpp>
+#include <unistd.h>
+#include <vector>
+
+namespace Peridot {
+
+// Registration of one socket. It stays until libcurl closes the socket: an idle connection keeps
+// its entry in the reactor, which saves two system calls a transfer.
+struct CurlMulti::Watch
+{
+    Watch(asio::io_context &context, curl_socket_t socket) : descriptor(context, socket) { }
+
+    asio::posix::stream_descriptor descriptor;
+    bool wantRead = false;
+    bool wantWrite = false;
+    bool reading = false;
+    bool writing = false;
+    bool closed = false;
+};
+
+namespace {
+
+void ensureGlobalInit()
+{
+    static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)code;
+}
+
+} // namespace
+
+CurlMulti::CurlMulti(asio::io_context &context, DoneCallback onDone)
+    : m_context(context), m_timer(context), m_multi(nullptr), m_onDone(std::move(onDone))
+{
+    ensureGlobalInit();
+    m_multi = curl_multi_init();
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &CurlMulti::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &CurlMulti::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+}
+
+CurlMulti::~CurlMulti()
+{
+    curl_multi_cleanup(m_multi);
+}
+
+bool CurlMulti::add(CURL *easy)
+{
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlMulti::onCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    return curl_multi_add_handle(m_multi, easy) == CURLM_OK;
+}
+
+void CurlMulti::remove(CURL *easy)
+{
+    curl_multi_remove_handle(m_multi, easy);
+}
+
+int CurlMulti::onSocket(CURL *, curl_socket_t socket, int what, void *self, void *)
+{
+    static_cast<CurlMulti *>(self)->watchSocket(socket, what);
+    return 0;
+}
+
+int CurlMulti::onTimer(CURLM *, long milliseconds, void *self)
+{
+    static_cast<CurlMulti *>(self)->setTimer(milliseconds);
+    return 0;
+}
+
+int CurlMulti::onCloseSocket(void *self, curl_socket_t socket)
+{
+    auto &watches = static_cast<CurlMulti *>(self)->m_watches;
+    const auto found = watches.find(socket);
+    if (found == watches.end())
+        return close(socket);
+    const auto watch = found->second;
+    watches.erase(found);
+    watch->closed = true;
+    asio::error_code error;
+    watch->descriptor.close(error);
+    return error ? 1 : 0;
+}
+
+void CurlMulti::setTimer(long milliseconds)
+{
+    m_timer.cancel();
+    if (milliseconds < 0)
+        return;
+    m_timer.expires_after(std::chrono::milliseconds(milliseconds));
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            act(CURL_SOCKET_TIMEOUT, 0);
+    });
+}
+
+void CurlMulti::watchSocket(curl_socket_t socket, int what)
+{
+    auto &watch = m_watches[socket];
+    if (!watch) {
+        if (what == CURL_POLL_REMOVE) {
+            m_watches.erase(socket);
+            return;
+        }
+        watch = std::make_shared<Watch>(m_context, socket);
+    }
+    watch->wantRead = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
+    watch->wantWrite = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
+    if (watch->wantRead)
+        wait(watch, asio::posix::descriptor_base::wait_read);
+    if (watch->wantWrite)
+        wait(watch, asio::posix::descriptor_base::wait_write);
+}
+
+void CurlMulti::wait(const std::shared_ptr<Watch> &watch,
+                     asio::posix::descriptor_base::wait_type type)
+{
+    const bool read = type == asio::posix::descriptor_base::wait_read;
+    bool &pending = read ? watch->reading : watch->writing;
+    if (pending || watch->closed)
+        return;
+    pending = true;
+    watch->descriptor.async_wait(type, [this, watch, read](const asio::error_code &error) {
+        (read ? watch->reading : watch->writing) = false;
+        if (!watch->closed)
+            socketReady(watch, read, static_cast<bool>(error));
+    });
+}
+
+void CurlMulti::socketReady(const std::shared_ptr<Watch> &watch, bool readable, bool failed)
+{
+    // libcurl looks at an idle connection itself before it uses it again.
+    if (!(readable ? watch->wantRead : watch->wantWrite))
+        return;
+    const int events = failed ? CURL_CSELECT_ERR : readable ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
+    act(watch->descriptor.native_handle(), events);
+    if (watch->closed || failed)
+        return;
+    if (watch->wantRead)
+        wait(watch, asio::posix::descriptor_base::wait_read);
+    if (watch->wantWrite)
+        wait(watch, asio::posix::descriptor_base::wait_write);
+}
+
+void CurlMulti::act(curl_socket_t socket, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(m_multi, socket, events, &running);
+    collectDone();
+}
+
+void CurlMulti::collectDone()
+{
+    std::vector<std::pair<CURL *, CURLcode>> done;
+    int remaining = 0;
+    while (const CURLMsg *message = curl_multi_info_read(m_multi, &remaining)) {
+        if (message->msg == CURLMSG_DONE)
+            done.emplace_back(message->easy_handle, message->data.result);
+    }
+    for (const auto &[easy, code] : done) {
+        remove(easy);
+        m_onDone(easy, code);
+    }
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Libraries/LibHttp/include/LibHttp/BackendClient.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <Kernel/Request/RequestTypes.h>
+#include <LibBase/Time.h>
+#include <LibHttp/CurlMulti.h>
+#include <LibHttp/HttpMessage.h>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+class BackendTransfer;
+
+struct BackendClientSettings
+{
+    std::size_t maximumAnswerBytes = 4 * 1024 * 1024; ///< headers and body
+    long maximumConnectionsPerServer = 64; ///< the caller's part of the server's limit
+    std::chrono::milliseconds connectTimeout{1000};
+    /// Idle connections older than this are not used again. It must be shorter than the idle
+    /// timeout of the backend servers, or non-idempotent requests meet closing connections.
+    std::chrono::seconds idleConnectionLimit{5};
+};
+
+struct BackendRequest
+{
+    std::string address; ///< IP address
+    std::uint16_t port = 0;
+    std::string method;
+    std::string target;
+    HttpHeaders headers;
+    std::shared_ptr<const std::string> body; ///< null: none
+    std::chrono::milliseconds timeout{0}; ///< for the whole attempt
+    std::string requestId; ///< when set, an answer that echoes another Request-Id is refused
+};
+
+struct BackendAnswer
+{
+    AttemptStatus status = AttemptStatus::NotSent;
+    int httpStatus = 0;
+    HttpHeaders headers; ///< without hop-by-hop headers
+    std::string body;
+    bool leaving = false; ///< the server sent Peridot-Leaving: 1
+    std::string detail; ///< for the log
+};
+
+/// Sends requests to backend servers over reused connections. Single-threaded on its context. No
+/// request is ever sent twice: libcurl's own resend on a closed reused connection is aborted, and
+/// the attempt ends as ConnectionLost.
+class BackendClient
+{
+public:
+    using Callback = std::function<void(BackendAnswer)>;
+
+    BackendClient(asio::io_context &context, const BackendClientSettings &settings);
+    ~BackendClient();
+
+    /// Calls \a callback exactly once, later, on the thread of the context. The destructor drops
+    /// the callbacks of transfers that have not ended.
+    void start(BackendRequest request, Callback callback);
+
+    void setMaximumConnectionsPerServer(long connections);
+
+    std::size_t openTransfers() const { return m_open; }
+
+private:
+    void finished(CURL *easy, CURLcode code);
+
+    asio::io_context &m_context;
+    BackendClientSettings m_settings;
+    CurlMulti m_multi;
+    std::vector<std::unique_ptr<BackendTransfer>> m_transfers; ///< all, reused when idle
+    std::vector<BackendTransfer *> m_idle;
+    std::size_t m_open = 0;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Libraries/LibHttp/include/LibHttp/CurlMulti.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace Peridot {
+
+/// Drives a libcurl multi handle from an Asio context. Single-threaded: every call is made on the
+/// thread that runs the context.
+class CurlMulti
+{
+public:
+    using DoneCallback = std::function<void(CURL *, CURLcode)>;
+
+    CurlMulti(asio::io_context &context, DoneCallback onDone);
+    ~CurlMulti();
+    CurlMulti(const CurlMulti &) = delete;
+    CurlMulti &operator=(const CurlMulti &) = delete;
+
+    CURLM *handle() const { return m_multi; }
+
+    /// Prepares \a easy for this driver and starts it. Returns false when libcurl refused it.
+    bool add(CURL *easy);
+    void remove(CURL *easy);
+
+private:
+    struct Watch;
+
+    static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *watch);
+    static int onTimer(CURLM *multi, long milliseconds, void *self);
+    static int onCloseSocket(void *self, curl_socket_t socket);
+
+    void setTimer(long milliseconds);
+    void watchSocket(curl_socket_t socket, int what);
+    void wait(const std::shared_ptr<Watch> &watch, asio::posix::descriptor_base::wait_type type);
+    void socketReady(const std::shared_ptr<Watch> &watch, bool readable, bool failed);
+    void act(curl_socket_t socket, int events);
+    void collectDone();
+
+    asio::io_context &m_context;
+    asio::steady_timer m_timer;
+    CURLM *m_multi;
+    DoneCallback m_onDone;
+    std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> m_watches;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <LibBase/EnumTable.h>
+#include <LibBase/Error.h>
+#include <LibHttp/HttpMessage.h>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Peridot {
+
+/// Input that the server refuses before a handler sees a request.
+enum class InputFault {
+    MalformedRequest,
+    HeaderBlockTooLarge,
+    TooManyHeaders,
+    HeaderTooLong,
+    TargetTooLong,
+    BodyTooLarge,
+    ReadTimeout, ///< the sender was too slow
+    UpgradeRequested,
+};
+
+constexpr auto inputFaultNames = makeEnumTable<InputFault>({
+    {InputFault::MalformedRequest, "malformed-request"},
+    {InputFault::HeaderBlockTooLarge, "header-block-too-large"},
+    {InputFault::TooManyHeaders, "too-many-headers"},
+    {InputFault::HeaderTooLong, "header-too-long"},
+    {InputFault::TargetTooLong, "target-too-long"},
+    {InputFault::BodyTooLarge, "body-too-large"},
+    {InputFault::ReadTimeout, "read-timeout"},
+    {InputFault::UpgradeRequested, "upgrade-requested"},
+});
+
+struct HttpServerSettings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0; ///< 0: chosen by the operating system
+    std::size_t threads = 1;
+    std::size_t maximumConnections = 1000; ///< further ones wait in the listen backlog
+    std::size_t maximumHeaders = 100;
+    std::size_t maximumBodyBytes = 1024 * 1024;
+    std::chrono::milliseconds readTimeout{10000}; ///< from the first wait to the whole request
+};
+
+/// Sends the response to one request, once, from any thread. Later calls have no effect. A response
+/// to a caller that is gone is dropped.
+class HttpResponder
+{
+public:
+    virtual ~HttpResponder() = default;
+    virtual void send(ResponseMessage response) = 0;
+};
+
+struct HttpServerHooks
+{
+    /// Called on a server thread for each whole request.
+    std::function<void(RequestMessage, std::shared_ptr<HttpResponder>)> onRequest;
+    /// Called on a server thread when a connection closed before the response to this request.
+    std::function<void(std::uint64_t serial)> onAbandoned;
+    /// Builds the response to refused input. Empty: a plain 400 or 413.
+    std::function<ResponseMessage(InputFault, const std::string &detail)> onInputFault;
+};
+
+/// HTTP/1.1 server on its own threads. The header block is limited to headerBlockLimit bytes.
+class HttpServer
+{
+public:
+    static constexpr std::uint32_t headerBlockLimit = 16 * 1024; ///< bytes, request line included
+
+    /// Listens and starts the threads. Errors: InvalidValue (address), ConnectionFailed (port in
+    /// use), with the address and port in the field.
+    static Result<std::unique_ptr<HttpServer>> start(const HttpServerSettings &settings,
+                                                     HttpServerHooks hooks);
+
+    virtual ~HttpServer() = default;
+
+    virtual std::uint16_t port() const = 0;
+    virtual std::size_t openConnections() const = 0;
+    /// Requests received whose response is not yet handed to the operating system.
+    virtual std::size_t pendingResponses() const = 0;
+    /// Accepts no further connection; open ones stay.
+    virtual void closeListener() = 0;
+    /// Closes every connection and joins the threads.
+    virtual void stop() = 0;
+};
+
+} // namespace Peridot
