--- /dev/null
+++ b/Services/Entry/Dispatcher.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "ClaimStore.h"
+#include "EntryMetrics.h"
+#include "RequestLog.h"
+#include "RequestValidator.h"
+#include <Kernel/Request/RequestKernel.h>
+#include <LibHttp/BackendClient.h>
+#include <LibHttp/HttpServer.h>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <thread>
+#include <unordered_map>
+
+namespace Peridot {
+
+using PeerSender = std::function<void(const std::string &instance, const std::string &message)>;
+using Clock = std::function<TimePoint()>;
+
+struct DispatcherSettings
+{
+    RequestKernelSettings kernel;
+    BackendClientSettings client;
+    Clock clock;
+    PeerSender sendPeerMessage; ///< called on the dispatcher thread
+};
+
+/// Owns the request kernel and the backend client, and runs both on one thread. Feeds events to the
+/// kernel and carries out its actions. The public functions may be called from any thread.
+class Dispatcher
+{
+public:
+    /// Errors: those of RequestKernel::create().
+    static Result<std::unique_ptr<Dispatcher>> create(DispatcherSettings settings,
+                                                      const ClaimStoreFactory &makeClaims,
+                                                      EntryMetrics &metrics, RequestLog &log);
+    ~Dispatcher();
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
+
+    void start();
+    /// Joins the thread. Requests that are still open get no answer.
+    void stop();
+
+    void requestArrived(ValidRequest request, RequestMessage message,
+                        std::shared_ptr<HttpResponder> responder);
+    void requestCancelled(RequestToken token);
+    void routingTableChanged(std::shared_ptr<const RoutingTable> table);
+    void membersChanged(EntryMembers members);
+    void leaseChanged(TimePoint end);
+    void backendServerLeaving(std::string backendServer, bool leaving);
+    void peerMessageReceived(std::string instance, std::string message);
+    /// Refuses new requests; \a onIdle runs on the dispatcher thread once none is open.
+    void requestStop(std::function<void()> onIdle);
+    /// Calls \a callback with the state of the kernel on the dispatcher thread.
+    void dumpState(std::function<void(std::string)> callback);
+
+    std::size_t openRequests() const { return m_openCount.load(std::memory_order_relaxed); }
+
+private:
+    struct OpenRequest
+    {
+        RequestDescription description;
+        RequestMessage message;
+        std::shared_ptr<const std::string> body;
+        std::shared_ptr<HttpResponder> responder;
+        std::shared_ptr<ServiceGate> gate;
+        std::uint64_t answeredAttempt = 0;
+        BackendAnswer answer; ///< of answeredAttempt
+        std::string backendServer; ///< of the latest attempt
+        std::string failure; ///< of the latest failed attempt, for the caller and the log
+        unsigned attempts = 0;
+    };
+
+    Dispatcher(DispatcherSettings settings, EntryMetrics &metrics, RequestLog &log);
+
+    void post(std::function<void()> function);
+    void carryOutActions();
+    void carryOut(StartAttempt &action);
+    void carryOut(ReadClaim &action);
+    void carryOut(CommitClaim &action);
+    void carryOut(AnswerRequest &action);
+    void carryOut(SendPeerMessage &action);
+    void attemptFinished(RequestToken token, std::uint64_t attempt, const std::string &server,
+                         BackendAnswer answer);
+    ResponseMessage responseOf(OpenRequest &request, const AnswerRequest &action) const;
+    const BackendServerRoute *findServer(const std::string &name) const;
+    void updateConnectionLimit();
+    void scheduleTick();
+    void tick();
+
+    DispatcherSettings m_settings;
+    EntryMetrics &m_metrics;
+    RequestLog &m_log;
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::steady_timer m_tickTimer;
+    std::unique_ptr<RequestKernel> m_kernel;
+    std::unique_ptr<ClaimStore> m_claims;
+    std::unique_ptr<BackendClient> m_client;
+    std::shared_ptr<const RoutingTable> m_table;
+    std::unordered_map<std::string, BackendServerRoute> m_servers;
+    std::size_t m_members = 1;
+    std::unordered_map<RequestToken, OpenRequest> m_requests;
+    std::atomic<std::size_t> m_openCount{0};
+    std::function<void()> m_onIdle;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Services/Entry/EntrySettings.cpp
@@ -0,0 +1,71 @@
+#include "EntrySettings.h"
+
+#include "EntrySettingsSchema.h"
+#include <LibBase/Settings.h>
+
+namespace Peridot {
+
+namespace {
+
+Endpoint parseEndpoint(const Json::Value &value)
+{
+    Endpoint endpoint;
+    endpoint.address = value["address"].asString();
+    endpoint.port = static_cast<std::uint16_t>(value["port"].asUInt());
+    return endpoint;
+}
+
+template <typename Unit>
+void readDuration(const Json::Value &value, const char *name, Unit &target)
+{
+    if (value.isMember(name))
+        target = Unit(value[name].asInt64());
+}
+
+void readSize(const Json::Value &value, const char *name, std::size_t &target)
+{
+    if (value.isMember(name))
+        target = value[name].asUInt64();
+}
+
+void readLimits(const Json::Value &limits, EntrySettings &settings)
+{
+    readSize(limits, "connections", settings.maximumConnections);
+    readSize(limits, "queue", settings.queueLimit);
+    readSize(limits, "answer_bytes", settings.maximumAnswerBytes);
+    readDuration(limits, "read_timeout_ms", settings.readTimeout);
+    readDuration(limits, "deadline_ms", settings.maximumDeadline);
+    readDuration(limits, "connect_timeout_ms", settings.connectTimeout);
+    readDuration(limits, "idle_connection_s", settings.idleConnectionLimit);
+    readDuration(limits, "stop_grace_ms", settings.stopGrace);
+    readDuration(limits, "stop_limit_ms", settings.stopLimit);
+}
+
+} // namespace
+
+Result<EntrySettings> loadEntrySettings(const std::string &path)
+{
+    BOOST_LEAF_AUTO(value, loadSettings(path, entrySettingsSchema));
+    EntrySettings settings;
+    settings.instancePrefix = value["instance_prefix"].asString();
+    settings.dataCentre = value["data_centre"].asString();
+    settings.callers = parseEndpoint(value["callers"]);
+    settings.administration = parseEndpoint(value["administration"]);
+    settings.peers = parseEndpoint(value["peers"]);
+    settings.storeUrl = value["store_url"].asString();
+    settings.operatorToken = value["operator_token"].asString();
+    readSize(value, "threads", settings.serverThreads);
+    readLimits(value["limits"], settings);
+    const Json::Value &policies = value["policies"];
+    settings.admissionPolicy = policies.get("admission", settings.admissionPolicy).asString();
+    settings.routingPolicy = policies.get("routing", settings.routingPolicy).asString();
+    settings.logLevel = value.get("log_level", settings.logLevel).asString();
+    if (value.isMember("bootstrap")) {
+        BOOST_LEAF_AUTO(table, parseRoutingTable(value["bootstrap"]));
+        settings.bootstrap = std::move(table);
+    }
+    settings.document = std::move(value);
+    return settings;
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Services/Entry/EntrySettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Kernel/Request/RoutingTable.h>
+#include <LibBase/Error.h>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <json/value.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+struct Endpoint
+{
+    std::string address; ///< IP address
+    std::uint16_t port = 0; ///< 0: chosen by the operating system
+};
+
+/// Settings of one entry process.
+struct EntrySettings
+{
+    std::string instancePrefix;
+    std::string dataCentre;
+    Endpoint callers;
+    Endpoint administration;
+    Endpoint peers;
+    std::string storeUrl; ///< empty: no store, non-idempotent requests are refused
+    std::string operatorToken;
+    std::size_t serverThreads = 2;
+    std::size_t maximumConnections = 2000;
+    std::size_t queueLimit = 2000; ///< waiting requests of one service
+    std::chrono::milliseconds readTimeout{10000};
+    std::chrono::milliseconds maximumDeadline{300000};
+    std::chrono::milliseconds stopGrace{500}; ///< refusals go on for this long after SIGTERM
+    std::chrono::milliseconds stopLimit{30000}; ///< requests in flight get this long after SIGTERM
+    std::chrono::milliseconds connectTimeout{1000};
+    std::chrono::seconds idleConnectionLimit{5}; ///< connections to backend servers
+    std::size_t maximumAnswerBytes = 4 * 1024 * 1024;
+    std::string admissionPolicy = "fair-share";
+    std::string routingPolicy = "lent-slots";
+    std::string logLevel = "info";
+    std::shared_ptr<const RoutingTable> bootstrap; ///< used until a configuration arrives
+    Json::Value document; ///< the whole file, for the parts that read sections of their own
+};
+
+/// Errors: FileUnreadable, InvalidJson, SchemaViolation, DuplicateName, UnknownReference, with the
+/// path of the setting in the field.
+Result<EntrySettings> loadEntrySettings(const std::string &path);
+
+/// Reads a routing table: {"version", "services": [...], "backend_servers": [...]}. Errors:
+/// DuplicateName, UnknownReference, with the path in the field.
+Result<std::shared_ptr<const RoutingTable>> parseRoutingTable(const Json::Value &value);
+
+} // namespace Peridot
--- /dev/null
+++ b/Services/Entry/RequestValidator.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Refusal.h"
+#include "RoutingSnapshot.h"
+#include <Kernel/Request/RequestTypes.h>
+#include <LibHttp/HttpMessage.h>
+#include <chrono>
+#include <variant>
+
+namespace Peridot {
+
+struct ValidRequest
+{
+    RequestDescription description;
+    std::shared_ptr<ServiceGate> gate;
+};
+
+/// Checks a request against the routing snapshot. A refusal names the field at fault. The age of
+/// the request id is checked by the kernel, which owns the retention period.
+std::variant<ValidRequest, Refusal> validateRequest(const RequestMessage &request,
+                                                    const RoutingSnapshot &snapshot, TimePoint now,
+                                                    std::chrono::milliseconds maximumDeadline);
+
+} // namespace Peridot
