Kernel: Declare the fleet view, its rows and the functions for operators

The fleet process is written against these headers before the reconcilers are finished. Operators' drains are rows of their own and placement has a row of its own, so that neither conflicts with the pool ledger.

--- /dev/null
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <Kernel/Fleet/DrainRequest.h>
+#include <Kernel/Fleet/HostRecord.h>
+#include <Kernel/Fleet/HostReport.h>
+#include <Kernel/Fleet/JobRecord.h>
+#include <Kernel/Fleet/Manifest.h>
+#include <Kernel/Fleet/PlacementRecord.h>
+#include <Kernel/Fleet/PoolRecord.h>
+#include <Kernel/Fleet/TeamRecord.h>
+#include <LibStore/Transaction.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace Peridot {
+
+/// Cache of parsed rows, reports and the manifest, indexed by pool, team, host and failure domain.
+/// Changes are applied one row at a time, so that the cost of a change does not grow with the
+/// fleet. Rows may arrive in any order; a row older than the cached one is ignored.
+///
+/// A process reads every row again after it acquired a lease and before it plans under that lease.
+class FleetView
+{
+public:
+    struct Host
+    {
+        const HostSpecification *specification = nullptr; ///< nothing: not in the manifest
+        std::optional<HostRecord> record;
+        Version version = absentVersion;
+        std::optional<DrainRequest> drainRequest;
+        Version drainRequestVersion = absentVersion;
+        std::optional<HostReport> report;
+        TimePoint reportReceived;
+        bool hasBackendServer = false;
+        std::set<std::pair<std::string, unsigned>> tasks; ///< job and index, by the job rows
+        std::map<std::string, TimePoint> failures; ///< last failure here of each job
+        Resources reserved; ///< sum of the sizes of \c tasks
+    };
+
+    struct Pool
+    {
+        const PoolSpecification *specification = nullptr; ///< nothing: not in the manifest
+        std::optional<PoolRecord> record;
+        Version version = absentVersion;
+        PlacementRecord placement;
+        Version placementVersion = absentVersion;
+        std::set<std::string> hosts; ///< by the host rows
+        std::set<std::string> unadmittedHosts; ///< declared here and without a row
+        std::set<std::string> jobs; ///< by the job rows and the manifest
+        Duration longestDeadline{}; ///< of the services that use the pool
+    };
+
+    struct Job
+    {
+        const JobSpecification *specification = nullptr; ///< nothing: not in the manifest
+        std::optional<JobRecord> record;
+        Version version = absentVersion;
+    };
+
+    struct Team
+    {
+        const TeamSpecification *specification = nullptr;
+        TeamRecord record;
+        Version version = absentVersion;
+    };
+
+    /// \a version is the accepted configuration version. Lower versions are ignored.
+    void setManifest(std::shared_ptr<const Manifest> manifest, std::uint64_t version);
+
+    /// Applies rows as read or as committed. A row without a value is a deletion; for an absent
+    /// row, \c version is the revision at which it was seen absent, or 0 when unknown, which is
+    /// then applied unconditionally. Rows with other prefixes are ignored.
+    /// Errors: those of the parse functions, with the row key before the field; the other rows are
+    /// applied and the malformed row keeps its former content.
+    Result<void> applyRows(const std::vector<Row> &rows);
+
+    /// Applies the result of a committed transaction without reading the rows back.
+    Result<void> applyCommitted(const Transaction &transaction, Version revision);
+
+    /// \a received is the time at which the platform answered.
+    void applyReports(const std::vector<HostReport> &reports, TimePoint received);
+
+    const Manifest *manifest() const { return m_manifest.get(); }
+    std::uint64_t manifestVersion() const { return m_manifestVersion; }
+    const Host *host(const std::string &name) const;
+    const Pool *pool(const std::string &name) const;
+    const Job *job(const std::string &name) const;
+    const Team *team(const std::string &name) const;
+    const std::unordered_map<std::string, Host> &hosts() const { return m_hosts; }
+    const std::map<std::string, Pool> &pools() const { return m_pools; }
+    const std::unordered_map<std::string, Job> &jobs() const { return m_jobs; }
+
+    /// Pools for which leases are needed: declared ones, and former ones that still have hosts or
+    /// jobs.
+    std::vector<std::string> poolNames() const;
+
+    /// Hosts of a rack (\a dataCentre and \a rack) or, with an empty \a rack, of a data centre.
+    const std::set<std::string> &domainHosts(const std::string &dataCentre,
+                                             const std::string &rack) const;
+
+    /// Pools whose hosts, jobs, rows or reports changed since the last call. A process plans these
+    /// at once, and all its pools at its regular interval for changes that only time brings.
+    std::set<std::string> takeChangedPools();
+
+    /// True when no report of the host is available or the latest one is old: the host may have
+    /// failed.
+    bool isInDoubt(const Host &host, TimePoint now) const;
+
+private:
+    Result<void> applyRow(const Row &row);
+    void applyHost(const std::string &name, Version version, std::optional<HostRecord> record);
+    void applyPool(const std::string &name, Version version, std::optional<PoolRecord> record);
+    void applyJob(const std::string &name, Version version, std::optional<JobRecord> record);
+    void indexJob(const JobRecord &record, bool add);
+    void indexTask(const JobRecord &record, unsigned index, bool add);
+    void markHost(const Host &host);
+    void indexManifestHosts();
+    void indexManifestPools();
+    void clearManifestIndexes();
+
+    std::shared_ptr<const Manifest> m_manifest;
+    std::uint64_t m_manifestVersion = 0;
+    std::unordered_map<std::string, Host> m_hosts;
+    std::map<std::string, Pool> m_pools;
+    std::unordered_map<std::string, Job> m_jobs;
+    std::unordered_map<std::string, Team> m_teams;
+    std::unordered_map<std::string, std::set<std::string>> m_domains;
+    std::unordered_map<std::string, Version> m_deleted; ///< highest revision seen absent, by key
+    std::set<std::string> m_changedPools;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Fleet/HostRecord.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibBase/EnumTable.h>
+#include <LibBase/Error.h>
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Peridot {
+
+enum class HostState { Active, Draining, Drained, Rebooting, Returning, Failed, Quarantined };
+
+constexpr auto hostStateNames = makeEnumTable<HostState>({
+    {HostState::Active, "active"},
+    {HostState::Draining, "draining"},
+    {HostState::Drained, "drained"},
+    {HostState::Rebooting, "rebooting"},
+    {HostState::Returning, "returning"},
+    {HostState::Failed, "failed"},
+    {HostState::Quarantined, "quarantined"},
+});
+
+/// Why a host is made unavailable on purpose.
+enum class DrainPurpose { None, Maintenance, Operator, Move, Removal };
+
+constexpr auto drainPurposeNames = makeEnumTable<DrainPurpose>({
+    {DrainPurpose::None, "none"},
+    {DrainPurpose::Maintenance, "maintenance"},
+    {DrainPurpose::Operator, "operator"},
+    {DrainPurpose::Move, "move"},
+    {DrainPurpose::Removal, "removal"},
+});
+
+/// Row host/<name>. It alone decides the pool of the host.
+struct HostRecord
+{
+    std::string name;
+    std::string pool;
+    std::string rack;
+    std::string dataCentre;
+    std::string region;
+    HostState state = HostState::Active;
+    DrainPurpose purpose = DrainPurpose::None;
+    TimePoint since; ///< when \c state was entered
+    std::uint64_t generation = 0; ///< last completed maintenance
+    std::uint64_t rebootFrom = 0; ///< boot count when the reboot was decided
+    unsigned quarantines = 0; ///< consecutive; above 0 the host runs one probe task at a time
+    TimePoint probeAt; ///< end of the quarantine
+};
+
+/// Errors: InvalidJson, MissingField, InvalidValue; the field is the path inside the row.
+Result<HostRecord> parseHostRecord(std::string_view text);
+std::string encodeHostRecord(const HostRecord &record);
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Fleet/JobRecord.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <Kernel/Fleet/Manifest.h>
+#include <LibBase/EnumTable.h>
+#include <vector>
+
+namespace Peridot {
+
+enum class JobState {
+    Pending, ///< at least one task waits for a host
+    Running, ///< every task has a host or has finished
+    Finished,
+    Failed, ///< its tasks failed repeatedly on different hosts
+    Unrunnable, ///< can never run under the current configuration
+    Cancelling, ///< no longer in the manifest; the row goes when every task is known to have ended
+};
+
+constexpr auto jobStateNames = makeEnumTable<JobState>({
+    {JobState::Pending, "pending"},
+    {JobState::Running, "running"},
+    {JobState::Finished, "finished"},
+    {JobState::Failed, "failed"},
+    {JobState::Unrunnable, "unrunnable"},
+    {JobState::Cancelling, "cancelling"},
+});
+
+enum class PendingReason {
+    None,
+    NotYetPlanned,
+    NoCapacity,
+    BufferReserved, ///< the free capacity is kept for drains and a failure domain
+    QuotaExceeded, ///< the team has other tasks running
+    MakingRoom, ///< less urgent tasks are being throttled or checkpointed
+    RetryBackoff,
+    PreviousAttemptUnconfirmed, ///< a former start may still be running until its lease ends
+    TooLargeForAnyHost,
+    TooLargeForQuota,
+    RepeatedFailures,
+    NoHosts,
+};
+
+constexpr auto pendingReasonNames = makeEnumTable<PendingReason>({
+    {PendingReason::None, "none"},
+    {PendingReason::NotYetPlanned, "not-yet-planned"},
+    {PendingReason::NoCapacity, "no-capacity"},
+    {PendingReason::BufferReserved, "buffer-reserved"},
+    {PendingReason::QuotaExceeded, "quota-exceeded"},
+    {PendingReason::MakingRoom, "making-room"},
+    {PendingReason::RetryBackoff, "retry-backoff"},
+    {PendingReason::PreviousAttemptUnconfirmed, "previous-attempt-unconfirmed"},
+    {PendingReason::TooLargeForAnyHost, "too-large-for-any-host"},
+    {PendingReason::TooLargeForQuota, "too-large-for-quota"},
+    {PendingReason::RepeatedFailures, "repeated-failures"},
+    {PendingReason::NoHosts, "no-hosts"},
+});
+
+enum class TaskPhase { Pending, Placed, Throttled, Checkpointing, Stopping, Finished, Failed };
+
+constexpr auto taskPhaseNames = makeEnumTable<TaskPhase>({
+    {TaskPhase::Pending, "pending"},
+    {TaskPhase::Placed, "placed"},
+    {TaskPhase::Throttled, "throttled"},
+    {TaskPhase::Checkpointing, "checkpointing"},
+    {TaskPhase::Stopping, "stopping"},
+    {TaskPhase::Finished, "finished"},
+    {TaskPhase::Failed, "failed"},
+});
+
+struct TaskRecord
+{
+    TaskPhase phase = TaskPhase::Pending;
+    std::string host; ///< empty while pending
+    std::uint64_t epoch = 0; ///< grows with every placement; never reused
+    TimePoint since; ///< when \c phase was entered
+    TimePoint leaseEnd; ///< the worker stops the task by then unless the row was renewed
+    Resources size; ///< reserved on the host
+    unsigned failures = 0;
+    std::string failedHost; ///< host of the last failure
+    TimePoint failedAt;
+    TimePoint retryAt;
+};
+
+/// True while the task may be executing or holds capacity on a host.
+inline bool holdsHost(const TaskRecord &task)
+{
+    return task.phase == TaskPhase::Placed || task.phase == TaskPhase::Throttled
+           || task.phase == TaskPhase::Checkpointing || task.phase == TaskPhase::Stopping;
+}
+
+/// Largest usage reported for a task of the job.
+struct LearnedUsage
+{
+    double processors = 0;
+    double memoryGigabytes = 0;
+    unsigned samples = 0; ///< number of times the record was updated, at most a few dozen
+};
+
+/// Row job/<name>.
+struct JobRecord
+{
+    std::string name;
+    std::string pool;
+    std::string team;
+    Urgency urgency = Urgency::Normal;
+    std::string specificationDigest;
+    JobState state = JobState::Pending;
+    PendingReason reason = PendingReason::NotYetPlanned;
+    std::string detail;
+    std::uint64_t decidedAtVersion
+        = 0; ///< configuration version of an Unrunnable or Failed verdict
+    std::vector<TaskRecord> tasks;
+    LearnedUsage learned;
+};
+
+/// Errors: InvalidJson, MissingField, InvalidValue; the field is the path inside the row.
+Result<JobRecord> parseJobRecord(std::string_view text);
+std::string encodeJobRecord(const JobRecord &record);
+
+/// Digest of everything in \a job that decides whether and how it can run.
+std::string specificationDigest(const JobSpecification &job);
+
+} // namespace Peridot
