--- a/Kernel/include/Kernel/Fleet/BuildRoutingTable.h
+++ b/Kernel/include/Kernel/Fleet/BuildRoutingTable.h
@@ -28,7 +28,7 @@
 RoutingTable buildRoutingTable(const Manifest &manifest, const HostRoutingLookup &lookup,
                                std::uint64_t version);
 
-/// The same from host rows, drain requests and reports. \a manifest is passed separately because a
+/// The same from host rows and reports. \a manifest is passed separately because a
 /// proposed version is built before it is in force.
 RoutingTable buildRoutingTable(const Manifest &manifest, const FleetView &view,
                                std::uint64_t version);
--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -30,6 +30,7 @@
         const HostSpecification *specification = nullptr; ///< nothing: not in the manifest
         std::optional<HostRecord> record;
         Version version = absentVersion;
+        TimePoint observed; ///< when this process learnt of \c version
         std::optional<DrainRequest> drainRequest;
         Version drainRequestVersion = absentVersion;
         std::optional<HostReport> report;
@@ -75,10 +76,14 @@
     /// then applied unconditionally. Rows with other prefixes are ignored.
     /// Errors: those of the parse functions, with the row key before the field; the other rows are
     /// applied and the malformed row keeps its former content.
-    Result<void> applyRows(const std::vector<Row> &rows);
+    /// \a observed is the time of the answer. Waiting times that protect requests in flight count
+    /// from it and not from times inside rows, because a transaction may take effect long after it
+    /// was planned.
+    Result<void> applyRows(const std::vector<Row> &rows, TimePoint observed);
 
     /// Applies the result of a committed transaction without reading the rows back.
-    Result<void> applyCommitted(const Transaction &transaction, Version revision);
+    Result<void> applyCommitted(const Transaction &transaction, Version revision,
+                                TimePoint observed);
 
     /// \a received is the time at which the platform answered.
     void applyReports(const std::vector<HostReport> &reports, TimePoint received);
@@ -110,8 +115,9 @@
     bool isInDoubt(const Host &host, TimePoint now) const;
 
 private:
-    Result<void> applyRow(const Row &row);
-    void applyHost(const std::string &name, Version version, std::optional<HostRecord> record);
+    Result<void> applyRow(const Row &row, TimePoint observed);
+    void applyHost(const Row &row, const std::string &name, TimePoint observed,
+                   std::optional<HostRecord> record);
     void applyPool(const std::string &name, Version version, std::optional<PoolRecord> record);
     void applyJob(const std::string &name, Version version, std::optional<JobRecord> record);
     void indexJob(const JobRecord &record, bool add);
--- a/Kernel/include/Kernel/Fleet/HostRecord.h
+++ b/Kernel/include/Kernel/Fleet/HostRecord.h
@@ -45,6 +45,7 @@
     TimePoint since; ///< when \c state was entered
     std::uint64_t generation = 0; ///< last completed maintenance
     std::uint64_t rebootFrom = 0; ///< boot count when the reboot was decided
+    std::uint64_t targetGeneration = 0; ///< reached by the reboot under way
     unsigned quarantines = 0; ///< consecutive; above 0 the host runs one probe task at a time
     TimePoint probeAt; ///< end of the quarantine
 };
--- a/Kernel/include/Kernel/Fleet/HostReport.h
+++ b/Kernel/include/Kernel/Fleet/HostReport.h
@@ -59,7 +59,9 @@
 
 /// Idempotent command to a worker. A worker ignores a command whose epoch is lower than the highest
 /// one it has seen for the same task, so that a late command of a former lease holder has no
-/// effect.
+/// effect. It ignores a Start of an epoch that it has already finished, failed, checkpointed or
+/// stopped, and reports that state instead. For Reboot, the epoch is the boot count to reach: a
+/// worker that has reached it ignores the command, so that a repeated command reboots once.
 struct WorkerCommand
 {
     std::string host;
--- a/Kernel/include/Kernel/Fleet/Manifest.h
+++ b/Kernel/include/Kernel/Fleet/Manifest.h
@@ -17,6 +17,8 @@
     double processors = 0; ///< cores
     double memoryGigabytes = 0;
     unsigned accelerators = 0;
+
+    bool operator==(const Resources &) const = default;
 };
 
 struct PoolSpecification
@@ -25,6 +27,8 @@
     unsigned availabilityBudget = 1; ///< hosts that may be unavailable at once
     bool spare = false; ///< other pools borrow their buffer here first
     unsigned minimumFailureDomains = 1; ///< racks over which the pool is spread
+
+    bool operator==(const PoolSpecification &) const = default;
 };
 
 struct HostSpecification
@@ -35,6 +39,8 @@
     std::string dataCentre;
     std::string region;
     Resources capacity;
+
+    bool operator==(const HostSpecification &) const = default;
 };
 
 struct BackendServerSpecification
@@ -45,6 +51,8 @@
     std::uint16_t port = 0;
     unsigned slots = 8;
     unsigned connections = 64;
+
+    bool operator==(const BackendServerSpecification &) const = default;
 };
 
 struct ServiceSpecification
@@ -53,12 +61,16 @@
     double share = 1.0;
     Duration deadline = std::chrono::seconds(10);
     std::vector<std::string> pools; ///< home pool first, then pools it may borrow from
+
+    bool operator==(const ServiceSpecification &) const = default;
 };
 
 struct TeamSpecification
 {
     std::string name;
     Resources quota;
+
+    bool operator==(const TeamSpecification &) const = default;
 };
 
 struct JobSpecification
@@ -70,6 +82,8 @@
     unsigned tasks = 1;
     Resources taskSize; ///< declared; reported usage overrides it with time
     std::optional<Duration> declaredRunTime; ///< nothing: runs until it is removed
+
+    bool operator==(const JobSpecification &) const = default;
 };
 
 struct MaintenanceSpecification
@@ -77,6 +91,8 @@
     Duration drainTimeout = std::chrono::minutes(5);
     Duration rebootTimeout = std::chrono::minutes(10);
     std::uint64_t generation = 0; ///< a wave brings every host to this generation
+
+    bool operator==(const MaintenanceSpecification &) const = default;
 };
 
 struct Manifest
