--- /dev/null
+++ b/Kernel/Fleet/LedgerStep.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "PlanSupport.h"
+
+namespace Peridot {
+
+/// Changes to the ledger of one pool and to its hosts, collected into one transaction. Releases and
+/// new permits of a pass share it, so that they do not conflict on the pool row.
+class LedgerStep
+{
+public:
+    LedgerStep(const FleetView &view, const PoolScope &scope);
+
+    const PoolRecord &ledger() const { return m_ledger; }
+    PoolRecord &changeLedger();
+
+    /// Record of the host as this step leaves it, or nothing when the step removes it.
+    const HostRecord *host(const std::string &name) const;
+    HostRecord &changeHost(const std::string &name);
+    void removeHost(const std::string &name);
+
+    void enter(const std::string &host, HostState state, TimePoint now);
+
+    bool isFull() const { return m_hosts.size() + 3 >= maximumTransactionRows; }
+    bool hasChanges() const { return m_ledgerChanged || !m_hosts.empty(); }
+    Transaction transaction() const;
+
+private:
+    const FleetView &m_view;
+    const PoolScope &m_scope;
+    PoolRecord m_ledger;
+    bool m_ledgerChanged = false;
+    std::map<std::string, std::optional<HostRecord>> m_hosts;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/Fleet/Maintenance.cpp
@@ -0,0 +1,74 @@
+#include "HostSteps.h"
+#include "PermitPlanner.h"
+
+namespace Peridot {
+
+namespace {
+
+/// Health, drain, reboot, return, permits and waves of the hosts of each pool: one transaction over
+/// the ledger and the hosts that change.
+class Maintenance final : public Reconciler
+{
+public:
+    FleetPlan plan(const FleetView &view, const PlanContext &context) override;
+
+private:
+    void planPool(const FleetView &view, const PlanContext &context, const PoolScope &scope,
+                  FleetPlan &plan);
+    static void completeWave(const FleetView &view, const PoolScope &scope, TimePoint now,
+                             LedgerStep &step);
+};
+
+FleetPlan Maintenance::plan(const FleetView &view, const PlanContext &context)
+{
+    FleetPlan plan;
+    for (const auto &scope : plannablePools(view, context)) {
+        if (scope.pool->record)
+            planPool(view, context, scope, plan);
+    }
+    return plan;
+}
+
+void Maintenance::planPool(const FleetView &view, const PlanContext &context,
+                           const PoolScope &scope, FleetPlan &plan)
+{
+    LedgerStep step(view, scope);
+    HostSteps steps(view, scope, context.now, step);
+    for (const auto &name : scope.pool->hosts) {
+        const auto &host = *view.host(name);
+        if (host.record->state == HostState::Rebooting
+            && (!host.report || host.report->bootCount <= host.record->rebootFrom))
+            plan.commands.push_back(
+                {name, WorkerCommandKind::Reboot, {}, host.record->rebootFrom + 1, {}, {}});
+        if (!step.isFull())
+            steps.advance(name);
+    }
+    PermitPlanner(view, scope, context.now, step).grant();
+    completeWave(view, scope, context.now, step);
+    if (step.hasChanges())
+        plan.transactions.push_back(step.transaction());
+}
+
+void Maintenance::completeWave(const FleetView &view, const PoolScope &scope, TimePoint now,
+                               LedgerStep &step)
+{
+    const auto &wave = step.ledger().wave;
+    if (wave.state != WaveState::Running)
+        return;
+    for (const auto &name : scope.pool->hosts) {
+        const auto *record = step.host(name);
+        if (record && view.host(name)->specification && record->state != HostState::Failed
+            && record->generation < wave.generation)
+            return;
+    }
+    auto &changed = step.changeLedger().wave;
+    changed.state = WaveState::Complete;
+    changed.finishedAt = now;
+}
+
+const PluginRegistrar<ReconcilerRegistry> registrar("maintenance",
+                                                    [] { return std::make_unique<Maintenance>(); });
+
+} // namespace
+
+} // namespace Peridot
