Kernel: Add task supervision, placement and explanations

Each pool has one transaction a pass over its jobs, the quota rows of their teams and a placement row that serialises users of the same hosts. Epochs of tasks start at the latest revision of the table, so that a job that is removed and declared again never meets reports of its former self.

--- a/Kernel/Fleet/FleetView.cpp
+++ b/Kernel/Fleet/FleetView.cpp
@@ -122,6 +122,7 @@
 
 Result<void> FleetView::applyRow(const Row &row, TimePoint observed)
 {
+    m_latestRevision = std::max(m_latestRevision, row.version);
     const auto slash = row.key.find('/');
     if (slash == std::string::npos)
         return {};
--- /dev/null
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -0,0 +1,261 @@
+#include "JobPlacer.h"
+
+#include "HostSteps.h"
+#include "JobSupervisor.h"
+#include "ResourceMath.h"
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Peridot {
+
+namespace {
+
+bool wasPlacedBefore(const TaskRecord &task)
+{
+    return task.leaseEnd != TimePoint();
+}
+
+std::string describeSize(const Resources &size)
+{
+    return fmt::format("{:g} processors, {:g} GB, {} accelerators", size.processors,
+                       size.memoryGigabytes, size.accelerators);
+}
+
+} // namespace
+
+JobPlacer::JobPlacer(const FleetView &view, const PoolScope &scope, TimePoint now,
+                     PlacementStep &step, const PlacementPolicy &policy)
+    : m_view(view), m_scope(scope), m_now(now), m_step(step), m_policy(policy),
+      m_health(view, *scope.pool, now), m_buffer(view, scope, policy.sharesBuffer()),
+      m_roomMaker(view, scope, now, step, policy.throttles())
+{
+    collectCandidates();
+}
+
+void JobPlacer::collectCandidates()
+{
+    addCandidates(*m_scope.pool, false);
+    const auto *spare = sparePool(m_view);
+    if (spare && spare != m_scope.pool)
+        addCandidates(*spare, true);
+}
+
+void JobPlacer::addCandidates(const FleetView::Pool &pool, bool borrowed)
+{
+    for (const auto &name : pool.hosts) {
+        const auto &host = *m_view.host(name);
+        if (!host.specification)
+            continue;
+        const auto &capacity = host.specification->capacity;
+        if (std::find(m_capacities.begin(), m_capacities.end(), capacity) == m_capacities.end())
+            m_capacities.push_back(capacity);
+        const bool usable = host.record->state == HostState::Active && m_health.isLive(host);
+        if (!usable && !borrowed)
+            m_ownHostsUnavailable = true;
+        // A worker on probation gets one task at a time.
+        if (!usable || (host.record->quarantines > 0 && !host.tasks.empty()))
+            continue;
+        const bool due
+            = pool.record && wantedPurpose(m_view, host, pool.record->wave) != DrainPurpose::None;
+        m_candidates.push_back({name, &host, minus(capacity, host.reserved), borrowed, due});
+    }
+}
+
+bool JobPlacer::fitsSomeHost(const Resources &size) const
+{
+    return std::any_of(m_capacities.begin(), m_capacities.end(),
+                       [&](const Resources &capacity) { return fits(size, capacity); });
+}
+
+bool JobPlacer::isHopeless(const Resources &size) const
+{
+    return std::any_of(m_refusedSizes.begin(), m_refusedSizes.end(),
+                       [&](const Resources &refused) { return fits(refused, size); });
+}
+
+void JobPlacer::place(const std::vector<std::string> &jobs)
+{
+    m_refusedSizes.clear();
+    for (const auto &name : jobs) {
+        if (m_step.isFull())
+            return;
+        restoreThrottled(name);
+        placeJob(name);
+    }
+}
+
+JobPlacer::Verdict JobPlacer::judge(const JobRecord &record, const JobSpecification &specification)
+{
+    if (m_capacities.empty())
+        return {JobState::Pending, PendingReason::NoHosts, m_scope.name};
+    if (!fitsSomeHost(specification.taskSize))
+        return {JobState::Unrunnable, PendingReason::TooLargeForAnyHost,
+                describeSize(specification.taskSize)};
+    const auto *team = m_view.team(record.team);
+    if (!team || !team->specification || !fits(specification.taskSize, team->specification->quota))
+        return {JobState::Unrunnable, PendingReason::TooLargeForQuota, record.team};
+    return {};
+}
+
+void JobPlacer::placeJob(const std::string &name)
+{
+    const auto *record = m_step.job(name);
+    const auto *specification = m_view.job(name)->specification;
+    if (!record || !specification || record->state == JobState::Cancelling
+        || std::none_of(record->tasks.begin(), record->tasks.end(),
+                        [](const TaskRecord &task) { return task.phase == TaskPhase::Pending; }))
+        return;
+    auto verdict = judge(*record, *specification);
+    if (verdict.reason != PendingReason::None)
+        return report(name, verdict);
+    const auto count = record->tasks.size();
+    for (unsigned index = 0; index < count; ++index) {
+        const auto &task = m_step.job(name)->tasks[index];
+        if (task.phase != TaskPhase::Pending)
+            continue;
+        const auto reason = task.retryAt > m_now ? PendingReason::RetryBackoff
+                                                 : placeTask(name, index, *specification);
+        if (reason != PendingReason::None && verdict.reason == PendingReason::None) {
+            verdict.reason = reason;
+            verdict.detail = fmt::format("task {}", index);
+        }
+    }
+    verdict.state = stateOfTasks(*m_step.job(name));
+    if (verdict.state == JobState::Failed)
+        return;
+    report(name, verdict);
+}
+
+void JobPlacer::report(const std::string &name, const Verdict &verdict)
+{
+    const auto *record = m_step.job(name);
+    if (record->state == verdict.state && record->reason == verdict.reason)
+        return;
+    auto &changed = m_step.changeJob(name);
+    changed.state = verdict.state;
+    changed.reason = verdict.reason;
+    changed.detail = verdict.detail;
+    changed.decidedAtVersion = m_view.manifestVersion();
+}
+
+PlacementRequest JobPlacer::requestFor(const JobRecord &record, const Resources &size,
+                                       const TaskRecord &task) const
+{
+    PlacementRequest request;
+    request.size = size;
+    request.urgency = record.urgency;
+    request.avoidedHost = task.failedHost;
+    for (const auto &other : record.tasks) {
+        const auto *host = holdsHost(other) ? m_view.host(other.host) : nullptr;
+        if (!host || !host->record)
+            continue;
+        ++request.jobTasksByHost[other.host];
+        ++request.jobTasksByRack[host->record->dataCentre + "/" + host->record->rack];
+        ++request.jobTasksByDataCentre[host->record->dataCentre];
+    }
+    return request;
+}
+
+PendingReason JobPlacer::placeTask(const std::string &name, unsigned index,
+                                   const JobSpecification &specification)
+{
+    const auto &record = *m_step.job(name);
+    const auto &task = record.tasks[index];
+    const auto &quota = m_view.team(record.team)->specification->quota;
+    if (!fits(plus(m_step.heldByTeam(record.team), specification.taskSize), quota))
+        return PendingReason::QuotaExceeded;
+    auto size = estimatedSize(specification.taskSize, record.learned);
+    if (!fitsSomeHost(size))
+        size = specification.taskSize;
+    if (isHopeless(size))
+        return PendingReason::NoCapacity;
+
+    const auto request = requestFor(record, size, task);
+    bool bufferHeldBack = false;
+    if (const auto candidate = findHost(request, task, bufferHeldBack)) {
+        m_step.place(name, index, m_candidates[*candidate].name, size, m_now);
+        take(*candidate, size);
+        return PendingReason::None;
+    }
+    if (bufferHeldBack)
+        return PendingReason::BufferReserved;
+    if (record.urgency != Urgency::Deferrable) {
+        const auto room = m_roomMaker.makeRoom(size, record.urgency, m_candidates);
+        if (room.result == RoomMaker::Result::Throttled) {
+            m_step.place(name, index, m_candidates[room.candidate].name, size, m_now);
+            take(room.candidate, size);
+            return PendingReason::None;
+        }
+        if (room.result == RoomMaker::Result::Waiting)
+            return PendingReason::MakingRoom;
+    }
+    m_refusedSizes.push_back(size);
+    return PendingReason::NoCapacity;
+}
+
+std::optional<std::size_t> JobPlacer::findHost(const PlacementRequest &request,
+                                               const TaskRecord &task, bool &bufferHeldBack)
+{
+    // The buffer is for displaced and urgent tasks. Deferrable tasks may use that of their own
+    // pool, because they give it back at once, but not the common one.
+    const bool displaced = wasPlacedBefore(task);
+    const bool mayUseBuffer
+        = displaced || request.urgency == Urgency::Urgent
+          || (request.urgency == Urgency::Deferrable && !m_buffer.poolIsSpare());
+    if (!mayUseBuffer && !m_buffer.admits(request.size)) {
+        bufferHeldBack = true;
+        return std::nullopt;
+    }
+    const auto choice = m_policy.choose(request, m_candidates);
+    if (!choice)
+        return std::nullopt;
+    const bool mayBorrow
+        = request.urgency == Urgency::Urgent
+          || (request.urgency == Urgency::Normal && (displaced || m_ownHostsUnavailable));
+    if (m_candidates[*choice].borrowed && !mayBorrow) {
+        // Policies that do not rank borrowed hosts last may have passed over an own one.
+        std::vector<HostCandidate> own;
+        std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(own),
+                     [](const HostCandidate &candidate) { return !candidate.borrowed; });
+        const auto second = m_policy.choose(request, own);
+        // Own hosts come first in the list of candidates, so that the index is the same.
+        return second;
+    }
+    return choice;
+}
+
+void JobPlacer::take(std::size_t candidate, const Resources &size)
+{
+    auto &chosen = m_candidates[candidate];
+    chosen.free = minus(chosen.free, size);
+    if (chosen.host->record->quarantines > 0)
+        chosen.free = {};
+    if (!chosen.borrowed)
+        m_buffer.take(size);
+}
+
+void JobPlacer::restoreThrottled(const std::string &name)
+{
+    const auto *record = m_step.job(name);
+    const auto *specification = m_view.job(name)->specification;
+    if (!record || !specification)
+        return;
+    for (unsigned index = 0; index < record->tasks.size(); ++index) {
+        const auto &task = m_step.job(name)->tasks[index];
+        if (task.phase != TaskPhase::Throttled)
+            continue;
+        const auto found = std::find_if(
+            m_candidates.begin(), m_candidates.end(),
+            [&](const HostCandidate &candidate) { return candidate.name == task.host; });
+        const auto size = estimatedSize(specification->taskSize, record->learned);
+        if (found == m_candidates.end() || !fits(minus(size, task.size), found->free))
+            continue;
+        found->free = minus(found->free, minus(size, task.size));
+        auto &changed = m_step.changeJob(name).tasks[index];
+        changed.phase = TaskPhase::Placed;
+        changed.since = m_now;
+        changed.size = size;
+    }
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/Fleet/PlacementPolicies.cpp
@@ -0,0 +1,130 @@
+#include <Kernel/Fleet/PlacementPolicy.h>
+
+#include <tuple>
+
+namespace Peridot {
+
+namespace {
+
+// Reservations are sums of fractions; this much, in cores and in GB, is rounding.
+constexpr double roundingAllowance = 1e-6;
+
+unsigned countOf(const std::map<std::string, unsigned> &counts, const std::string &key)
+{
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+/// Share of the host that stays free, as the sum over processors and memory.
+double leftover(const Resources &size, const HostCandidate &candidate)
+{
+    const auto &capacity = candidate.host->specification->capacity;
+    return (candidate.free.processors - size.processors) / capacity.processors
+           + (candidate.free.memoryGigabytes - size.memoryGigabytes) / capacity.memoryGigabytes;
+}
+
+class FirstFit final : public PlacementPolicy
+{
+public:
+    std::optional<std::size_t> choose(const PlacementRequest &request,
+                                      const std::vector<HostCandidate> &candidates) const override
+    {
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (fits(request.size, candidates[index].free))
+                return index;
+        }
+        return std::nullopt;
+    }
+};
+
+class BestFit final : public PlacementPolicy
+{
+public:
+    std::optional<std::size_t> choose(const PlacementRequest &request,
+                                      const std::vector<HostCandidate> &candidates) const override
+    {
+        std::optional<std::size_t> best;
+        double bestLeftover = 0;
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (!fits(request.size, candidates[index].free))
+                continue;
+            const double remaining = leftover(request.size, candidates[index]);
+            if (!best || remaining < bestLeftover) {
+                best = index;
+                bestLeftover = remaining;
+            }
+        }
+        return best;
+    }
+};
+
+/// Own hosts before borrowed ones, hosts that the wave has done before those it will drain, spread
+/// of the job over hosts, racks and data centres, and only then the tightest fit.
+class PeridotPlacement final : public PlacementPolicy
+{
+public:
+    std::optional<std::size_t> choose(const PlacementRequest &request,
+                                      const std::vector<HostCandidate> &candidates) const override
+    {
+        std::optional<std::size_t> best;
+        Rank bestRank;
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (!fits(request.size, candidates[index].free))
+                continue;
+            const auto rank = rankOf(request, candidates[index]);
+            if (!best || rank < bestRank) {
+                best = index;
+                bestRank = rank;
+            }
+        }
+        return best;
+    }
+
+    bool sharesBuffer() const override { return true; }
+    bool throttles() const override { return true; }
+
+private:
+    using Rank = std::tuple<bool, bool, bool, unsigned, unsigned, unsigned, bool, double>;
+
+    static Rank rankOf(const PlacementRequest &request, const HostCandidate &candidate)
+    {
+        const auto &record = *candidate.host->record;
+        const bool wastesAccelerators
+            = request.size.accelerators == 0 && candidate.free.accelerators > 0;
+        Rank rank{candidate.name == request.avoidedHost,
+                  candidate.borrowed,
+                  candidate.dueForMaintenance,
+                  0,
+                  0,
+                  0,
+                  wastesAccelerators,
+                  leftover(request.size, candidate)};
+        if (!request.jobTasksByHost.empty()) {
+            std::get<3>(rank) = countOf(request.jobTasksByHost, candidate.name);
+            std::get<4>(rank)
+                = countOf(request.jobTasksByRack, record.dataCentre + "/" + record.rack);
+            std::get<5>(rank) = countOf(request.jobTasksByDataCentre, record.dataCentre);
+        }
+        return rank;
+    }
+};
+
+const PluginRegistrar<PlacementPolicyRegistry> firstFit("first-fit", [] {
+    return std::make_unique<FirstFit>();
+});
+const PluginRegistrar<PlacementPolicyRegistry> bestFit("best-fit",
+                                                       [] { return std::make_unique<BestFit>(); });
+const PluginRegistrar<PlacementPolicyRegistry> peridot("peridot", [] {
+    return std::make_unique<PeridotPlacement>();
+});
+
+} // namespace
+
+bool fits(const Resources &size, const Resources &free)
+{
+    return size.processors <= free.processors + roundingAllowance
+           && size.memoryGigabytes <= free.memoryGigabytes + roundingAllowance
+           && size.accelerators <= free.accelerators;
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/Fleet/ResourceMath.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <Kernel/Fleet/JobRecord.h>
+#include <algorithm>
+
+namespace Peridot {
+
+inline Resources plus(const Resources &left, const Resources &right)
+{
+    return {left.processors + right.processors, left.memoryGigabytes + right.memoryGigabytes,
+            left.accelerators + right.accelerators};
+}
+
+/// Difference; accelerators end at 0.
+inline Resources minus(const Resources &left, const Resources &right)
+{
+    return {left.processors - right.processors, left.memoryGigabytes - right.memoryGigabytes,
+            left.accelerators - std::min(left.accelerators, right.accelerators)};
+}
+
+inline Resources times(const Resources &resources, unsigned count)
+{
+    return {resources.processors * count, resources.memoryGigabytes * count,
+            resources.accelerators * count};
+}
+
+inline Resources largerOf(const Resources &left, const Resources &right)
+{
+    return {std::max(left.processors, right.processors),
+            std::max(left.memoryGigabytes, right.memoryGigabytes),
+            std::max(left.accelerators, right.accelerators)};
+}
+
+/// Size to reserve for a task. Declared sizes are far off, so that usage replaces them once it was
+/// seen three times; the margin above the largest usage shrinks as the job is seen more often.
+Resources estimatedSize(const Resources &declared, const LearnedUsage &learned);
+
+} // namespace Peridot
--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -90,6 +90,10 @@
 
     const Manifest *manifest() const { return m_manifest.get(); }
     std::uint64_t manifestVersion() const { return m_manifestVersion; }
+
+    /// Highest version of any row applied so far.
+    Version latestRevision() const { return m_latestRevision; }
+
     const Host *host(const std::string &name) const;
     const Pool *pool(const std::string &name) const;
     const Job *job(const std::string &name) const;
@@ -136,6 +140,7 @@
     std::unordered_map<std::string, std::set<std::string>> m_domains;
     std::unordered_map<std::string, Version> m_deleted; ///< highest revision seen absent, by key
     std::set<std::string> m_changedPools;
+    Version m_latestRevision = absentVersion;
 };
 
 } // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Fleet/PlacementPolicy.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <Kernel/Fleet/FleetView.h>
+#include <Kernel/Fleet/Reconciler.h>
+#include <LibBase/PluginRegistry.h>
+#include <optional>
+#include <vector>
+
+namespace Peridot {
+
+/// Host that may receive tasks in one planning pass.
+struct HostCandidate
+{
+    std::string name;
+    const FleetView::Host *host = nullptr;
+    Resources free; ///< capacity less the reservations, including those of this pass
+    bool borrowed = false; ///< belongs to the spare pool
+    bool dueForMaintenance = false; ///< the running wave will drain it
+};
+
+struct PlacementRequest
+{
+    Resources size;
+    Urgency urgency = Urgency::Normal;
+    std::string avoidedHost; ///< where the task failed last; used only when nothing else fits
+    std::map<std::string, unsigned> jobTasksByHost;
+    std::map<std::string, unsigned> jobTasksByRack; ///< key: data centre and rack
+    std::map<std::string, unsigned> jobTasksByDataCentre;
+};
+
+/// Chooses the host of one task.
+class PlacementPolicy
+{
+public:
+    virtual ~PlacementPolicy() = default;
+
+    /// Index of the chosen candidate, or nothing when none fits.
+    virtual std::optional<std::size_t>
+    choose(const PlacementRequest &request, const std::vector<HostCandidate> &candidates) const = 0;
+
+    /// True when pools keep one common buffer in the spare pool, false when each keeps its own.
+    virtual bool sharesBuffer() const { return false; }
+
+    /// True when less urgent tasks make room by throttling where that suffices.
+    virtual bool throttles() const { return false; }
+};
+
+using PlacementPolicyRegistry = PluginRegistry<PlacementPolicy>;
+
+/// True when \a size fits into \a free, with an allowance for rounding.
+bool fits(const Resources &size, const Resources &free);
+
+/// Reconciler that supervises and places tasks with the named policy. The registered reconciler
+/// "placement" uses "peridot". Errors: UnknownPlugin.
+Result<std::unique_ptr<Reconciler>> makePlacement(const std::string &policy);
+
+} // namespace Peridot
