Kernel: Add the interfaces of membership, leases and configuration

Each protocol is a state machine with at most one store request outstanding; MembershipNode composes all of them, so that the agent, the fault matrix and the measurement drive the same code.

--- /dev/null
+++ b/Kernel/include/Kernel/Membership/ConfigurationProposer.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <Kernel/Membership/ConfigurationFollower.h>
+#include <Kernel/Membership/LeaseKeeper.h>
+#include <Kernel/Membership/MembershipTracker.h>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+struct Proposal
+{
+    std::uint64_t ticket = 0; ///< chosen by the caller, returned with the result
+    std::string author;
+    std::string manifest; ///< checked by the caller
+    std::uint64_t parent = 0; ///< version that the author changed
+};
+
+enum class ProposalStatus {
+    Proposed, ///< written; every process adopts it
+    Conflict, ///< another version was written since the parent
+    NotHolder, ///< this process does not hold the lease `configuration`
+    Unavailable, ///< certainly not written
+};
+
+constexpr auto proposalStatusNames = makeEnumTable<ProposalStatus>({
+    {ProposalStatus::Proposed, "proposed"},
+    {ProposalStatus::Conflict, "conflict"},
+    {ProposalStatus::NotHolder, "not-holder"},
+    {ProposalStatus::Unavailable, "unavailable"},
+});
+
+struct ProposalResult
+{
+    std::uint64_t ticket = 0;
+    ProposalStatus status = ProposalStatus::Unavailable;
+    std::uint64_t version = 0; ///< written version, or the head on conflict
+    std::string author; ///< of the head on conflict
+    std::vector<std::string> changed; ///< on conflict: manifest paths changed since the parent
+};
+
+/// Writes configuration versions and marks them accepted. Runs at the holder of the lease
+/// `configuration`; each transaction checks the lease row, so that a former holder has no effect.
+class ConfigurationProposer : public StoreProtocol
+{
+public:
+    ConfigurationProposer(std::string instance, MembershipTiming timing, const LeaseKeeper &lease,
+                          const MembershipTracker &tracker, ConfigurationFollower &follower,
+                          MembershipDefects defects = {});
+
+    void propose(Proposal proposal);
+    std::vector<ProposalResult> takeResults();
+    /// Whether the proposed head may be marked accepted at \a now.
+    bool mayAccept(TimePoint now);
+
+protected:
+    std::optional<StoreRequest> nextRequest(TimePoint now) override;
+    void committed(TimePoint now, const CommitResult &result) override;
+    void rowsRead(TimePoint now, const ReadResult &result) override;
+
+private:
+    enum class Step { Idle, Proposing, ReadingBack, Explaining, Accepting };
+
+    std::optional<StoreRequest> proposeRequest(TimePoint now);
+    std::optional<StoreRequest> acceptRequest(TimePoint now);
+    void finishProposal(ProposalStatus status, std::uint64_t version);
+    void readBack(const ReadResult &result);
+    std::set<std::string> acknowledged(std::uint64_t version) const;
+
+    std::string m_instance;
+    MembershipTiming m_timing;
+    const LeaseKeeper &m_lease;
+    const MembershipTracker &m_tracker;
+    ConfigurationFollower &m_follower;
+    MembershipDefects m_defects;
+    std::deque<Proposal> m_proposals;
+    std::vector<ProposalResult> m_results;
+    Step m_step = Step::Idle;
+    std::string m_operation;
+    ConfigurationHead m_written;
+    std::uint64_t m_operationCount = 0;
+    std::uint64_t m_majorityVersion = 0; ///< version that a majority has acknowledged
+    TimePoint m_majoritySince;
+    TimePoint m_notBefore;
+};
+
+/// Paths of the values that differ between two manifests, one for each changed named element.
+std::vector<std::string> changedPaths(std::string_view before, std::string_view after);
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Membership/LeaseRow.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibBase/Error.h>
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Peridot {
+
+/// Value of a row lease/<name>. A released lease keeps its row, with an empty holder, so that the
+/// fencing epoch never repeats.
+struct LeaseRow
+{
+    std::string holder;
+    std::uint64_t epoch = 0; ///< grows with every acquisition
+    Duration duration{0}; ///< others wait this long after they first saw the row version
+    std::int64_t expiryMilliseconds = 0; ///< on the clock of the holder; for people only
+    std::string operation; ///< operation id of the write, to resolve lost answers
+};
+
+std::string writeLeaseRow(const LeaseRow &row);
+/// Errors: InvalidJson, InvalidValue.
+Result<LeaseRow> parseLeaseRow(std::string_view text);
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Membership/MembershipNode.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <Kernel/Membership/ConfigurationProposer.h>
+#include <Kernel/Membership/ServingGate.h>
+#include <Kernel/Membership/ViewKeeper.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+struct MembershipNodeSettings
+{
+    MemberDescription self;
+    std::vector<std::string> peers; ///< "ip:port" of peers to ask before the store is reachable
+    MembershipTiming timing;
+    MembershipDefects defects;
+    bool push = true; ///< send notices and react to heartbeats; otherwise polling alone
+    std::size_t noticeLimit = 48 * 1024; ///< bytes of a manifest that a notice may carry
+};
+
+struct PeerDatagram
+{
+    std::string address; ///< "ip:port"
+    std::string message; ///< JSON text
+};
+
+/// All membership parts of one process, driven by events. Single-threaded; it reads no clock and
+/// does no input or output. The driver performs takeStoreRequests() and takeDatagrams() after each
+/// event and calls tick() every heartbeat period or more often.
+class MembershipNode
+{
+public:
+    struct PendingRequest
+    {
+        StoreProtocol *protocol = nullptr; ///< finish() is called on it through storeFinished()
+        StoreRequest request;
+    };
+
+    explicit MembershipNode(MembershipNodeSettings settings);
+    ~MembershipNode();
+
+    void tick(TimePoint now);
+    void storeFinished(TimePoint now, StoreProtocol *protocol, const StoreReply &reply);
+    /// Errors: InvalidJson, ProtocolViolation for a message that is not of this protocol.
+    Result<void> datagramReceived(TimePoint now, const std::string &message);
+
+    std::vector<PendingRequest> takeStoreRequests(TimePoint now);
+    std::vector<PeerDatagram> takeDatagrams();
+
+    /// Names of the leases that this process shares with the other fleet processes.
+    void setSharedLeases(std::vector<std::string> names);
+    /// Leases held at \a now, by name.
+    std::map<std::string, HeldLease> heldLeases(TimePoint now) const;
+    void propose(Proposal proposal);
+    std::vector<ProposalResult> takeProposalResults();
+    /// Queues an application message for a member. Dropped when its address is unknown.
+    void sendPeerMessage(const std::string &instance, const std::string &message);
+    /// Application messages received, as pairs of instance and text.
+    std::vector<std::pair<std::string, std::string>> takePeerMessages();
+
+    /// Releases all leases and removes the member row; stopped() tells when that is done.
+    void stop();
+    bool stopped() const;
+
+    ServingState servingState(TimePoint now);
+    /// End of the member lease by the clock of this process, or nothing.
+    std::optional<TimePoint> leaseEnd(TimePoint now) const;
+    std::optional<std::uint64_t> takeAdopted() { return m_follower.takeAdopted(); }
+    const ConfigurationFollower &configuration() const { return m_follower; }
+    const MembershipTracker &members() const { return m_tracker; }
+    /// Holder of a shared lease by the newest row seen; empty when unknown.
+    std::string leaseHolder(const std::string &name) const;
+    /// Live members with this role, including this process when it has the role.
+    std::vector<std::string> liveInstances(TimePoint now, MemberRole role) const;
+    Json::Value dumpState(TimePoint now);
+
+private:
+    class LeaseScan;
+
+    void exchangeObservations(TimePoint now);
+    void updateGuard();
+    void spreadLeases(TimePoint now);
+    void sendHeartbeats(TimePoint now);
+    void sendNotices(TimePoint now);
+    void sendNotice(const std::string &address);
+    void queueDatagram(const std::string &address, const Json::Value &message);
+    std::vector<StoreProtocol *> protocols();
+
+    MembershipNodeSettings m_settings;
+    LeaseKeeper m_member;
+    LeaseKeeper m_configurationLease;
+    MembershipTracker m_tracker;
+    ConfigurationFollower m_follower;
+    ConfigurationProposer m_proposer;
+    ViewKeeper m_viewKeeper;
+    ServingGate m_gate;
+    std::unique_ptr<LeaseScan> m_leaseScan;
+    std::map<std::string, std::unique_ptr<LeaseKeeper>> m_sharedLeases;
+    std::map<std::string, TimePoint> m_freeSince;
+    std::vector<PeerDatagram> m_datagrams;
+    std::vector<std::pair<std::string, std::string>> m_peerMessages;
+    TimePoint m_nextHeartbeat;
+    TimePoint m_nextNotice;
+    TimePoint m_adoptedAt;
+    std::uint64_t m_acknowledgedInRow = 0;
+    std::uint64_t m_askedVersion = 0;
+    bool m_stopping = false;
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Membership/MembershipTiming.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibBase/Time.h>
+
+namespace Peridot {
+
+/// Periods of the membership protocols. All are lengths of time on the clock of one process, so
+/// clocks may be apart by any amount; only their rates must agree within the margin.
+struct MembershipTiming
+{
+    Duration leaseDuration = std::chrono::seconds(10);
+    Duration leaseRenewal = std::chrono::seconds(3);
+    /// The holder stops this much before the others may take over: 10% for clock rates.
+    Duration leaseMargin = std::chrono::seconds(1);
+    Duration storeRetry = std::chrono::milliseconds(500); ///< after a store failure
+    Duration heartbeat = std::chrono::milliseconds(250);
+    /// A peer counts as in contact for this long after the heartbeat that it echoed was sent.
+    Duration contactWindow = std::chrono::seconds(1);
+    /// Wait between the last needed acknowledgement and acceptance: the contact window and 10%.
+    Duration acceptanceDelay = std::chrono::milliseconds(1100);
+    Duration configurationPoll = std::chrono::seconds(1);
+    Duration memberScan = std::chrono::seconds(1);
+    Duration leaseScan = std::chrono::seconds(3);
+    /// A version is proposed again to the members at this period until all have it.
+    Duration noticeRepeat = std::chrono::milliseconds(250);
+    /// A member that adopted a version writes it to its row when nobody accepted it for this long.
+    Duration acknowledgementWrite = std::chrono::milliseconds(500);
+    /// Longest time a process serves on the contact of a majority without a lease of its own.
+    Duration isolationLimit = std::chrono::hours(24);
+    /// A silent member without a live lease leaves the view after this long.
+    Duration viewRemoval = std::chrono::seconds(30);
+    /// Processes other than the preferred one wait this long before they take a free lease.
+    Duration takeoverDelay = std::chrono::seconds(2);
+};
+
+/// Deliberately broken variants, set by tests only, to prove that the fault matrix detects them.
+struct MembershipDefects
+{
+    bool renewWithoutVersionCheck = false;
+    bool ignoreOwnExpiry = false;
+    bool adoptLowerVersions = false;
+    bool acceptWithoutAcknowledgements = false;
+};
+
+} // namespace Peridot
