Kernel: Implement leases, members, views and configuration acceptance

A lease renewal checks that the next configuration version does not exist and that the view row is unchanged, so a live lease proves that its holder was on the head when it was written. Acceptance therefore only waits for members whose lease may be live and for the contact window of processes without one. Checking the head row itself was ruled out: it also changes on acceptance and would make every renewal after that conflict once.

--- /dev/null
+++ b/Kernel/Membership/LeaseRowJson.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <Kernel/Membership/LeaseRow.h>
+#include <json/value.h>
+
+namespace Peridot {
+
+Json::Value leaseRowToJson(const LeaseRow &row);
+/// Errors: InvalidValue. Members that belong to other parts of the row are ignored.
+Result<LeaseRow> leaseRowFromJson(const Json::Value &value);
+
+} // namespace Peridot
--- /dev/null
+++ b/Kernel/Membership/MembershipTracker.cpp
@@ -0,0 +1,221 @@
+#include <Kernel/Membership/MembershipTracker.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Peridot {
+
+namespace {
+
+constexpr const char *memberPrefix = "member/";
+
+} // namespace
+
+MembershipTracker::MembershipTracker(MemberDescription self, MembershipTiming timing)
+    : m_self(std::move(self)), m_timing(timing)
+{
+}
+
+void MembershipTracker::observeView(const MembershipView &view, Version rowVersion)
+{
+    if (rowVersion <= m_viewRowVersion)
+        return;
+    m_view = view;
+    m_viewRowVersion = rowVersion;
+}
+
+void MembershipTracker::heartbeatReceived(TimePoint now, const Heartbeat &heartbeat)
+{
+    if (heartbeat.sender.instance == m_self.instance)
+        return;
+    Peer &peer = m_peers[heartbeat.sender.instance];
+    // Late and repeated datagrams never take back what a newer one stated.
+    if (heartbeat.sentAt >= peer.lastSentAt) {
+        peer.lastSentAt = heartbeat.sentAt;
+        peer.description = heartbeat.sender;
+        peer.heardAt = now;
+    }
+    peer.contact = std::max(peer.contact, heartbeat.echo);
+    peer.version = std::max(peer.version, heartbeat.configurationVersion);
+    peer.viewEpoch = std::max(peer.viewEpoch, heartbeat.viewEpoch);
+    if (peer.version > m_highestVersion || peer.viewEpoch > m_highestViewEpoch)
+        m_bestInformedAddress = peer.description.peerAddress;
+    m_highestVersion = std::max(m_highestVersion, peer.version);
+    m_highestViewEpoch = std::max(m_highestViewEpoch, peer.viewEpoch);
+}
+
+Heartbeat MembershipTracker::makeHeartbeat(TimePoint now, const std::string &recipient,
+                                           std::uint64_t configurationVersion) const
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = m_self;
+    heartbeat.sentAt = now.time_since_epoch().count();
+    const auto peer = m_peers.find(recipient);
+    if (peer != m_peers.end())
+        heartbeat.echo = peer->second.lastSentAt;
+    heartbeat.configurationVersion = configurationVersion;
+    heartbeat.viewEpoch = m_view.epoch;
+    return heartbeat;
+}
+
+std::set<std::string> MembershipTracker::inContact(TimePoint now) const
+{
+    const std::int64_t oldest = (now - m_timing.contactWindow).time_since_epoch().count();
+    std::set<std::string> result;
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.contact != 0 && peer.contact >= oldest)
+            result.insert(instance);
+    }
+    return result;
+}
+
+bool MembershipTracker::hasMajorityContact(TimePoint now) const
+{
+    return isStrictMajority(m_view, inContact(now));
+}
+
+bool MembershipTracker::mayHoldLease(TimePoint now, const std::string &instance) const
+{
+    if (!m_scanned)
+        return true;
+    const auto found = m_rows.find(instance);
+    return found != m_rows.end() && now < found->second.seenAt + found->second.row.lease.duration;
+}
+
+bool MembershipTracker::isGone(TimePoint now, const std::string &instance) const
+{
+    if (!m_scanned || mayHoldLease(now, instance))
+        return false;
+    const auto found = m_rows.find(instance);
+    if (found == m_rows.end())
+        return true;
+    const SeenRow &seen = found->second;
+    const std::int64_t limit
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_timing.isolationLimit).count();
+    if (toUnixMilliseconds(now) > seen.row.lease.expiryMilliseconds + limit + limit / 10)
+        return true;
+    // A port is bound by one process at a time, so a later process at the same address proves that
+    // the earlier one ended.
+    return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto &entry) {
+        return entry.first != instance && entry.second.version > seen.version
+               && entry.second.row.description.peerAddress == seen.row.description.peerAddress;
+    });
+}
+
+Version MembershipTracker::rowVersion(const std::string &instance) const
+{
+    const auto found = m_rows.find(instance);
+    return found == m_rows.end() ? absentVersion : found->second.version;
+}
+
+std::uint64_t MembershipTracker::acknowledgedVersion(const std::string &instance) const
+{
+    const auto row = m_rows.find(instance);
+    const auto peer = m_peers.find(instance);
+    return std::max(row == m_rows.end() ? 0 : row->second.row.configurationVersion,
+                    peer == m_peers.end() ? 0 : peer->second.version);
+}
+
+std::uint64_t MembershipTracker::acknowledgedViewEpoch(const std::string &instance) const
+{
+    const auto row = m_rows.find(instance);
+    const auto peer = m_peers.find(instance);
+    return std::max(row == m_rows.end() ? 0 : row->second.row.viewEpoch,
+                    peer == m_peers.end() ? 0 : peer->second.viewEpoch);
+}
+
+std::optional<TimePoint> MembershipTracker::lastHeard(const std::string &instance) const
+{
+    const auto peer = m_peers.find(instance);
+    if (peer == m_peers.end())
+        return std::nullopt;
+    return peer->second.heardAt;
+}
+
+std::vector<MemberDescription> MembershipTracker::liveMembers(TimePoint now) const
+{
+    std::map<std::string, MemberDescription> live;
+    for (const auto &[instance, seen] : m_rows) {
+        if (mayHoldLease(now, instance))
+            live[instance] = seen.row.description;
+    }
+    for (const auto &instance : inContact(now))
+        live[instance] = m_peers.at(instance).description;
+    live.erase(m_self.instance);
+    std::vector<MemberDescription> result;
+    for (auto &[instance, description] : live)
+        result.push_back(std::move(description));
+    return result;
+}
+
+std::optional<MemberDescription> MembershipTracker::describe(const std::string &instance) const
+{
+    if (const auto peer = m_peers.find(instance); peer != m_peers.end())
+        return peer->second.description;
+    if (const auto row = m_rows.find(instance); row != m_rows.end())
+        return row->second.row.description;
+    return std::nullopt;
+}
+
+std::set<std::string> MembershipTracker::instancesWithRow() const
+{
+    std::set<std::string> result;
+    for (const auto &[instance, seen] : m_rows)
+        result.insert(instance);
+    return result;
+}
+
+std::optional<StoreRequest> MembershipTracker::nextRequest(TimePoint now)
+{
+    if (now < m_nextScan)
+        return std::nullopt;
+    const std::string startAfter = m_scan.empty() ? std::string() : m_scan.back().key;
+    return ScanRows{memberPrefix, startAfter, 1000};
+}
+
+void MembershipTracker::committed(TimePoint, const CommitResult &) { }
+
+void MembershipTracker::rowsRead(TimePoint now, const ReadResult &result)
+{
+    if (result.status != ReadStatus::Ok) {
+        m_scan.clear();
+        m_nextScan = now + m_timing.storeRetry;
+        return;
+    }
+    m_scan.insert(m_scan.end(), result.rows.begin(), result.rows.end());
+    if (result.more)
+        return;
+    replaceRows(now);
+    m_scan.clear();
+    m_nextScan = now + m_timing.memberScan;
+}
+
+void MembershipTracker::replaceRows(TimePoint now)
+{
+    std::map<std::string, SeenRow> rows;
+    for (const auto &row : m_scan) {
+        const std::string instance = row.key.substr(std::string_view(memberPrefix).size());
+        const auto known = m_rows.find(instance);
+        // A stale scan must not restart the expiry of a row that was already seen.
+        if (known != m_rows.end() && row.version <= known->second.version) {
+            rows[instance] = known->second;
+            continue;
+        }
+        valueOrElse(
+            [&]() -> Result<int> {
+                BOOST_LEAF_AUTO(parsed, parseMemberRow(row.value));
+                rows[instance] = SeenRow{std::move(parsed), row.version, now};
+                return 0;
+            },
+            [](const Error &) { return 0; });
+    }
+    m_rows = std::move(rows);
+    m_scanned = true;
+    // Peers that left are forgotten, so that the table does not grow with restarts.
+    std::erase_if(m_peers, [&](const auto &entry) {
+        return m_rows.count(entry.first) == 0 && !m_view.contains(entry.first)
+               && now >= entry.second.heardAt + m_timing.viewRemoval;
+    });
+}
+
+} // namespace Peridot
--- a/Kernel/include/Kernel/Membership/ConfigurationFollower.h
+++ b/Kernel/include/Kernel/Membership/ConfigurationFollower.h
@@ -21,6 +21,8 @@
     void versionHeard(std::uint64_t version);
     /// A peer sent the manifest itself.
     void manifestReceived(std::uint64_t version, const std::string &manifest);
+    /// Feeds a head row that another part of the process read or wrote.
+    void observeHead(const Row &row);
     /// Reads the head at the next opportunity.
     void pollSoon() { m_pollSoon = true; }
 
@@ -45,7 +47,6 @@
     void rowsRead(TimePoint now, const ReadResult &result) override;
 
 private:
-    void headRead(const Row &row);
     void adopt(std::uint64_t version, const std::string &manifest);
 
     MembershipTiming m_timing;
--- a/Kernel/include/Kernel/Membership/ConfigurationHead.h
+++ b/Kernel/include/Kernel/Membership/ConfigurationHead.h
@@ -43,6 +43,7 @@
     std::string manifest;
     std::string author;
     std::uint64_t parent = 0;
+    std::string operation; ///< operation id of the proposal, to resolve lost answers
 };
 
 std::string writeConfigurationVersion(const ConfigurationVersion &version);
--- a/Kernel/include/Kernel/Membership/ConfigurationProposer.h
+++ b/Kernel/include/Kernel/Membership/ConfigurationProposer.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Membership/ConfigurationFollower.h>
 #include <Kernel/Membership/LeaseKeeper.h>
+#include <Kernel/Membership/ManifestDifference.h>
 #include <Kernel/Membership/MembershipTracker.h>
 #include <cstdint>
 #include <deque>
@@ -62,12 +63,15 @@
     void rowsRead(TimePoint now, const ReadResult &result) override;
 
 private:
-    enum class Step { Idle, Proposing, ReadingBack, Explaining, Accepting };
+    enum class Step { Idle, Proposing, Resolving, Accepting };
 
     std::optional<StoreRequest> proposeRequest(TimePoint now);
     std::optional<StoreRequest> acceptRequest(TimePoint now);
-    void finishProposal(ProposalStatus status, std::uint64_t version);
-    void readBack(const ReadResult &result);
+    std::optional<StoreRequest> resolveRequest() const;
+    void proposalCommitted(TimePoint now, const CommitResult &result);
+    void resolveProposal(const ReadResult &result);
+    void finishProposal(ProposalResult result);
+    std::vector<RowCheck> leaseChecks(TimePoint now) const;
     std::set<std::string> acknowledged(std::uint64_t version) const;
 
     std::string m_instance;
@@ -79,15 +83,14 @@
     std::deque<Proposal> m_proposals;
     std::vector<ProposalResult> m_results;
     Step m_step = Step::Idle;
-    std::string m_operation;
+    bool m_uncertain = false; ///< a write of the current proposal may have taken effect
+    std::string m_operation; ///< of the current proposal
     ConfigurationHead m_written;
     std::uint64_t m_operationCount = 0;
     std::uint64_t m_majorityVersion = 0; ///< version that a majority has acknowledged
+    Version m_majorityViewVersion = absentVersion; ///< view that the majority was counted over
     TimePoint m_majoritySince;
     TimePoint m_notBefore;
 };
 
-/// Paths of the values that differ between two manifests, one for each changed named element.
-std::vector<std::string> changedPaths(std::string_view before, std::string_view after);
-
 } // namespace Peridot
--- a/Kernel/include/Kernel/Membership/LeaseKeeper.h
+++ b/Kernel/include/Kernel/Membership/LeaseKeeper.h
@@ -62,7 +62,7 @@
     bool isFree(TimePoint now) const;
     /// Holder by the newest row seen; empty when free.
     const std::string &observedHolder() const { return m_row.holder; }
-    bool released() const { return m_releasing && m_releaseDone; }
+    bool released() const { return m_releasing && m_releaseDone && idle(); }
     /// A write failed because a row of the guard changed. Cleared by setGuard().
     bool guardConflict() const { return m_guardConflict; }
 
--- a/Kernel/include/Kernel/Membership/MemberRow.h
+++ b/Kernel/include/Kernel/Membership/MemberRow.h
@@ -29,6 +29,7 @@
     LeaseRow lease;
     MemberDescription description;
     std::uint64_t configurationVersion = 0; ///< in force when the row was written
+    std::uint64_t viewEpoch = 0; ///< newest view known when the row was written
 };
 
 std::string writeMemberRow(const MemberRow &row);
--- a/Kernel/include/Kernel/Membership/MembershipNode.h
+++ b/Kernel/include/Kernel/Membership/MembershipNode.h
@@ -3,7 +3,6 @@
 #include <Kernel/Membership/ConfigurationProposer.h>
 #include <Kernel/Membership/ServingGate.h>
 #include <Kernel/Membership/ViewKeeper.h>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -63,6 +62,7 @@
     /// Releases all leases and removes the member row; stopped() tells when that is done.
     void stop();
     bool stopped() const;
+    bool stopping() const { return m_stopping; }
 
     ServingState servingState(TimePoint now);
     /// End of the member lease by the clock of this process, or nothing.
@@ -80,13 +80,19 @@
     class LeaseScan;
 
     void exchangeObservations(TimePoint now);
-    void updateGuard();
+    void observeLeaseRow(TimePoint now, const Row &row);
+    void updateGuard(TimePoint now);
+    void updateAcknowledgement(TimePoint now);
     void spreadLeases(TimePoint now);
+    void spreadLease(TimePoint now, const std::string &name, LeaseKeeper &keeper, bool rebalance);
+    std::string writeOwnRow(const LeaseRow &lease);
+    Result<void> noticeReceived(const Json::Value &message);
+    void askForContent(TimePoint now);
     void sendHeartbeats(TimePoint now);
     void sendNotices(TimePoint now);
     void sendNotice(const std::string &address);
     void queueDatagram(const std::string &address, const Json::Value &message);
-    std::vector<StoreProtocol *> protocols();
+    std::vector<StoreProtocol *> protocols() const;
 
     MembershipNodeSettings m_settings;
     LeaseKeeper m_member;
@@ -98,14 +104,17 @@
     ServingGate m_gate;
     std::unique_ptr<LeaseScan> m_leaseScan;
     std::map<std::string, std::unique_ptr<LeaseKeeper>> m_sharedLeases;
+    std::vector<std::string> m_sharedNames;
     std::map<std::string, TimePoint> m_freeSince;
+    std::map<std::string, TimePoint> m_misplacedSince;
     std::vector<PeerDatagram> m_datagrams;
     std::vector<std::pair<std::string, std::string>> m_peerMessages;
     TimePoint m_nextHeartbeat;
     TimePoint m_nextNotice;
     TimePoint m_adoptedAt;
     std::uint64_t m_acknowledgedInRow = 0;
-    std::uint64_t m_askedVersion = 0;
+    std::uint64_t m_acknowledgedEpochInRow = 0;
+    std::uint64_t m_versionNoticed = 0;
     bool m_stopping = false;
 };
 
--- a/Kernel/include/Kernel/Membership/MembershipTiming.h
+++ b/Kernel/include/Kernel/Membership/MembershipTiming.h
@@ -12,6 +12,8 @@
     Duration leaseRenewal = std::chrono::seconds(3);
     /// The holder stops this much before the others may take over: 10% for clock rates.
     Duration leaseMargin = std::chrono::seconds(1);
+    /// Pause before reading again after a read that was too old to decide anything.
+    Duration staleRetry = std::chrono::milliseconds(100);
     Duration storeRetry = std::chrono::milliseconds(500); ///< after a store failure
     Duration heartbeat = std::chrono::milliseconds(250);
     /// A peer counts as in contact for this long after the heartbeat that it echoed was sent.
@@ -31,6 +33,8 @@
     Duration viewRemoval = std::chrono::seconds(30);
     /// Processes other than the preferred one wait this long before they take a free lease.
     Duration takeoverDelay = std::chrono::seconds(2);
+    /// A lease moves to its preferred holder after that process was live for this long.
+    Duration rebalanceDelay = std::chrono::seconds(10);
 };
 
 /// Deliberately broken variants, set by tests only, to prove that the fault matrix detects them.
--- a/Kernel/include/Kernel/Membership/StoreProtocol.h
+++ b/Kernel/include/Kernel/Membership/StoreProtocol.h
@@ -37,6 +37,9 @@
     /// Reply to the request that takeRequest() returned last.
     void finish(TimePoint now, const StoreReply &reply);
 
+    /// No request is outstanding.
+    bool idle() const { return !m_outstanding; }
+
 protected:
     virtual std::optional<StoreRequest> nextRequest(TimePoint now) = 0;
     virtual void committed(TimePoint now, const CommitResult &result) = 0;
