--- a/Kernel/Membership/ConfigurationProposer.cpp
+++ b/Kernel/Membership/ConfigurationProposer.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Membership/ConfigurationProposer.h>
 
+#include <Kernel/Fleet/ManifestDifference.h>
 #include <LibBase/Json.h>
 #include <algorithm>
 #include <cstdio>
@@ -40,6 +41,21 @@
         .manifest;
 }
 
+/// Paths that differ between two manifest texts; empty when one of them cannot be parsed.
+std::vector<std::string> changedPaths(const std::string &before, const std::string &after)
+{
+    return valueOrElse(
+        [&]() -> Result<std::vector<std::string>> {
+            BOOST_LEAF_AUTO(old, parseManifest(before));
+            BOOST_LEAF_AUTO(current, parseManifest(after));
+            std::vector<std::string> paths;
+            for (const auto &change : manifestDifference(old, current))
+                paths.push_back(change.path);
+            return paths;
+        },
+        [](const Error &) { return std::vector<std::string>(); });
+}
+
 } // namespace
 
 ConfigurationProposer::ConfigurationProposer(std::string instance, MembershipTiming timing,
--- a/Kernel/include/Kernel/Membership/ConfigurationProposer.h
+++ b/Kernel/include/Kernel/Membership/ConfigurationProposer.h
@@ -2,7 +2,6 @@
 
 #include <Kernel/Membership/ConfigurationFollower.h>
 #include <Kernel/Membership/LeaseKeeper.h>
-#include <Kernel/Membership/ManifestDifference.h>
 #include <Kernel/Membership/MembershipTracker.h>
 #include <cstdint>
 #include <deque>
