--- a/Meta/generate-manifest.py
+++ b/Meta/generate-manifest.py
@@ -1,11 +1,12 @@
 #!/usr/bin/env python3
 """Generates an example manifest, in the way an operator's build pipeline would.
 
-Usage: Meta/generate-manifest.py DEPLOYMENT [HOSTS [BACKEND_PORT]]
+Usage: Meta/generate-manifest.py [--platform] DEPLOYMENT [HOSTS [PORT]]
 
 DEPLOYMENT is kallada or lakaz. HOSTS defaults to 50, four to a rack. Hosts of one pool are spread over
-racks and data centres. Each host has one backend server; their ports count up from BACKEND_PORT on
-127.0.0.1 (default 7200).
+racks and data centres. Each host has one backend server; their ports count up from PORT on 127.0.0.1
+(default 7200). With --platform, prints the settings of peridot-standin-platform for the same hosts
+instead; PORT is then the port of the platform (default 7100).
 """
 
 import json
@@ -47,11 +48,11 @@
     for index in range(host_count):
         rack = index // HOSTS_PER_RACK
         data_centre = data_centres[rack % len(data_centres)]
-        name = f"host-{index:02d}"
+        name = f"host-{rack:02d}-{index % HOSTS_PER_RACK + 1}"
         hosts.append({
             "name": name,
             "pool": pools[index % len(pools)],
-            "rack": f"rack-{rack:02d}",
+            "rack": f"rack-{rack:02d}-1",
             "data_centre": data_centre,
             "region": deployment["region"],
             "capacity": deployment["capacity"],
@@ -98,14 +99,47 @@
     }
 
 
+def make_platform(deployment, host_count, port):
+    data_centres = deployment["data_centres"]
+    workers = []
+    for rack in range((host_count + HOSTS_PER_RACK - 1) // HOSTS_PER_RACK):
+        workers.append({
+            "prefix": f"host-{rack:02d}-",
+            "count": min(HOSTS_PER_RACK, host_count - rack * HOSTS_PER_RACK),
+            "rack_prefix": f"rack-{rack:02d}-",
+            "per_rack": HOSTS_PER_RACK,
+            "data_centre": data_centres[rack % len(data_centres)],
+            "processors": deployment["capacity"]["processors"],
+            "memory_gigabytes": deployment["capacity"]["memory_gb"],
+        })
+    return {
+        "address": "127.0.0.1",
+        "port": port,
+        "writes_per_second": 300,
+        "reads_per_second": 2000,
+        "host_list_lag_ms": 500,
+        "gone_after_ms": 2000,
+        "task_start_ms": 50,
+        "checkpoint_ms": 200,
+        "reboot_ms": 1000,
+        "usage_lag_ms": 1000,
+        "usage_factor": 0.6,
+        "seed": 1,
+        "workers": workers,
+        "jobs": [],
+    }
+
+
 def main(arguments):
+    platform = arguments[:1] == ["--platform"]
+    arguments = arguments[1:] if platform else arguments
     if not 1 <= len(arguments) <= 3 or arguments[0] not in DEPLOYMENTS:
         print(__doc__, file=sys.stderr)
         return 2
+    make = make_platform if platform else make_manifest
     host_count = int(arguments[1]) if len(arguments) > 1 else 50
-    backend_port = int(arguments[2]) if len(arguments) > 2 else 7200
-    manifest = make_manifest(DEPLOYMENTS[arguments[0]], host_count, backend_port)
-    print(json.dumps(manifest, indent=2))
+    port = int(arguments[2]) if len(arguments) > 2 else (7100 if platform else 7200)
+    print(json.dumps(make(DEPLOYMENTS[arguments[0]], host_count, port), indent=2))
     return 0
 
 
