--- a/Libraries/LibStore/HttpChannel.cpp
+++ b/Libraries/LibStore/HttpChannel.cpp
@@ -230,23 +230,4 @@
     }
 }
 
-std::string percentEncode(std::string_view text, bool keepSlashes)
-{
-    constexpr std::string_view plain
-        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string result;
-    for (const char character : text) {
-        if (plain.find(character) != std::string_view::npos || (keepSlashes && character == '/')) {
-            result += character;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(character);
-        result += '%';
-        result += digits[byte >> 4U];
-        result += digits[byte & 15U];
-    }
-    return result;
-}
-
 } // namespace Peridot
--- a/Libraries/LibStore/PlatformClient.cpp
+++ b/Libraries/LibStore/PlatformClient.cpp
@@ -1,11 +1,14 @@
 #include <LibStore/PlatformClient.h>
 
+#include <LibStore/PercentEncoding.h>
+
 namespace Peridot {
 
 namespace {
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
+constexpr int statusUnreachable = 502;
 constexpr int statusUnavailable = 503;
 
 std::optional<Error> errorOf(const HttpReply &reply, const std::string &path)
@@ -18,6 +21,8 @@
         return std::nullopt;
     if (reply.status == statusNotFound)
         return Error{ErrorCode::NotFound, path, {}};
+    if (reply.status == statusUnreachable)
+        return Error{ErrorCode::ConnectionFailed, path, "the platform cannot reach the worker"};
     if (reply.status == statusUnavailable)
         return Error{ErrorCode::StoreUnavailable, path, {}};
     return Error{ErrorCode::ProtocolViolation, path, "status " + std::to_string(reply.status)};
--- a/Libraries/LibStore/include/LibStore/HttpChannel.h
+++ b/Libraries/LibStore/include/LibStore/HttpChannel.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <mutex>
 #include <string>
-#include <string_view>
 #include <thread>
 #include <unordered_map>
 #include <vector>
@@ -106,7 +105,4 @@
     std::thread m_thread;
 };
 
-/// Percent-encodes \a text for use in a path. Slashes are kept when \a keepSlashes is set.
-std::string percentEncode(std::string_view text, bool keepSlashes);
-
 } // namespace Peridot
--- a/Libraries/LibStore/include/LibStore/PlatformClient.h
+++ b/Libraries/LibStore/include/LibStore/PlatformClient.h
@@ -21,7 +21,8 @@
 };
 
 /// The platform's host list, workers and object store. Calls do not block; callbacks run where the
-/// channel runs them. Errors of all calls: ConnectionFailed (not sent), Timeout (sent, no whole
+/// channel runs them. Errors of all calls: ConnectionFailed (not sent, or the
+/// platform cannot reach the worker), Timeout (sent, no whole
 /// answer: it may have had its effect), StoreUnavailable (refused, with no effect), NotFound,
 /// ProtocolViolation. Commands and object writes are idempotent and may be sent again.
 class PlatformClient
