LibHttp: Test the backend client and the server against real sockets

Tables of backend faults and of bad inputs state the outcome that a caller must see. They found two faults: a parser error behind an open request was answered as a read timeout, which the caller would have taken for the answer to the open request, and http_parser accepts spaces in header names, which are now refused. http_parser is also lenient about the letters of "HTTP" in the version; that is harmless and stays.

--- a/Libraries/LibHttp/ConnectionLog.h
+++ b/Libraries/LibHttp/ConnectionLog.h
@@ -46,7 +46,7 @@
     {
         constexpr std::string_view prefix = "[connection:";
         constexpr std::string_view marker = "parser error ";
-        pendingRefusal.clear();
+        closingError = {true, {}};
         const auto position = message.find(marker);
         if (message.substr(0, prefix.size()) != prefix || position == std::string_view::npos)
             return;
@@ -58,7 +58,7 @@
         if (m_table->hasOpenRequest(connection))
             return;
         const std::string_view detail = message.substr(position + marker.size());
-        pendingRefusal = m_format(classify(detail), std::string(detail));
+        closingError.refusal = m_format(classify(detail), std::string(detail));
     }
 
     // The callbacks of the parser fail only when a limit of the server is exceeded.
--- a/Libraries/LibHttp/RefusalService.h
+++ b/Libraries/LibHttp/RefusalService.h
@@ -26,8 +26,14 @@
     std::function<std::string(InputFault, const std::string &detail)> format;
 };
 
-/// Refusal that the connection being closed on this thread still owes its caller. RESTinio logs a
-/// parser error and closes the socket in the same call, without an answer of its own.
-inline thread_local std::string pendingRefusal;
+/// What the connection that is being closed on this thread still owes its caller. RESTinio logs an
+/// error and closes the socket in the same call, without an answer of its own.
+struct ClosingError
+{
+    bool logged = false; ///< the connection closes because of an error, not of a timeout
+    std::string refusal; ///< empty: close without a response
+};
+
+inline thread_local ClosingError closingError;
 
 } // namespace Peridot
--- a/Libraries/LibHttp/RefusingSocket.h
+++ b/Libraries/LibHttp/RefusingSocket.h
@@ -42,10 +42,10 @@
 
     asio::error_code shutdown(shutdown_type what, asio::error_code &error)
     {
-        std::string refusal = std::exchange(pendingRefusal, {});
+        auto [errorLogged, refusal] = std::exchange(closingError, {});
         // RESTinio reports a read timeout only in its trace log; a close in the middle of a
         // request that was not caused by the peer or by the parser is one.
-        if (refusal.empty() && m_unansweredBytes > 0 && !m_readFailed)
+        if (!errorLogged && m_unansweredBytes > 0 && !m_readFailed)
             refusal = readTimeoutRefusal();
         if (refusal.empty() || !is_open())
             return Base::shutdown(what, error);
--- a/Libraries/LibHttp/RestinioServer.cpp
+++ b/Libraries/LibHttp/RestinioServer.cpp
@@ -195,11 +195,27 @@
         return settings;
     }
 
+    // http_parser accepts spaces in header names. Another server may read such a name differently,
+    // for example "Transfer-Encoding : chunked".
+    static const std::string *invalidHeaderName(const restinio::request_handle_t &request)
+    {
+        for (const auto &field : request->header()) {
+            if (field.name().find(' ') != std::string::npos)
+                return &field.name();
+        }
+        return nullptr;
+    }
+
     restinio::request_handling_status_t handle(const restinio::request_handle_t &request)
     {
         const std::uint64_t serial = m_nextSerial.fetch_add(1, std::memory_order_relaxed);
         m_table->requestStarted(request->connection_id(), serial);
         auto responder = std::make_shared<RestinioResponder>(request, m_table, serial);
+        if (const std::string *name = invalidHeaderName(request)) {
+            responder->send(m_hooks.onInputFault(InputFault::MalformedRequest,
+                                                 "invalid header name \"" + *name + '"'));
+            return restinio::request_accepted();
+        }
         if (request->header().connection() == restinio::http_connection_header_t::upgrade) {
             responder->send(m_hooks.onInputFault(InputFault::UpgradeRequested, "Upgrade"));
             return restinio::request_accepted();
--- a/StandIns/Backend/BackendState.cpp
+++ b/StandIns/Backend/BackendState.cpp
@@ -61,6 +61,12 @@
     return requestId.empty() ? 0 : ++m_runs[requestId];
 }
 
+void BackendState::countConnection()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_connections;
+}
+
 std::string BackendState::describeRuns() const
 {
     Json::Value value;
@@ -68,6 +74,7 @@
     value["server"] = m_settings.name;
     value["total"] = Json::UInt64(m_totalRuns);
     value["refused"] = Json::UInt64(m_refused);
+    value["connections"] = Json::UInt64(m_connections);
     value["most_slots_in_use"] = m_mostSlotsInUse;
     value["runs"] = Json::objectValue;
     for (const auto &[id, count] : m_runs)
--- a/StandIns/Backend/BackendState.h
+++ b/StandIns/Backend/BackendState.h
@@ -34,7 +34,10 @@
     /// in the total only.
     std::uint64_t countRun(const std::string &requestId);
 
-    /// JSON text: total runs, most slots in use, refused requests, runs of each request id.
+    void countConnection();
+
+    /// JSON text: total runs, most slots in use, refused requests, accepted
+    /// connections, runs of each request id.
     std::string describeRuns() const;
 
 private:
@@ -45,6 +48,7 @@
     unsigned m_slotsInUse = 0;
     unsigned m_mostSlotsInUse = 0;
     std::uint64_t m_refused = 0;
+    std::uint64_t m_connections = 0;
     Fault m_fault = Fault::None;
     std::uint64_t m_faultsLeft = 0;
     std::atomic<std::int64_t> m_serviceMicroseconds;
--- /dev/null
+++ b/Tests/LibHttp/BackendFixture.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <BackendServer.h>
+#include <LibBase/Json.h>
+#include <LibHttp/BackendClient.h>
+#include <catch2/catch.hpp>
+
+namespace Peridot {
+
+/// Backend stand-in on a free port and a client that runs on the thread of the test.
+struct BackendFixture
+{
+    explicit BackendFixture(BackendClientSettings clientSettings = {}, unsigned slots = 8)
+    {
+        BackendSettings settings;
+        settings.name = "b1";
+        settings.address = "127.0.0.1";
+        settings.slots = slots;
+        settings.slowTime = std::chrono::seconds(2);
+        server = BackendServer::start(settings).value();
+        client = std::make_unique<BackendClient>(context, clientSettings);
+    }
+
+    BackendRequest request(const std::string &method, const std::string &fault = {},
+                           const std::string &id = "id-1")
+    {
+        BackendRequest result;
+        result.address = "127.0.0.1";
+        result.port = server->port();
+        result.method = method;
+        result.target = "/service/x?y=%2e%2E";
+        result.requestId = id;
+        result.headers = {{"Request-Id", id}};
+        if (!fault.empty())
+            result.headers.push_back({"Peridot-Fault", fault});
+        if (method == "POST")
+            result.body = std::make_shared<const std::string>("payload of " + id);
+        result.timeout = std::chrono::seconds(30);
+        return result;
+    }
+
+    /// Runs the context until the request ended.
+    BackendAnswer run(BackendRequest backendRequest)
+    {
+        std::optional<BackendAnswer> result;
+        client->start(std::move(backendRequest),
+                      [&](BackendAnswer answer) { result = std::move(answer); });
+        while (!result)
+            context.run_one();
+        return std::move(*result);
+    }
+
+    Json::Value counts() { return parseJson(server->state().describeRuns()).value(); }
+
+    std::unique_ptr<BackendServer> server;
+    asio::io_context context;
+    std::unique_ptr<BackendClient> client;
+};
+
+} // namespace Peridot
