--- a/StandIns/Backend/BackendServer.cpp
+++ b/StandIns/Backend/BackendServer.cpp
@@ -51,17 +51,16 @@
 
 void BackendServer::acceptNext()
 {
-    m_acceptor.async_accept(
-        asio::make_strand(m_context),
-        [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
-            if (error == asio::error::operation_aborted)
-                return;
-            if (!error) {
-                m_state->countConnection();
-                std::make_shared<BackendConnection>(std::move(socket), m_state)->read();
-            }
-            acceptNext();
-        });
+    m_acceptor.async_accept(asio::make_strand(m_context), [this](const asio::error_code &error,
+                                                                 asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            m_state->countConnection();
+            std::make_shared<BackendConnection>(std::move(socket), m_state)->read();
+        }
+        acceptNext();
+    });
 }
 
 } // namespace Peridot
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -37,7 +37,8 @@
         {"bad header name", "GET / HTTP/1.1\r\nBad Name: x\r\n\r\n", InputFault::MalformedRequest,
          400},
         {"bad length", start + "Content-Length: x\r\n\r\n", InputFault::MalformedRequest, 400},
-        {"negative length", start + "Content-Length: -1\r\n\r\n", InputFault::MalformedRequest, 400},
+        {"negative length", start + "Content-Length: -1\r\n\r\n", InputFault::MalformedRequest,
+         400},
         {"two lengths", start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
          InputFault::MalformedRequest, 400},
         {"length and chunked",
@@ -88,7 +89,9 @@
                       return held.set_value({request.serial, responder});
                   responder->send({200, {}, request.method + ' ' + request.body});
               };
-        hooks.onAbandoned = [this](std::uint64_t serial) { abandoned.set_value(serial); };
+        hooks.onAbandoned = [this](std::uint64_t serial) {
+            abandoned.set_value(serial);
+        };
         hooks.onInputFault = [this](InputFault fault, const std::string &) {
             ++refusals;
             return ResponseMessage{fault == InputFault::BodyTooLarge ? 413 : 400,
@@ -182,8 +185,8 @@
     }
     SECTION("one after the other on one connection, even when sent at once")
     {
-        const std::string text
-            = fixture.talk("GET /a HTTP/1.1\r\n\r\nDELETE /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+        const std::string text = fixture.talk(
+            "GET /a HTTP/1.1\r\n\r\nDELETE /b HTTP/1.1\r\nConnection: close\r\n\r\n");
         REQUIRE(text.find("GET ") < text.find("DELETE "));
         REQUIRE(text.find("DELETE ") != std::string::npos);
     }
