LibStore: Group independent row operations into one commit

The store takes a few hundred writes a second over all processes, and one transaction of up to 100 rows counts as one. An outcome that is not known is read back by the operation id in the row; a row in its old state is sent again under the same check, because a request may still arrive after the read.

--- a/Libraries/LibStore/PlatformClient.cpp
+++ b/Libraries/LibStore/PlatformClient.cpp
@@ -29,23 +29,23 @@
 }
 
 template <typename Value, typename Decode>
-void call(HttpChannel &channel, HttpRequest request, PlatformClient::Callback<Value> callback,
+void call(HttpChannel &channel, HttpRequest &&request, PlatformClient::Callback<Value> callback,
           Decode decode)
 {
-    const std::string path = request.path;
-    channel.send(std::move(request),
-                 [path, callback = std::move(callback), decode](const HttpReply &reply) {
-                     PlatformReply<Value> result;
-                     result.error = errorOf(reply, path);
-                     if (!result.error) {
-                         result.value = valueOrElse([&] { return decode(reply.body); },
-                                                    [&](const Error &error) {
-                                                        result.error = error;
-                                                        return Value{};
-                                                    });
-                     }
-                     callback(result);
-                 });
+    std::string path = request.path;
+    channel.send(std::move(request), [path = std::move(path), callback = std::move(callback),
+                                      decode](const HttpReply &reply) {
+        PlatformReply<Value> result;
+        result.error = errorOf(reply, path);
+        if (!result.error) {
+            result.value = valueOrElse([&] { return decode(reply.body); },
+                                       [&](const Error &error) {
+                                           result.error = error;
+                                           return Value{};
+                                       });
+        }
+        callback(result);
+    });
 }
 
 std::string workerPath(const std::string &host, const char *call)
--- a/Libraries/LibStore/StorePacer.cpp
+++ b/Libraries/LibStore/StorePacer.cpp
@@ -23,12 +23,12 @@
 
 bool StorePacer::tryWrite(TimePoint now, std::size_t rows)
 {
-    return now >= m_pausedUntil && m_writes.tryTake(now, tokens(rows));
+    return pause(now) == Duration(0) && m_writes.tryTake(now, tokens(rows));
 }
 
 bool StorePacer::tryRead(TimePoint now, std::size_t rows)
 {
-    return now >= m_pausedUntil && m_reads.tryTake(now, tokens(rows));
+    return pause(now) == Duration(0) && m_reads.tryTake(now, tokens(rows));
 }
 
 Duration StorePacer::timeUntilWrite(TimePoint now, std::size_t rows)
@@ -50,7 +50,7 @@
 void StorePacer::failed(TimePoint now)
 {
     // Calls that fail together count as one failure, so that a batch does not lengthen the delay.
-    if (now < m_pausedUntil)
+    if (pause(now) > Duration(0))
         return;
     m_pausedUntil = now + m_backoff.next(m_random);
 }
@@ -68,7 +68,11 @@
 
 Duration StorePacer::pause(TimePoint now) const
 {
-    return std::max(m_pausedUntil - now, Duration(0));
+    const Duration remaining = m_pausedUntil - now;
+    // A longer rest than any backoff means that the clock was set back.
+    if (remaining > m_settings.backoff.limit)
+        return Duration(0);
+    return std::max(remaining, Duration(0));
 }
 
 } // namespace Peridot
--- a/Libraries/LibStore/TokenBucket.cpp
+++ b/Libraries/LibStore/TokenBucket.cpp
@@ -10,6 +10,10 @@
 // Absorbs rounding of the refill, so that a caller that waits for timeUntil() gets its token.
 constexpr double tolerance = 1e-6;
 
+// Callers that share a bucket may pass slightly different times. A larger step back is a change of
+// the clock.
+constexpr Duration clockTolerance = std::chrono::seconds(1);
+
 } // namespace
 
 bool TokenBucket::tryTake(TimePoint now, double tokens)
@@ -40,10 +44,10 @@
 
 void TokenBucket::refill(TimePoint now)
 {
-    // A clock that steps back neither adds nor removes tokens.
     if (m_started && now > m_refilled)
         m_tokens = std::min(m_burst, m_tokens + toSeconds(now - m_refilled) * m_rate);
-    m_refilled = now;
+    if (!m_started || now > m_refilled || now < m_refilled - clockTolerance)
+        m_refilled = now;
     m_started = true;
 }
 
--- /dev/null
+++ b/Libraries/LibStore/include/LibStore/CommitResolution.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibBase/EnumTable.h>
+#include <LibStore/Transaction.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Peridot {
+
+/// What a snapshot of rows says of a commit with an unknown outcome.
+enum class CommitResolution {
+    Applied,
+    /// Not applied, and it never will be: a checked row has changed for another reason.
+    NotApplied,
+    /// Not applied when the rows were read, but the request may still be on its way. The same
+    /// transaction may be sent again: its checks let only one of both take effect.
+    NotYetApplied,
+    /// The rows were written again since, or the read failed; they do not tell.
+    Undecided,
+};
+
+constexpr auto commitResolutionNames = makeEnumTable<CommitResolution>({
+    {CommitResolution::Applied, "applied"},
+    {CommitResolution::NotApplied, "not-applied"},
+    {CommitResolution::NotYetApplied, "not-yet-applied"},
+    {CommitResolution::Undecided, "undecided"},
+});
+
+/// Key of the row that records an operation.
+std::string operationKey(std::string_view operationId);
+
+/// Adds the row operation/<operationId> to the checks and writes, so that the outcome can be read
+/// back even after the other rows were written again. The row stays until its owner deletes it.
+void addOperationRow(Transaction &transaction);
+
+/// Whether the row is the work of this operation: its value contains the operation id as a JSON
+/// string. Operation ids are unique, so the place in the value does not matter.
+bool carriesOperation(const Row &row, std::string_view operationId);
+
+/// Keys to read for resolveCommit(): the checked and the written rows.
+std::vector<std::string> resolutionKeys(const Transaction &transaction);
+
+/// Resolves a commit from one consistent snapshot of its resolutionKeys(), which may be older than
+/// the commit. \a rows must hold the rows in that order.
+CommitResolution resolveCommit(const Transaction &transaction, const std::vector<Row> &rows);
+
+} // namespace Peridot
