--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -170,6 +170,9 @@
 {
     Refusal refusal;
     refusal.retryAfter = refusalRetryAfter;
+    // An earlier copy of an undeclared request may have run through another entry process.
+    if (!isCertainlyFirstCopy(message))
+        refusal.outcome = Outcome::Unknown;
     const auto routing = m_routing.load();
     if (m_stopping) {
         refusal.reason = RefusalReason::Stopping;
--- a/Services/Entry/Refusal.cpp
+++ b/Services/Entry/Refusal.cpp
@@ -32,11 +32,12 @@
     case RefusalReason::BackendTimeout:
     case RefusalReason::DeadlineExceeded:
         return 504;
-    case RefusalReason::StoreUnavailable:
-    case RefusalReason::RecordExpired:
-        return 503;
-    default:
+    case RefusalReason::BackendConnectionLost:
+    case RefusalReason::TruncatedAnswer:
+    case RefusalReason::HolderLost:
         return 502;
+    default:
+        return 503;
     }
 }
 
@@ -108,6 +109,8 @@
         refusal.field = "body";
         break;
     case InputFault::ReadTimeout:
+        // The request was not read whole; a copy of it may have run through another connection.
+        refusal.outcome = Outcome::Unknown;
         refusal.field = "message";
         break;
     case InputFault::UpgradeRequested:
--- a/Services/Entry/RequestValidator.cpp
+++ b/Services/Entry/RequestValidator.cpp
@@ -2,6 +2,7 @@
 
 #include "Digest.h"
 #include "RequestId.h"
+#include <Kernel/Request/RequestIdentifier.h>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -75,7 +76,7 @@
     if (!isPlainRequestId(*id))
         return badInput(RefusalReason::InvalidRequestId, "Request-Id",
                         "only letters, digits, '-', '_' and '.' are allowed");
-    if (!description.idempotent && !isUuidVersion7(*id))
+    if (!description.idempotent && !requestIdTime(*id))
         return badInput(RefusalReason::InvalidRequestId, "Request-Id", "not a UUID of version 7");
     description.requestId = *id;
     return std::nullopt;
@@ -111,6 +112,12 @@
 
 } // namespace
 
+bool isCertainlyFirstCopy(const RequestMessage &request)
+{
+    const std::string *attempt = findHeader(request.headers, "Peridot-Attempt");
+    return contains(idempotentMethods, request.method) || (attempt != nullptr && *attempt == "1");
+}
+
 std::variant<ValidRequest, Refusal> validateRequest(const RequestMessage &request,
                                                     const RoutingSnapshot &snapshot, TimePoint now,
                                                     std::chrono::milliseconds maximumDeadline)
--- a/Services/Entry/RequestValidator.h
+++ b/Services/Entry/RequestValidator.h
@@ -15,6 +15,10 @@
     std::shared_ptr<ServiceGate> gate;
 };
 
+/// Whether no other copy of the request can have run: its method is idempotent, or its caller
+/// declares this to be the first send.
+bool isCertainlyFirstCopy(const RequestMessage &request);
+
 /// Checks a request against the routing snapshot. A refusal names the field at fault. The age of
 /// the request id is checked by the kernel, which owns the retention period.
 std::variant<ValidRequest, Refusal> validateRequest(const RequestMessage &request,
--- a/Tests/LibHttp/BackendFixture.h
+++ b/Tests/LibHttp/BackendFixture.h
@@ -3,6 +3,7 @@
 #include <BackendServer.h>
 #include <LibBase/Json.h>
 #include <LibHttp/BackendClient.h>
+#include <asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
 
 namespace Peridot {
@@ -54,6 +55,9 @@
 
     std::unique_ptr<BackendServer> server;
     asio::io_context context;
+    // Without it the context stops for good when it runs out of work between two requests.
+    asio::executor_work_guard<asio::io_context::executor_type> work
+        = asio::make_work_guard(context);
     std::unique_ptr<BackendClient> client;
 };
 
