--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-Endpoint parseEndpoint(const Json::Value &value)
+ListenAddress parseListenAddress(const Json::Value &value)
 {
-    Endpoint endpoint;
+    ListenAddress endpoint;
     endpoint.address = value["address"].asString();
     endpoint.port = static_cast<std::uint16_t>(value["port"].asUInt());
     return endpoint;
@@ -49,9 +49,9 @@
     EntrySettings settings;
     settings.instancePrefix = value["instance_prefix"].asString();
     settings.dataCentre = value["data_centre"].asString();
-    settings.callers = parseEndpoint(value["callers"]);
-    settings.administration = parseEndpoint(value["administration"]);
-    settings.peers = parseEndpoint(value["peers"]);
+    settings.callers = parseListenAddress(value["callers"]);
+    settings.administration = parseListenAddress(value["administration"]);
+    settings.peers = parseListenAddress(value["peers"]);
     settings.storeUrl = value["store_url"].asString();
     settings.operatorToken = value["operator_token"].asString();
     readSize(value, "threads", settings.serverThreads);
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -12,7 +12,7 @@
 
 namespace Peridot {
 
-struct Endpoint
+struct ListenAddress
 {
     std::string address; ///< IP address
     std::uint16_t port = 0; ///< 0: chosen by the operating system
@@ -23,9 +23,9 @@
 {
     std::string instancePrefix;
     std::string dataCentre;
-    Endpoint callers;
-    Endpoint administration;
-    Endpoint peers;
+    ListenAddress callers;
+    ListenAddress administration;
+    ListenAddress peers;
     std::string storeUrl; ///< empty: no store, non-idempotent requests are refused
     std::string operatorToken;
     std::size_t serverThreads = 2;
