--- a/Kernel/Membership/LeaseKeeper.cpp
+++ b/Kernel/Membership/LeaseKeeper.cpp
@@ -121,6 +121,11 @@
 void LeaseKeeper::committed(TimePoint now, const CommitResult &result)
 {
     const auto found = m_attempts.find(m_lastOperation);
+    if (found == m_attempts.end()) {
+        // A scan has shown the effect of this write before its answer arrived.
+        m_mustRead = result.status != CommitStatus::Committed;
+        return;
+    }
     switch (result.status) {
     case CommitStatus::Committed: {
         const Attempt attempt = found->second;
--- a/Kernel/Membership/MembershipNode.cpp
+++ b/Kernel/Membership/MembershipNode.cpp
@@ -54,10 +54,10 @@
         m_nextHeartbeat = now + m_settings.timing.heartbeat;
         sendHeartbeats(now);
         askForContent(now);
+        spreadLeases(now);
     }
     sendNotices(now);
     updateAcknowledgement(now);
-    spreadLeases(now);
 }
 
 void MembershipNode::storeFinished(TimePoint now, StoreProtocol *protocol, const StoreReply &reply)
--- /dev/null
+++ b/Tests/Kernel/Membership/TestLeaseKeeper.cpp
@@ -0,0 +1,138 @@
+#include <Kernel/Membership/LeaseKeeper.h>
+#include <Kernel/Membership/LeaseSpread.h>
+#include <LibStore/MemoryStore.h>
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *leaseKey = "lease/a";
+
+LeaseKeeper makeKeeper(const std::string &holder)
+{
+    LeaseKeeper keeper({leaseKey, "a", holder, false, {}, {}});
+    keeper.setWanted(true);
+    return keeper;
+}
+
+/// Performs the requests of the keeper until none is due.
+void drive(MemoryStore &store, LeaseKeeper &keeper)
+{
+    while (const auto request = keeper.takeRequest(store.now())) {
+        const auto reply = [&](const StoreReply &result) {
+            keeper.finish(store.now(), result);
+        };
+        if (const auto *transaction = std::get_if<Transaction>(&*request))
+            store.commit(*transaction, [&](const CommitResult &result) { reply(result); });
+        else
+            store.read(std::get<ReadRows>(*request).keys,
+                       [&](const ReadResult &result) { reply(result); });
+        store.run();
+    }
+}
+
+LeaseRow rowOf(MemoryStore &store)
+{
+    return parseLeaseRow(store.row(leaseKey).value).value();
+}
+
+} // namespace
+
+TEST_CASE("A lease has one holder and a growing fencing epoch")
+{
+    MemoryStore store;
+    store.advanceTo(TimePoint(1000s));
+    LeaseKeeper first = makeKeeper("first");
+    LeaseKeeper second = makeKeeper("second");
+    drive(store, first);
+    drive(store, second);
+    REQUIRE(first.held(store.now()));
+    REQUIRE(first.held(store.now())->fencingEpoch == 1);
+    REQUIRE_FALSE(second.held(store.now()));
+
+    SECTION("a holder that was paused past the end does not act when it wakes")
+    {
+        store.advanceTo(store.now() + 9s);
+        REQUIRE_FALSE(first.held(store.now()));
+    }
+    SECTION("the lease is taken over after the row was unchanged for the duration")
+    {
+        store.advanceTo(store.now() + 9900ms);
+        drive(store, second);
+        REQUIRE_FALSE(second.held(store.now()));
+        store.advanceTo(store.now() + 200ms);
+        drive(store, second);
+        REQUIRE(second.held(store.now())->fencingEpoch == 2);
+
+        SECTION("and the former holder loses its renewal to the version check")
+        {
+            drive(store, first);
+            REQUIRE_FALSE(first.held(store.now()));
+            REQUIRE(rowOf(store).holder == "second");
+        }
+    }
+    SECTION("a renewal keeps the epoch and extends the end")
+    {
+        const auto end = first.held(store.now())->end;
+        store.advanceTo(store.now() + 3s);
+        drive(store, first);
+        REQUIRE(first.held(store.now())->end == end + 3s);
+        REQUIRE(first.held(store.now())->fencingEpoch == 1);
+    }
+    SECTION("a released lease is free at once and its epoch is not used again")
+    {
+        first.release();
+        REQUIRE_FALSE(first.held(store.now()));
+        drive(store, first);
+        REQUIRE(first.released());
+        second.observe(store.now(), store.row(leaseKey));
+        drive(store, second);
+        REQUIRE(second.held(store.now())->fencingEpoch == 2);
+    }
+    SECTION("a renewal whose answer was lost counts from the moment it was sent")
+    {
+        store.advanceTo(store.now() + 3s);
+        const auto sent = store.now();
+        store.scriptFault(StoreCallKind::Commit, {StoreFaultKind::LoseAnswerAfterEffect, 0s, 0});
+        drive(store, first);
+        REQUIRE(first.held(store.now())->end == sent + 9s);
+        REQUIRE(first.held(store.now())->rowVersion == store.row(leaseKey).version);
+    }
+    SECTION("a stale read does not end a lease that is held")
+    {
+        store.advanceTo(store.now() + 3s);
+        store.scriptFault(StoreCallKind::Commit, {StoreFaultKind::LoseAnswerAfterEffect, 0s, 0});
+        store.scriptFault(StoreCallKind::Read, {StoreFaultKind::StaleRead, 0s, 1});
+        drive(store, first);
+        REQUIRE(first.held(store.now()));
+    }
+    SECTION("a guard that no longer holds stops the renewal until it is replaced")
+    {
+        first.setGuard({{{"other", 7}}, true});
+        store.advanceTo(store.now() + 3s);
+        drive(store, first);
+        REQUIRE(first.guardConflict());
+        first.setGuard({{{"other", absentVersion}}, true});
+        drive(store, first);
+        REQUIRE(first.provenGuard().inView);
+    }
+}
+
+TEST_CASE("The preferred holder moves only for the leases of a member that left")
+{
+    const std::vector<std::string> all{"a", "b", "c", "d"};
+    const std::vector<std::string> rest{"a", "b", "c"};
+    std::map<std::string, int> shares;
+    for (int index = 0; index < 98; ++index) {
+        const std::string name = "pool-" + std::to_string(index);
+        const std::string before = preferredHolder(name, all);
+        ++shares[before];
+        if (before != "d")
+            REQUIRE(preferredHolder(name, rest) == before);
+    }
+    for (const auto &[holder, share] : shares)
+        REQUIRE(share >= 10);
+    REQUIRE(preferredHolder("pool-1", {}).empty());
+}
