--- a/Libraries/LibStore/PlatformClient.cpp
+++ b/Libraries/LibStore/PlatformClient.cpp
@@ -1,11 +1,14 @@
 #include <LibStore/PlatformClient.h>
 
+#include <LibStore/PercentEncoding.h>
+
 namespace Peridot {
 
 namespace {
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
+constexpr int statusUnreachable = 502;
 constexpr int statusUnavailable = 503;
 
 std::optional<Error> errorOf(const HttpReply &reply, const std::string &path)
@@ -18,29 +21,31 @@
         return std::nullopt;
     if (reply.status == statusNotFound)
         return Error{ErrorCode::NotFound, path, {}};
+    if (reply.status == statusUnreachable)
+        return Error{ErrorCode::ConnectionFailed, path, "the platform cannot reach the worker"};
     if (reply.status == statusUnavailable)
         return Error{ErrorCode::StoreUnavailable, path, {}};
     return Error{ErrorCode::ProtocolViolation, path, "status " + std::to_string(reply.status)};
 }
 
 template <typename Value, typename Decode>
-void call(HttpChannel &channel, HttpRequest request, PlatformClient::Callback<Value> callback,
+void call(HttpChannel &channel, HttpRequest &&request, PlatformClient::Callback<Value> callback,
           Decode decode)
 {
-    const std::string path = request.path;
-    channel.send(std::move(request),
-                 [path, callback = std::move(callback), decode](const HttpReply &reply) {
-                     PlatformReply<Value> result;
-                     result.error = errorOf(reply, path);
-                     if (!result.error) {
-                         result.value = valueOrElse([&] { return decode(reply.body); },
-                                                    [&](const Error &error) {
-                                                        result.error = error;
-                                                        return Value{};
-                                                    });
-                     }
-                     callback(result);
-                 });
+    std::string path = request.path;
+    channel.send(std::move(request), [path = std::move(path), callback = std::move(callback),
+                                      decode](const HttpReply &reply) {
+        PlatformReply<Value> result;
+        result.error = errorOf(reply, path);
+        if (!result.error) {
+            result.value = valueOrElse([&] { return decode(reply.body); },
+                                       [&](const Error &error) {
+                                           result.error = error;
+                                           return Value{};
+                                       });
+        }
+        callback(result);
+    });
 }
 
 std::string workerPath(const std::string &host, const char *call)
