--- a/Libraries/LibStore/include/LibStore/HttpChannel.h
+++ b/Libraries/LibStore/include/LibStore/HttpChannel.h
@@ -63,7 +63,7 @@
 /// HTTP requests to one server by a libcurl multi handle on a thread of its own. send() does not
 /// block. Each callback runs exactly once, on the executor, or on the thread of the channel when
 /// there is none. The destructor answers open requests and joins the thread; callbacks that are
-/// already on the executor may run after it.
+/// already on the executor may run after it. The channel must not be destroyed on its own thread.
 class HttpChannel
 {
 public:
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -310,6 +310,7 @@
     SimulatedWorker *worker = m_fleet.find(host);
     if (!worker)
         return errorAnswer(statusNotFound, {ErrorCode::NotFound, host, {}});
+    worker->tick(m_now);
     if (!worker->reachable())
         return errorAnswer(statusUnreachable, {ErrorCode::ConnectionFailed, host, {}});
     if (endpoint == Endpoint::Report)
--- a/StandIns/Platform/WorkerFleet.cpp
+++ b/StandIns/Platform/WorkerFleet.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// The platform ticks with every request; passing over thousands of workers each time would make
+// each request slow. A worker that is asked is up to date all the same.
+constexpr Duration shortestTickInterval = std::chrono::milliseconds(5);
 constexpr Duration shortestPublishInterval = std::chrono::milliseconds(100);
 // Lists kept for each lag, which is also the precision of the lag.
 constexpr int listsPerLag = 5;
@@ -27,6 +30,9 @@
 
 void WorkerFleet::tick(TimePoint now)
 {
+    if (now < m_ticked + shortestTickInterval)
+        return;
+    m_ticked = now;
     for (auto &[name, worker] : m_workers)
         worker.tick(now);
     const Duration interval
--- a/StandIns/Platform/WorkerFleet.h
+++ b/StandIns/Platform/WorkerFleet.h
@@ -42,6 +42,7 @@
     std::deque<HostList> m_lists; ///< oldest first
     HostList m_frozenList;
     TimePoint m_frozenUntil{};
+    TimePoint m_ticked{};
 };
 
 } // namespace Peridot
