LibStore: Recognise an operation only by the member of its row

The text of other members may come from callers, so that an operation id found anywhere in the value could be taken for an effect of this operation. All rows of the kernel name it in the member operation.

--- a/Libraries/LibStore/CommitResolution.cpp
+++ b/Libraries/LibStore/CommitResolution.cpp
@@ -2,13 +2,14 @@
 
 #include <LibBase/Json.h>
 #include <algorithm>
-#include <json/writer.h>
 #include <map>
 
 namespace Peridot {
 
 namespace {
 
+constexpr const char *operationMember = "operation";
+
 using RowIndex = std::map<std::string_view, const Row *>;
 
 RowIndex indexOf(const std::vector<Row> &rows)
@@ -72,16 +73,24 @@
 void addOperationRow(Transaction &transaction)
 {
     const std::string key = operationKey(transaction.operationId);
+    Json::Value value(Json::objectValue);
+    value[operationMember] = transaction.operationId;
     transaction.checks.push_back({key, absentVersion});
-    transaction.writes.push_back({key, Json::valueToQuotedString(transaction.operationId.c_str())});
+    transaction.writes.push_back({key, writeJson(value)});
 }
 
 bool carriesOperation(const Row &row, std::string_view operationId)
 {
     if (row.version == absentVersion || operationId.empty())
         return false;
-    const std::string quoted = Json::valueToQuotedString(std::string(operationId).c_str());
-    return row.value.find(quoted) != std::string::npos;
+    return valueOrElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(value, parseJson(row.value));
+            if (!value.isObject() || !value[operationMember].isString())
+                return false;
+            return value[operationMember].asString() == operationId;
+        },
+        [](const Error &) { return false; });
 }
 
 std::vector<std::string> resolutionKeys(const Transaction &transaction)
--- a/Libraries/LibStore/include/LibStore/CommitResolution.h
+++ b/Libraries/LibStore/include/LibStore/CommitResolution.h
@@ -34,8 +34,9 @@
 /// back even after the other rows were written again. The row stays until its owner deletes it.
 void addOperationRow(Transaction &transaction);
 
-/// Whether the row is the work of this operation: its value contains the operation id as a JSON
-/// string. Operation ids are unique, so the place in the value does not matter.
+/// Whether the row is the work of this operation: its value is a JSON object whose member
+/// "operation" is the operation id. Other members do not count, because callers of the system may
+/// choose their text.
 bool carriesOperation(const Row &row, std::string_view operationId);
 
 /// Keys to read for resolveCommit(): the checked and the written rows.
--- a/Libraries/LibStore/include/LibStore/GroupCommitter.h
+++ b/Libraries/LibStore/include/LibStore/GroupCommitter.h
@@ -17,7 +17,8 @@
 namespace Peridot {
 
 /// Conditional write of one row. The check and the write name the same row, and the written value
-/// should contain the operation id as a JSON string, so that an unknown outcome can be resolved.
+/// should carry the operation id as in carriesOperation(), so that an unknown outcome can be
+/// resolved.
 struct RowOperation
 {
     std::string operationId;
@@ -56,7 +57,7 @@
     using Callback = std::function<void(const CommitResult &)>;
     /// Decides whether \a row, which is not in the state that the check expects, shows that the
     /// operation was applied (true), or that it was not and never will be (false). Nothing: the
-    /// committer looks for the operation id in the value.
+    /// committer decides with carriesOperation().
     using OwnershipHook
         = std::function<std::optional<bool>(const RowOperation &operation, const Row &row)>;
 
--- a/Tests/LibStore/TestGroupCommitter.cpp
+++ b/Tests/LibStore/TestGroupCommitter.cpp
@@ -26,9 +26,14 @@
     return settings;
 }
 
+std::string valueOf(const std::string &operationId)
+{
+    return R"({"operation":")" + operationId + "\"}";
+}
+
 RowOperation createRow(const std::string &key, const std::string &operationId)
 {
-    return {operationId, {key, absentVersion}, {key, R"({"operation":")" + operationId + "\"}"}};
+    return {operationId, {key, absentVersion}, {key, valueOf(operationId)}};
 }
 
 /// One process with a committer; several share a store.
@@ -244,7 +249,7 @@
         store.run();
         store.scriptFault(StoreCallKind::Commit, {LoseAnswerAfterEffect});
         store.scriptFault(StoreCallKind::Read, {StaleRead, {}, 2});
-        process.submit({"op-a", {"a", 1}, {"a", "\"op-a\""}});
+        process.submit({"op-a", {"a", 1}, {"a", valueOf("op-a")}});
         runFor(store, 1s, {&process});
         REQUIRE(process.statusOf("op-a") == CommitStatus::Committed);
     }
@@ -349,7 +354,7 @@
 
 TEST_CASE("A commit is resolved from its rows")
 {
-    const Transaction transaction{"op", {{"a", 1}, {"b", 2}}, {{"a", "\"op\""}}};
+    const Transaction transaction{"op", {{"a", 1}, {"b", 2}}, {{"a", valueOf("op")}}};
     struct Case
     {
         std::string name;
@@ -357,13 +362,17 @@
         CommitResolution resolution;
     };
     const std::vector<Case> cases{
-        {"carries the id", {{"a", 5, "\"op\""}, {"b", 2, "x"}}, CommitResolution::Applied},
+        {"carries the id", {{"a", 5, valueOf("op")}, {"b", 2, "x"}}, CommitResolution::Applied},
         {"unchanged", {{"a", 1, "x"}, {"b", 2, "x"}}, CommitResolution::NotYetApplied},
         {"a check failed for good", {{"a", 1, "x"}, {"b", 3, "x"}}, CommitResolution::NotApplied},
         {"an old snapshot", {{"a", 1, "x"}, {"b", 0, ""}}, CommitResolution::NotYetApplied},
         {"written again", {{"a", 6, "x"}, {"b", 2, "x"}}, CommitResolution::Undecided},
-        {"the id as a part of another",
-         {{"a", 6, "\"op2\""}, {"b", 2, "x"}},
+        {"another id that begins alike",
+         {{"a", 6, valueOf("op2")}, {"b", 2, "x"}},
+         CommitResolution::Undecided},
+        {"the id in a text that a caller chose",
+         {{"a", 6, R"({"operation":"x","request":"op","body":"\"operation\":\"op\""})"},
+          {"b", 2, "x"}},
          CommitResolution::Undecided},
     };
     for (const auto &entry : cases) {
