Utilities: Measure floods, routing and the slopes of the request kernel

RequestSimulation drives the request kernels of all entry processes in virtual time with seeded backend servers, store and peer link.

The first run showed that most of the time went into JSON of slot messages, so the kernel builds its JSON reader and writer once for each thread, and a process that was refused slots asks again under backoff until the owner reports idle ones. It also showed that with fixed-partition a service without a right to more slots borrowed them; only services that may take a slot ask for them now.

--- a/Kernel/Request/ClaimRecord.cpp
+++ b/Kernel/Request/ClaimRecord.cpp
@@ -1,7 +1,8 @@
+#include "MessageJson.h"
+
 #include <Kernel/Request/ClaimRecord.h>
 
 #include <Kernel/Request/RequestIdentifier.h>
-#include <LibBase/Json.h>
 #include <boost/algorithm/hex.hpp>
 #include <boost/locale/encoding_utf.hpp>
 #include <iterator>
@@ -89,12 +90,12 @@
     object["reason"] = std::string(refusalReasonNames.nameOf(record.reason));
     if (record.answer)
         object["answer"] = encodeAnswer(*record.answer);
-    return writeJson(object);
+    return writeMessage(object);
 }
 
 Result<ClaimRecord> decodeClaimRecord(const std::string &text)
 {
-    BOOST_LEAF_AUTO(object, parseJson(text));
+    BOOST_LEAF_AUTO(object, parseMessage(text));
     if (!object.isObject())
         return makeError(ErrorCode::ProtocolViolation, "record");
     BOOST_LEAF_AUTO(stateName, readText(object, "state"));
--- a/Kernel/Request/SlotExchangeMessages.cpp
+++ b/Kernel/Request/SlotExchangeMessages.cpp
@@ -12,8 +12,10 @@
 constexpr Duration stateInterval = std::chrono::milliseconds(4);
 /// Borrowed slots are renewed this long after the last State.
 constexpr Duration renewalInterval = std::chrono::milliseconds(150);
-/// A peer that had no idle slots is asked again after this time.
-constexpr Duration askInterval = std::chrono::milliseconds(40);
+/// A peer that had no idle slots is asked again after this time, which doubles each time. It
+/// reports earlier when slots become idle.
+constexpr Duration firstAskInterval = std::chrono::milliseconds(20);
+constexpr Duration lastAskInterval = std::chrono::milliseconds(320);
 constexpr Duration recallInterval = std::chrono::milliseconds(20);
 /// A borrowed slot that was idle for this time goes back.
 constexpr Duration idleHold = std::chrono::milliseconds(50);
@@ -48,8 +50,10 @@
         stateReceived(now, found->second, message);
     else if (message.type == SlotMessage::Type::Grant)
         grantReceived(now, found->second, message);
-    else
+    else {
         peer.stateDue = true;
+        peer.askInterval = Duration::zero();
+    }
     m_nextPoll = now;
 }
 
@@ -157,6 +161,7 @@
             if (const auto service = m_hooks.findService(name))
                 lendIdleSlots(now, index, *service, std::min(count, slotsPerGrant), grant);
         }
+        peer.wantsSlots = !message.wanted.empty() && m_idleOwnSlots == 0;
     }
     grant.idle = m_lending ? static_cast<unsigned>(m_idleOwnSlots) : 0;
     send(peer, grant);
@@ -170,6 +175,9 @@
     peer.unanswered = 0;
     peer.confirmationOwed = false;
     peer.idleSlots = message.idle;
+    peer.askInterval = message.slots.empty()
+                           ? std::clamp(peer.askInterval * 2, firstAskInterval, lastAskInterval)
+                           : Duration::zero();
     for (const SlotReference reference : peer.held)
         slotAt(reference).startUntil = std::min(slotAt(reference).startUntil, now);
     const TimePoint end = peer.sentAt + message.window * usableWindowPercent / 100;
@@ -251,7 +259,7 @@
     if (!peer.held.empty() && since >= (waiting.empty() ? idleHold : renewalInterval))
         return true;
     return m_lending && !m_stopping && !waiting.empty()
-           && (peer.idleSlots > 0 || since >= askInterval);
+           && (peer.idleSlots > 0 || since >= peer.askInterval);
 }
 
 void SlotExchange::poll(TimePoint now, const std::map<std::string, unsigned> &waiting)
@@ -266,8 +274,11 @@
         if (pollPeer(now, peer, waiting))
             sendState(now, peer, waiting);
         const bool recall = !peer.lent.empty() && (m_stopping || !waiting.empty());
-        if ((recall || m_unconfirmed.contains(index)) && now - peer.recalledAt >= recallInterval) {
+        const bool offer = peer.wantsSlots && m_idleOwnSlots > 0 && waiting.empty();
+        if ((recall || offer || m_unconfirmed.contains(index))
+            && now - peer.recalledAt >= recallInterval) {
             peer.recalledAt = now;
+            peer.wantsSlots = false;
             SlotMessage message;
             message.type = SlotMessage::Type::Recall;
             message.epoch = m_epoch;
--- a/Kernel/Request/SlotMessage.cpp
+++ b/Kernel/Request/SlotMessage.cpp
@@ -1,6 +1,6 @@
-#include <Kernel/Request/SlotMessage.h>
+#include "MessageJson.h"
 
-#include <LibBase/Json.h>
+#include <Kernel/Request/SlotMessage.h>
 
 namespace Peridot {
 
@@ -73,12 +73,12 @@
     object["window_ms"] = Json::UInt64(
         std::chrono::duration_cast<std::chrono::milliseconds>(message.window).count());
     object["idle"] = message.idle;
-    return writeJson(object);
+    return writeMessage(object);
 }
 
 Result<SlotMessage> decodeSlotMessage(const std::string &text)
 {
-    BOOST_LEAF_AUTO(object, parseJson(text));
+    BOOST_LEAF_AUTO(object, parseMessage(text));
     if (!object.isObject() || !object["type"].isString())
         return makeError(ErrorCode::ProtocolViolation, "type");
     const auto type = slotMessageTypeNames.valueOf(object["type"].asString());
--- a/Kernel/include/Kernel/Request/AdmissionPolicy.h
+++ b/Kernel/include/Kernel/Request/AdmissionPolicy.h
@@ -38,12 +38,14 @@
     std::size_t waiting(ServiceIndex service) const { return m_services[service].queue.size(); }
     std::size_t slotsInUse(ServiceIndex service) const { return m_services[service].slotsInUse; }
     const ServiceQueue &queue(ServiceIndex service) const { return m_services[service].queue; }
-    /// Services with waiting requests, in the order in which they are served.
+    /// Services with waiting requests that may take another slot, in the order of service.
     template <typename Function>
     void forEachWaitingService(Function &&function) const
     {
-        for (const auto &[key, service] : m_order)
-            function(service);
+        for (const auto &[key, service] : m_order) {
+            if (mayTakeSlot(m_services[service]))
+                function(service);
+        }
     }
     /// Share of the slots that belongs to \a service when all services are busy.
     double shareOf(ServiceIndex service) const;
--- a/Kernel/include/Kernel/Request/SlotExchange.h
+++ b/Kernel/include/Kernel/Request/SlotExchange.h
@@ -100,6 +100,8 @@
         std::uint64_t unanswered = 0; ///< number of the State that waits for its Grant, or 0
         TimePoint sentAt;
         TimePoint recalledAt;
+        Duration askInterval{0}; ///< until it is asked for slots again; grows with empty grants
+        bool wantsSlots = false; ///< it got fewer slots than it asked for
         unsigned idleSlots = 0; ///< as of its last Grant
         std::set<SlotReference> held; ///< its slots that this process has to report
         std::set<SlotReference> lent; ///< own slots that it holds
--- /dev/null
+++ b/Utilities/Measure/RequestSimulation.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <Kernel/Request/RequestKernel.h>
+#include <LibBase/Random.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace Peridot {
+
+/// Offered load of one service.
+struct SimulatedService
+{
+    std::string name;
+    Duration meanTime{0}; ///< execution in a backend server
+    double rate = 0; ///< requests a second over all entry processes
+    double floodRate = 0; ///< instead of rate during the flood
+    Urgency urgency = Urgency::Normal;
+    Urgency floodUrgency = Urgency::Normal;
+    Duration deadline = std::chrono::seconds(2);
+};
+
+struct SimulationSettings
+{
+    std::vector<SimulatedService> services;
+    unsigned entryProcesses = 7;
+    unsigned backendServers = 50;
+    unsigned slots = 8;
+    std::string admissionPolicy = "fair-share";
+    std::string routingPolicy = "lent-slots";
+    Duration peerDelay = std::chrono::milliseconds(1); ///< one way, between any two processes
+    Duration storeDelay = std::chrono::milliseconds(4);
+    double nonIdempotentPart = 0.05;
+    double firstProcessPart
+        = 0; ///< part of the load that reaches the first entry process; 0: equal
+    Duration warmUp = std::chrono::seconds(2);
+    Duration measured = std::chrono::seconds(10); ///< the flood lasts as long
+    int failingServer = -1; ///< answers each request with status 500 after 1 ms
+    std::uint64_t seed = 1;
+};
+
+/// Figures of one service, for requests that arrived in the measured time.
+struct SimulatedResult
+{
+    std::uint64_t arrived = 0;
+    std::uint64_t answered = 0; ///< with success, within the deadline
+    std::vector<double> seconds; ///< from arrival to answer
+};
+
+/// Drives request kernels in virtual time with seeded backend servers, callers, store and peer
+/// link. The same seed gives the same run; the arrivals of a service depend on the seed and on its
+/// own rate alone.
+class RequestSimulation
+{
+public:
+    explicit RequestSimulation(SimulationSettings settings);
+
+    void run();
+    /// Runs the events up to \a end. Load is generated from the start.
+    void runUntil(TimePoint end);
+
+    // Faults
+    /// Delays of the copies of a peer message that arrive; none when it is lost.
+    std::function<std::vector<Duration>()> peerLink;
+    /// Called after each event.
+    std::function<void()> afterEvent;
+    void crash(unsigned entry);
+    /// Gives the running processes a new membership view, except frozen ones.
+    void changeView();
+    void freeze(unsigned entry, Duration time);
+
+    TimePoint now() const { return m_now; }
+    TimePoint start() const;
+    bool running(unsigned entry) const { return m_entries[entry].kernel != nullptr; }
+    const RequestKernel &kernel(unsigned entry) const { return *m_entries[entry].kernel; }
+    std::uint64_t events() const { return m_events; }
+
+    // Figures
+    std::vector<SimulatedResult> results;
+    std::vector<double> waits; ///< seconds from arrival to execution, measured requests
+    double busySlots() const; ///< mean part of the slots held by attempts in the measured time
+    double idleWhileWaiting() const; ///< mean part of the slots idle while requests wait
+    unsigned largestOverbooking() const { return m_largestOverbooking; }
+    std::uint64_t peerMessages() const { return m_peerMessages; }
+    std::uint64_t attemptsAt(unsigned server) const { return m_servers[server].attempts; }
+    std::uint64_t attempts() const { return m_attemptCount; }
+
+private:
+    struct Entry
+    {
+        std::string instance;
+        std::unique_ptr<RequestKernel> kernel;
+        TimePoint frozenUntil;
+        std::vector<std::function<void()>> held; ///< events that arrive while it is frozen
+    };
+
+    struct Attempt
+    {
+        unsigned entry;
+        std::uint64_t number;
+        RequestToken token;
+        unsigned server;
+    };
+
+    struct Server
+    {
+        std::string name;
+        unsigned executing = 0;
+        std::uint64_t attempts = 0;
+        std::queue<Attempt> waiting;
+    };
+
+    struct Call
+    {
+        unsigned service;
+        unsigned entry;
+        TimePoint arrival;
+        TimePoint deadline;
+        bool waiting = true; ///< no attempt was started yet
+        bool measured = false;
+        bool failed = false; ///< the backend server answered with an error
+    };
+
+    struct Event
+    {
+        TimePoint time;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator>(const Event &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+
+    void at(TimePoint time, std::function<void()> run);
+    /// Runs \a run now, or when the process is no longer frozen.
+    void deliver(unsigned entry, std::function<void()> run);
+    bool isMeasured(TimePoint time) const;
+    void createEntries();
+    void arrive(unsigned service);
+    void scheduleArrival(unsigned service);
+    void tick(unsigned entry);
+    void sample();
+    void take(unsigned entry);
+    void act(unsigned entry, StartAttempt action);
+    void act(unsigned entry, ReadClaim action);
+    void act(unsigned entry, CommitClaim action);
+    void act(unsigned entry, AnswerRequest action);
+    void act(unsigned entry, SendPeerMessage action);
+    void attemptArrived(Attempt attempt);
+    void execute(Attempt attempt);
+
+    const SimulationSettings m_settings;
+    TimePoint m_now;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_events = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_queue;
+    std::vector<Entry> m_entries;
+    std::vector<Server> m_servers;
+    std::map<std::string, unsigned> m_serverIndex;
+    std::map<std::string, unsigned> m_entryIndex;
+    std::vector<RandomSource> m_arrivalRandom; ///< by service
+    RandomSource m_random;
+    std::unordered_map<RequestToken, Call> m_calls;
+    std::map<std::string, Row> m_rows;
+    Version m_revision = 0;
+    RequestToken m_lastToken = 0;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_waiting = 0;
+    std::uint64_t m_outstanding = 0;
+    std::uint64_t m_attemptCount = 0;
+    std::uint64_t m_peerMessages = 0;
+    unsigned m_largestOverbooking = 0;
+    std::uint64_t m_samples = 0;
+    double m_busySum = 0;
+    double m_idleSum = 0;
+};
+
+} // namespace Peridot
