--- a/Utilities/Measure/FloodMeasurement.cpp
+++ b/Utilities/Measure/FloodMeasurement.cpp
@@ -2,9 +2,12 @@
 #include "Quantile.h"
 #include "RequestSimulation.h"
 
+#include <atomic>
 #include <chrono>
 #include <fmt/format.h>
+#include <functional>
 #include <iostream>
+#include <thread>
 
 namespace Peridot {
 
@@ -92,8 +95,9 @@
     return figures;
 }
 
-void measureFloods(const Deployment &deployment, const std::string &policy)
+std::string measureFloods(const Deployment &deployment, const std::string &policy)
 {
+    std::string lines;
     SimulationSettings settings = settingsOf(deployment, baseLoad);
     settings.admissionPolicy = policy;
     RequestSimulation base(settings);
@@ -124,6 +128,7 @@
             static_cast<double>(own.answered) / static_cast<double>(own.arrived),
             met ? "yes" : "no");
     }
+    return lines;
 }
 
 double answeredPart(const RequestSimulation &simulation)
@@ -137,17 +142,19 @@
     return static_cast<double>(answered) / static_cast<double>(arrived);
 }
 
-void measureRouting(const std::string &routing, double load, double firstProcessPart,
-                    int failingServer)
+std::string measureRouting(const std::string &routing, double load, double firstProcessPart,
+                           int failingServer)
 {
     SimulationSettings settings = settingsOf(deployments().front(), load);
     settings.routingPolicy = routing;
     settings.firstProcessPart = firstProcessPart;
     settings.failingServer = failingServer;
+    // A claim adds the time of the store to the wait, whatever the routing.
+    settings.nonIdempotentPart = 0;
     settings.measured = std::chrono::seconds(5);
     RequestSimulation simulation(settings);
     simulation.run();
-    std::cout << fmt::format(
+    std::string line = fmt::format(
         "measure=routing policy={} load={:.2f} entry_load={} wait_p50_ms={:.2f} wait_p99_ms={:.2f} "
         "largest_overbooking={} idle_slots_while_waiting={:.4f} answered_ratio={:.4f} "
         "peer_messages_per_request={:.3f}",
@@ -161,7 +168,26 @@
             " failing_server=yes attempts_at_failing_ratio={:.5f}",
             static_cast<double>(simulation.attemptsAt(static_cast<unsigned>(failingServer)))
                 / static_cast<double>(simulation.attempts()));
-    std::cout << '\n';
+    return line + '\n';
+}
+
+/// Runs the simulations, which share nothing, on a few threads and prints their lines in order.
+void runJobs(const std::vector<std::function<std::string()>> &jobs)
+{
+    constexpr unsigned threads = 3;
+    std::vector<std::string> lines(jobs.size());
+    std::atomic<std::size_t> next{0};
+    {
+        std::vector<std::jthread> workers;
+        for (unsigned worker = 0; worker < threads; ++worker) {
+            workers.emplace_back([&] {
+                for (std::size_t job = next++; job < jobs.size(); job = next++)
+                    lines[job] = jobs[job]();
+            });
+        }
+    }
+    for (const std::string &line : lines)
+        std::cout << line;
 }
 
 /// Compares admission policies under a flood of one service, and routing policies.
@@ -175,19 +201,22 @@
             "measure=flood entry_processes=7 backend_servers=50 slots=400 services=5 base_load={} "
             "flood_factor={} flood_seconds=10 seed={} time=virtual\n",
             baseLoad, floodFactor, seed);
+        std::vector<std::function<std::string()>> jobs;
         for (const Deployment &deployment : deployments()) {
             for (const char *policy : {"fair-share", "fifo", "strict-priority", "fixed-partition"})
-                measureFloods(deployment, policy);
+                jobs.emplace_back(
+                    [&deployment, policy] { return measureFloods(deployment, policy); });
         }
         constexpr double skew = 0.4;
         constexpr double highLoad = 0.9;
         for (const char *routing :
              {"uniform-random", "two-choices", "divided-slots", "lent-slots"}) {
-            measureRouting(routing, baseLoad, 0, -1);
-            measureRouting(routing, highLoad, 0, -1);
-            measureRouting(routing, baseLoad, skew, -1);
-            measureRouting(routing, baseLoad, 0, 0);
+            jobs.emplace_back([=] { return measureRouting(routing, baseLoad, 0, -1); });
+            jobs.emplace_back([=] { return measureRouting(routing, highLoad, 0, -1); });
+            jobs.emplace_back([=] { return measureRouting(routing, baseLoad, skew, -1); });
+            jobs.emplace_back([=] { return measureRouting(routing, baseLoad, 0, 0); });
         }
+        runJobs(jobs);
         const double elapsed
             = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
         std::cout << fmt::format("measure=flood elapsed_seconds={:.1f}\n", elapsed);
--- a/Utilities/Measure/RequestSimulation.cpp
+++ b/Utilities/Measure/RequestSimulation.cpp
@@ -11,7 +11,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 constexpr Duration sampleInterval = std::chrono::milliseconds(5);
 constexpr Duration failureTime = std::chrono::milliseconds(1);
-constexpr Duration leaseTime = std::chrono::hours(24);
+/// Ticks with nothing open after which a stopped process exits.
+constexpr unsigned exitTicks = 5;
 
 std::string requestId(TimePoint time, RequestToken token)
 {
@@ -41,7 +42,10 @@
     }
     for (unsigned service = 0; service < m_settings.services.size(); ++service)
         m_arrivalRandom.emplace_back(m_settings.seed * 1000 + service);
-    createEntries();
+    makeTable();
+    for (unsigned entry = 0; entry < m_settings.entryProcesses; ++entry)
+        createEntry();
+    changeView();
     for (unsigned service = 0; service < m_settings.services.size(); ++service)
         scheduleArrival(service);
     at(start() + m_settings.warmUp, [this] { sample(); });
@@ -52,7 +56,7 @@
     return fromUnixMilliseconds(1'700'000'000'000);
 }
 
-void RequestSimulation::createEntries()
+void RequestSimulation::makeTable()
 {
     auto table = std::make_shared<RoutingTable>();
     table->version = 1;
@@ -66,29 +70,60 @@
             route.services.push_back(service.name);
         table->backendServers.push_back(route);
     }
-    for (unsigned entry = 0; entry < m_settings.entryProcesses; ++entry) {
-        Entry &process = m_entries.emplace_back();
-        process.instance = fmt::format("entry-{}", entry);
-        m_entryIndex[process.instance] = entry;
-        RequestKernelSettings kernel;
-        kernel.instance = process.instance;
-        kernel.admissionPolicy = m_settings.admissionPolicy;
-        kernel.routingPolicy = m_settings.routingPolicy;
-        kernel.seed = m_settings.seed * 100 + entry;
-        process.kernel = RequestKernel::create(kernel).value();
-        process.kernel->leaseChanged(m_now, m_now + leaseTime);
-        process.kernel->routingTableChanged(m_now, table);
-        at(m_now + tickInterval, [this, entry] { tick(entry); });
+    m_table = std::move(table);
+}
+
+unsigned RequestSimulation::createEntry()
+{
+    const auto entry = static_cast<unsigned>(m_entries.size());
+    Entry &process = m_entries.emplace_back();
+    process.instance = fmt::format("entry-{}", entry);
+    m_entryIndex[process.instance] = entry;
+    RequestKernelSettings kernel;
+    kernel.instance = process.instance;
+    kernel.admissionPolicy = m_settings.admissionPolicy;
+    kernel.routingPolicy = m_settings.routingPolicy;
+    kernel.seed = m_settings.seed * 100 + entry;
+    process.kernel = RequestKernel::create(kernel).value();
+    process.kernel->routingTableChanged(m_now, m_table);
+    renewLease(entry);
+    at(m_now + tickInterval, [this, entry] { tick(entry); });
+    return entry;
+}
+
+void RequestSimulation::renewLease(unsigned entry)
+{
+    m_entries[entry].leaseEnd = m_now + m_settings.leaseTime;
+    m_entries[entry].kernel->leaseChanged(m_now, m_entries[entry].leaseEnd);
+}
+
+unsigned RequestSimulation::join()
+{
+    return createEntry();
+}
+
+void RequestSimulation::stop(unsigned entry)
+{
+    m_entries[entry].stopping = true;
+    deliver(entry, [this, entry] { m_entries[entry].kernel->stopRequested(m_now); });
+}
+
+void RequestSimulation::serverLeaving(unsigned server)
+{
+    for (unsigned entry = 0; entry < m_entries.size(); ++entry) {
+        deliver(entry, [this, entry, server] {
+            m_entries[entry].kernel->backendServerLeaving(m_now, m_servers[server].name, true);
+        });
     }
-    changeView();
 }
 
 void RequestSimulation::changeView()
 {
     EntryMembers members;
     members.epoch = ++m_epoch;
-    for (const Entry &entry : m_entries) {
-        if (entry.kernel)
+    for (Entry &entry : m_entries) {
+        entry.lapsed = entry.lapsed || (entry.kernel && m_now >= entry.leaseEnd);
+        if (entry.kernel && !entry.lapsed)
             members.instances.push_back(entry.instance);
     }
     for (unsigned entry = 0; entry < m_entries.size(); ++entry) {
@@ -185,7 +220,7 @@
     unsigned entry = static_cast<unsigned>(random.below(m_entries.size()));
     if (random.unit() < m_settings.firstProcessPart)
         entry = 0;
-    if (!m_entries[entry].kernel)
+    if (!m_entries[entry].kernel || m_entries[entry].stopping)
         return;
     RequestDescription request;
     request.token = ++m_lastToken;
@@ -212,9 +247,19 @@
 {
     if (!m_entries[entry].kernel)
         return;
-    if (m_now >= m_entries[entry].frozenUntil) {
-        m_entries[entry].kernel->tick(m_now);
+    Entry &process = m_entries[entry];
+    if (m_now >= process.frozenUntil) {
+        process.kernel->tick(m_now);
         take(entry);
+        if (!process.lapsed && process.leaseEnd - m_now < m_settings.leaseTime * 2 / 3)
+            renewLease(entry);
+        const bool idle = process.stopping && process.kernel->openRequests() == 0;
+        process.idleTicks = idle ? process.idleTicks + 1 : 0;
+        if (process.idleTicks > exitTicks) {
+            crash(entry);
+            changeView();
+            return;
+        }
     }
     at(m_now + tickInterval, [this, entry] { tick(entry); });
 }
@@ -261,7 +306,7 @@
     ++m_outstanding;
     ++m_attemptCount;
     const Attempt attempt{entry, action.attempt, action.token,
-                          m_serverIndex.at(action.backendServer)};
+                          m_serverIndex.at(action.backendServer), action.deadline};
     ++m_servers[attempt.server].attempts;
     // A slot counts as used from the dispatch on.
     at(m_now + m_settings.peerDelay, [this, attempt] { attemptArrived(attempt); });
@@ -290,10 +335,13 @@
     // Half of the time is constant and half is exponentially distributed.
     const double drawn = (0.5 + m_random.exponential(0.5)) * toSeconds(mean);
     const bool failing = static_cast<int>(attempt.server) == m_settings.failingServer;
-    const Duration time
+    const auto needed
         = failing ? failureTime
                   : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(drawn));
-    at(m_now + time, [this, attempt, failing] {
+    // The entry process closes the connection at the deadline, which ends the execution.
+    const Duration left = std::max(Duration::zero(), attempt.deadline - m_now);
+    const bool cut = left < needed;
+    at(m_now + std::min<Duration>(left, needed), [this, attempt, failing, cut] {
         Server &server = m_servers[attempt.server];
         --server.executing;
         if (!server.waiting.empty()) {
@@ -301,15 +349,15 @@
             server.waiting.pop();
             execute(next);
         }
-        at(m_now + m_settings.peerDelay, [this, attempt, failing] {
+        at(m_now + m_settings.peerDelay, [this, attempt, failing, cut] {
             --m_outstanding;
             const auto ended = m_calls.find(attempt.token);
             if (ended != m_calls.end())
                 ended->second.failed = failing;
-            deliver(attempt.entry, [this, attempt, failing] {
-                m_entries[attempt.entry].kernel->attemptFinished(m_now, attempt.number,
-                                                                 AttemptStatus::Answered,
-                                                                 makeAnswer(failing ? 500 : 200));
+            deliver(attempt.entry, [this, attempt, failing, cut] {
+                const auto status = cut ? AttemptStatus::TimedOut : AttemptStatus::Answered;
+                m_entries[attempt.entry].kernel->attemptFinished(
+                    m_now, attempt.number, status, cut ? nullptr : makeAnswer(failing ? 500 : 200));
             });
         });
     });
--- a/Utilities/Measure/RequestSimulation.h
+++ b/Utilities/Measure/RequestSimulation.h
@@ -41,6 +41,7 @@
     Duration warmUp = std::chrono::seconds(2);
     Duration measured = std::chrono::seconds(10); ///< the flood lasts as long
     int failingServer = -1; ///< answers each request with status 500 after 1 ms
+    Duration leaseTime = std::chrono::hours(24); ///< renewed at each third of it
     std::uint64_t seed = 1;
 };
 
@@ -70,13 +71,21 @@
     /// Called after each event.
     std::function<void()> afterEvent;
     void crash(unsigned entry);
-    /// Gives the running processes a new membership view, except frozen ones.
+    /// Gives each running process a view without crashed ones and those whose lease has ended.
     void changeView();
     void freeze(unsigned entry, Duration time);
+    /// Starts another entry process. It takes part from the next view on.
+    unsigned join();
+    /// Stops the process gracefully. It leaves, and the view changes, when it has nothing open.
+    void stop(unsigned entry);
+    void serverLeaving(unsigned server);
 
     TimePoint now() const { return m_now; }
     TimePoint start() const;
+    unsigned entryCount() const { return static_cast<unsigned>(m_entries.size()); }
     bool running(unsigned entry) const { return m_entries[entry].kernel != nullptr; }
+    /// Whether the process was removed from the view because its lease had ended.
+    bool lapsed(unsigned entry) const { return m_entries[entry].lapsed; }
     const RequestKernel &kernel(unsigned entry) const { return *m_entries[entry].kernel; }
     std::uint64_t events() const { return m_events; }
 
@@ -96,6 +105,10 @@
         std::string instance;
         std::unique_ptr<RequestKernel> kernel;
         TimePoint frozenUntil;
+        TimePoint leaseEnd;
+        bool lapsed = false; ///< removed from the view
+        bool stopping = false;
+        unsigned idleTicks = 0; ///< since it stopped with nothing open
         std::vector<std::function<void()>> held; ///< events that arrive while it is frozen
     };
 
@@ -105,6 +118,7 @@
         std::uint64_t number;
         RequestToken token;
         unsigned server;
+        TimePoint deadline;
     };
 
     struct Server
@@ -141,7 +155,9 @@
     /// Runs \a run now, or when the process is no longer frozen.
     void deliver(unsigned entry, std::function<void()> run);
     bool isMeasured(TimePoint time) const;
-    void createEntries();
+    void makeTable();
+    unsigned createEntry();
+    void renewLease(unsigned entry);
     void arrive(unsigned service);
     void scheduleArrival(unsigned service);
     void tick(unsigned entry);
@@ -156,6 +172,7 @@
     void execute(Attempt attempt);
 
     const SimulationSettings m_settings;
+    std::shared_ptr<RoutingTable> m_table;
     TimePoint m_now;
     std::uint64_t m_order = 0;
     std::uint64_t m_events = 0;
