--- a/Tests/Kernel/Request/TestSlotLending.cpp
+++ b/Tests/Kernel/Request/TestSlotLending.cpp
@@ -24,8 +24,8 @@
     settings.warmUp = 0s;
     settings.measured = 40s;
     // Long requests keep slots across views; short ones make them change hands often.
-    settings.services = {{"short", 60ms, 70}, {"long", 1500ms, 5}};
-    settings.services[1].deadline = 9s;
+    settings.services = {{"short", 60ms, 70}, {"long", 6s, 1}};
+    settings.services[1].deadline = 25s;
     return settings;
 }
 
@@ -84,7 +84,8 @@
         case 0:
             simulation.crash(entry);
             // Its lease ends before the others divide its slots.
-            simulation.runUntil(time += 10s);
+            time = simulation.leaseEnd(entry);
+            simulation.runUntil(time);
             simulation.changeView();
             break;
         case 1:
--- a/Utilities/Measure/RequestSimulation.h
+++ b/Utilities/Measure/RequestSimulation.h
@@ -86,6 +86,7 @@
     bool running(unsigned entry) const { return m_entries[entry].kernel != nullptr; }
     /// Whether the process was removed from the view because its lease had ended.
     bool lapsed(unsigned entry) const { return m_entries[entry].lapsed; }
+    TimePoint leaseEnd(unsigned entry) const { return m_entries[entry].leaseEnd; }
     const RequestKernel &kernel(unsigned entry) const { return *m_entries[entry].kernel; }
     std::uint64_t events() const { return m_events; }
 
