LibHttp: Arm the timer of the libcurl driver only for earlier expiries

libcurl moves its timeout several times a transfer, and each move cost a timerfd_settime call (1.65 a request counted with strace). A zero timeout is posted instead.

--- a/Libraries/LibHttp/CurlMulti.cpp
+++ b/Libraries/LibHttp/CurlMulti.cpp
@@ -84,18 +84,49 @@
     return error ? 1 : 0;
 }
 
+// libcurl moves its timeout several times a transfer. The timer is armed again only for an earlier
+// expiry; one that expires too early is armed for the rest. This saves a system call a move.
 void CurlMulti::setTimer(long milliseconds)
 {
-    m_timer.cancel();
+    m_timeout.reset();
     if (milliseconds < 0)
         return;
-    m_timer.expires_after(std::chrono::milliseconds(milliseconds));
+    if (milliseconds > 0) {
+        m_timeout = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+        return armTimer();
+    }
+    // libcurl must not be called from inside this function.
+    if (std::exchange(m_callPosted, true))
+        return;
+    asio::post(m_context, [this] {
+        m_callPosted = false;
+        act(CURL_SOCKET_TIMEOUT, 0);
+    });
+}
+
+void CurlMulti::armTimer()
+{
+    if (m_armed && *m_armed <= *m_timeout)
+        return;
+    m_armed = m_timeout;
+    m_timer.expires_at(*m_armed);
     m_timer.async_wait([this](const asio::error_code &error) {
         if (!error)
-            act(CURL_SOCKET_TIMEOUT, 0);
+            timerExpired();
     });
 }
 
+void CurlMulti::timerExpired()
+{
+    m_armed.reset();
+    if (!m_timeout)
+        return;
+    if (*m_timeout > std::chrono::steady_clock::now())
+        return armTimer();
+    m_timeout.reset();
+    act(CURL_SOCKET_TIMEOUT, 0);
+}
+
 void CurlMulti::watchSocket(curl_socket_t socket, int what)
 {
     auto &watch = m_watches[socket];
--- a/Libraries/LibHttp/include/LibHttp/CurlMulti.h
+++ b/Libraries/LibHttp/include/LibHttp/CurlMulti.h
@@ -5,7 +5,9 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 #include <functional>
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace Peridot {
@@ -36,6 +38,8 @@
     static int onCloseSocket(void *self, curl_socket_t socket);
 
     void setTimer(long milliseconds);
+    void armTimer();
+    void timerExpired();
     void watchSocket(curl_socket_t socket, int what);
     void wait(const std::shared_ptr<Watch> &watch, asio::posix::descriptor_base::wait_type type);
     void socketReady(const std::shared_ptr<Watch> &watch, bool readable, bool failed);
@@ -44,6 +48,9 @@
 
     asio::io_context &m_context;
     asio::steady_timer m_timer;
+    std::optional<std::chrono::steady_clock::time_point> m_timeout; ///< wanted by libcurl
+    std::optional<std::chrono::steady_clock::time_point> m_armed; ///< expiry of m_timer
+    bool m_callPosted = false;
     CURLM *m_multi;
     DoneCallback m_onDone;
     std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> m_watches;
