Entry: Group the claims of many requests into one transaction

Claims go through GroupCommitter, and reads and writes through StorePacer, whose share of the store's limits follows the number of members. One transaction a claim would use up several hundred writes a second with as many non-idempotent requests.

--- a/Libraries/LibHttp/include/LibHttp/CurlMulti.h
+++ b/Libraries/LibHttp/include/LibHttp/CurlMulti.h
@@ -3,9 +3,9 @@
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <curl/curl.h>
 #include <functional>
-#include <chrono>
 #include <memory>
 #include <optional>
 #include <unordered_map>
--- a/Services/Entry/AbsentClaimStore.h
+++ b/Services/Entry/AbsentClaimStore.h
@@ -10,7 +10,7 @@
 public:
     explicit AbsentClaimStore(DispatcherExecutor executor) : m_executor(std::move(executor)) { }
 
-    void read(const std::string &key, ReadCallback callback) override
+    void read(TimePoint, const std::string &key, ReadCallback callback) override
     {
         m_executor([key, callback = std::move(callback)] {
             Row row;
@@ -19,11 +19,15 @@
         });
     }
 
-    void commit(const CommitClaim &, CommitCallback callback) override
+    void commit(TimePoint, const CommitClaim &, CommitCallback callback) override
     {
         m_executor([callback = std::move(callback)] { callback(CommitResult{}); });
     }
 
+    void tick(TimePoint) override { }
+    std::optional<TimePoint> nextTick(TimePoint) override { return std::nullopt; }
+    void setProcesses(TimePoint, std::size_t) override { }
+
 private:
     DispatcherExecutor m_executor;
 };
--- a/Services/Entry/Dispatcher.cpp
+++ b/Services/Entry/Dispatcher.cpp
@@ -16,7 +16,7 @@
 
 Dispatcher::Dispatcher(DispatcherSettings settings, EntryMetrics &metrics, RequestLog &log)
     : m_settings(std::move(settings)), m_metrics(metrics), m_log(log),
-      m_work(asio::make_work_guard(m_context)), m_tickTimer(m_context),
+      m_work(asio::make_work_guard(m_context)), m_tickTimer(m_context), m_claimTimer(m_context),
       m_client(std::make_unique<BackendClient>(m_context, m_settings.client))
 {
 }
@@ -28,9 +28,10 @@
     std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(std::move(settings), metrics, log));
     BOOST_LEAF_AUTO(kernel, RequestKernel::create(dispatcher->m_settings.kernel));
     dispatcher->m_kernel = std::move(kernel);
-    dispatcher->m_claims = makeClaims([raw = dispatcher.get()](std::function<void()> function) {
-        raw->post(std::move(function));
-    });
+    dispatcher->m_claims = makeClaims(dispatcher->m_settings.kernel.instance,
+                                      [raw = dispatcher.get()](std::function<void()> function) {
+                                          raw->post(std::move(function));
+                                      });
     return dispatcher;
 }
 
@@ -106,6 +107,7 @@
     post([this, members = std::move(members)] {
         m_members = std::max<std::size_t>(members.instances.size(), 1);
         updateConnectionLimit();
+        m_claims->setProcesses(m_settings.clock(), m_members);
         m_kernel->membersChanged(m_settings.clock(), members);
         carryOutActions();
     });
@@ -177,6 +179,24 @@
         for (auto &action : actions)
             std::visit([this](auto &specific) { carryOut(specific); }, action);
     }
+    scheduleClaims();
+}
+
+void Dispatcher::scheduleClaims()
+{
+    const TimePoint now = m_settings.clock();
+    const auto next = m_claims->nextTick(now);
+    if (!next || (m_claimTimerEnd && *m_claimTimerEnd <= *next))
+        return;
+    m_claimTimerEnd = *next;
+    m_claimTimer.expires_after(std::max(*next - now, Duration(0)));
+    m_claimTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        m_claimTimerEnd.reset();
+        m_claims->tick(m_settings.clock());
+        carryOutActions();
+    });
 }
 
 void Dispatcher::carryOut(StartAttempt &action)
@@ -245,18 +265,20 @@
 
 void Dispatcher::carryOut(ReadClaim &action)
 {
-    m_claims->read(action.key, [this, token = action.token](ReadStatus status, const Row &row) {
-        m_kernel->claimRead(m_settings.clock(), token, status, row);
-        carryOutActions();
-    });
+    m_claims->read(m_settings.clock(), action.key,
+                   [this, token = action.token](ReadStatus status, const Row &row) {
+                       m_kernel->claimRead(m_settings.clock(), token, status, row);
+                       carryOutActions();
+                   });
 }
 
 void Dispatcher::carryOut(CommitClaim &action)
 {
-    m_claims->commit(action, [this, token = action.token](const CommitResult &result) {
-        m_kernel->claimCommitted(m_settings.clock(), token, result);
-        carryOutActions();
-    });
+    m_claims->commit(m_settings.clock(), action,
+                     [this, token = action.token](const CommitResult &result) {
+                         m_kernel->claimCommitted(m_settings.clock(), token, result);
+                         carryOutActions();
+                     });
 }
 
 void Dispatcher::carryOut(AnswerRequest &action)
--- a/Services/Entry/Dispatcher.h
+++ b/Services/Entry/Dispatcher.h
@@ -88,6 +88,7 @@
     ResponseMessage responseOf(OpenRequest &request, const AnswerRequest &action) const;
     const BackendServerRoute *findServer(const std::string &name) const;
     void updateConnectionLimit();
+    void scheduleClaims();
     void scheduleTick();
     void tick();
 
@@ -97,6 +98,8 @@
     asio::io_context m_context{1};
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::steady_timer m_tickTimer;
+    asio::steady_timer m_claimTimer;
+    std::optional<TimePoint> m_claimTimerEnd;
     std::unique_ptr<RequestKernel> m_kernel;
     std::unique_ptr<ClaimStore> m_claims;
     std::unique_ptr<BackendClient> m_client;
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -1,7 +1,7 @@
 #include "AbsentClaimStore.h"
 #include "EntryProcess.h"
 #include "EntrySettings.h"
-#include "StoreClaims.h"
+#include "GroupedClaims.h"
 #include <LibBase/Log.h>
 #include <LibStore/HttpStore.h>
 #include <csignal>
@@ -29,14 +29,16 @@
 Exit status: 0 after a graceful stop, 1 when requests were cut at the stop limit, 2 for bad settings.
 )";
 
-std::unique_ptr<ClaimStore> makeClaimStore(const std::string &url, DispatcherExecutor executor)
+std::unique_ptr<ClaimStore> makeClaimStore(const std::string &url, const std::string &instance,
+                                           DispatcherExecutor executor)
 {
     if (url.empty())
         return std::make_unique<AbsentClaimStore>(std::move(executor));
     HttpChannelSettings channel;
     channel.address = url;
-    return std::make_unique<StoreClaims>(
-        std::make_unique<HttpStore>(std::move(channel), std::move(executor)));
+    channel.instance = instance;
+    auto store = std::make_unique<HttpStore>(std::move(channel), executor);
+    return std::make_unique<GroupedClaims>(instance, std::move(store), std::move(executor));
 }
 
 LogLevel parseLogLevel(const std::string &name)
@@ -69,9 +71,10 @@
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     EntryProcess::Parts parts;
-    parts.makeClaims = [url = settings.storeUrl](DispatcherExecutor executor) {
-        return makeClaimStore(url, std::move(executor));
-    };
+    parts.makeClaims
+        = [url = settings.storeUrl](const std::string &instance, DispatcherExecutor executor) {
+              return makeClaimStore(url, instance, std::move(executor));
+          };
     BOOST_LEAF_AUTO(process, EntryProcess::start(settings, std::move(parts)));
     int signal = 0;
     sigwait(&signals, &signal);
