--- a/Libraries/LibHttp/BackendTransfer.cpp
+++ b/Libraries/LibHttp/BackendTransfer.cpp
@@ -53,7 +53,7 @@
     curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
     // The target reaches the backend server byte for byte, without normalisation by libcurl.
-    curl_easy_setopt(m_easy, CURLOPT_REQUEST_TARGET, m_request.target.c_str());
+    curl_easy_setopt(m_easy, CURLOPT_REQUEST_TARGET, m_request.message->target.c_str());
     curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
     // An empty proxy keeps libcurl from reading proxy variables of the environment.
@@ -78,19 +78,20 @@
 
 void BackendTransfer::setMethodAndBody()
 {
-    const bool hasBody = m_request.body != nullptr && !m_request.body->empty();
-    if (m_request.method == "HEAD") {
+    const RequestMessage &message = *m_request.message;
+    const bool hasBody = !message.body.empty();
+    if (message.method == "HEAD") {
         curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
         return;
     }
-    if (hasBody || m_request.method == "POST" || m_request.method == "PUT"
-        || m_request.method == "PATCH") {
-        const std::size_t size = hasBody ? m_request.body->size() : 0;
+    if (hasBody || message.method == "POST" || message.method == "PUT"
+        || message.method == "PATCH") {
+        const std::size_t size = hasBody ? message.body.size() : 0;
         curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(size));
-        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, hasBody ? m_request.body->data() : "");
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, hasBody ? message.body.data() : "");
     }
-    if (m_request.method != "GET" || hasBody)
-        curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+    if (message.method != "GET" || hasBody)
+        curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, message.method.c_str());
 }
 
 void BackendTransfer::setHeaders()
@@ -101,7 +102,7 @@
     const auto append = [&] {
         m_headerList = curl_slist_append(m_headerList, line.c_str());
     };
-    for (const auto &header : m_request.headers) {
+    for (const auto &header : m_request.message->headers) {
         if (isHopByHopHeader(header.name) || equalHeaderNames(header.name, "Content-Length"))
             continue;
         // libcurl takes "Name:" as a request to omit the header; "Name;" sends it empty.
@@ -110,7 +111,8 @@
     }
     // Headers that libcurl would add on its own.
     for (const char *name : {"Accept", "Content-Type", "Expect"}) {
-        if (findHeader(m_request.headers, name) == nullptr || std::string_view(name) == "Expect") {
+        if (findHeader(m_request.message->headers, name) == nullptr
+            || std::string_view(name) == "Expect") {
             line = std::string(name) + ':';
             append();
         }
@@ -203,7 +205,7 @@
 AttemptStatus BackendTransfer::classifyAnswer() const
 {
     const int status = m_answer.httpStatus;
-    const bool bodyless = m_request.method == "HEAD" || status == 204 || status == 304;
+    const bool bodyless = m_request.message->method == "HEAD" || status == 204 || status == 304;
     // A body that ends with the connection cannot be told from a truncated one.
     if (!m_delimited && !bodyless)
         return AttemptStatus::Truncated;
--- a/Libraries/LibHttp/include/LibHttp/BackendClient.h
+++ b/Libraries/LibHttp/include/LibHttp/BackendClient.h
@@ -28,10 +28,7 @@
 {
     std::string address; ///< IP address
     std::uint16_t port = 0;
-    std::string method;
-    std::string target;
-    HttpHeaders headers;
-    std::shared_ptr<const std::string> body; ///< null: none
+    std::shared_ptr<const RequestMessage> message; ///< shared, because a retry sends it again
     std::chrono::milliseconds timeout{0}; ///< for the whole attempt
     std::string requestId; ///< when set, an answer that echoes another Request-Id is refused
 };
--- a/Services/Entry/Dispatcher.cpp
+++ b/Services/Entry/Dispatcher.cpp
@@ -71,8 +71,7 @@
         OpenRequest &open = m_requests[token];
         open.description = std::move(request.description);
         open.gate = std::move(request.gate);
-        open.body = std::make_shared<const std::string>(std::move(message.body));
-        open.message = std::move(message);
+        open.message = std::make_shared<const RequestMessage>(std::move(message));
         open.responder = std::move(responder);
         m_kernel->requestArrived(m_settings.clock(), open.description);
         carryOutActions();
@@ -216,10 +215,7 @@
     BackendRequest request;
     request.address = server->address;
     request.port = server->port;
-    request.method = open.message.method;
-    request.target = open.message.target;
-    request.headers = open.message.headers;
-    request.body = open.body;
+    request.message = open.message;
     request.requestId = open.description.requestId;
     request.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline
                                                                             - m_settings.clock());
--- a/Services/Entry/Dispatcher.h
+++ b/Services/Entry/Dispatcher.h
@@ -63,8 +63,7 @@
     struct OpenRequest
     {
         RequestDescription description;
-        RequestMessage message;
-        std::shared_ptr<const std::string> body;
+        std::shared_ptr<const RequestMessage> message;
         std::shared_ptr<HttpResponder> responder;
         std::shared_ptr<ServiceGate> gate;
         std::uint64_t answeredAttempt = 0;
--- a/Tests/LibHttp/BackendFixture.h
+++ b/Tests/LibHttp/BackendFixture.h
@@ -23,19 +23,21 @@
     }
 
     BackendRequest request(const std::string &method, const std::string &fault = {},
-                           const std::string &id = "id-1")
+                           const std::string &id = "id-1", const std::string &payload = {})
     {
         BackendRequest result;
         result.address = "127.0.0.1";
         result.port = server->port();
-        result.method = method;
-        result.target = "/service/x?y=%2e%2E";
+        auto message = std::make_shared<RequestMessage>();
+        message->method = method;
+        message->target = "/service/x?y=%2e%2E";
         result.requestId = id;
-        result.headers = {{"Request-Id", id}};
+        message->headers = {{"Request-Id", id}};
         if (!fault.empty())
-            result.headers.push_back({"Peridot-Fault", fault});
+            message->headers.push_back({"Peridot-Fault", fault});
         if (method == "POST")
-            result.body = std::make_shared<const std::string>("payload of " + id);
+            message->body = payload.empty() ? "payload of " + id : payload;
+        result.message = std::move(message);
         result.timeout = std::chrono::seconds(30);
         return result;
     }
--- a/Tests/LibHttp/TestBackendClient.cpp
+++ b/Tests/LibHttp/TestBackendClient.cpp
@@ -59,8 +59,7 @@
         BackendClientSettings settings;
         settings.maximumAnswerBytes = 1024;
         BackendFixture fixture(settings);
-        auto request = fixture.request("POST");
-        request.body = std::make_shared<const std::string>(std::string(5000, 'x'));
+        auto request = fixture.request("POST", "", "id-1", std::string(5000, 'x'));
         REQUIRE(fixture.run(std::move(request)).status == AttemptStatus::Truncated);
     }
     SECTION("an HTTP error of the backend server is its answer")
