--- a/Kernel/Fleet/FleetView.cpp
+++ b/Kernel/Fleet/FleetView.cpp
@@ -132,6 +132,10 @@
         deleted && row.version != absentVersion && row.version <= *deleted)
         return {};
 
+    // Most rows of a periodic scan are unchanged; they are not parsed again.
+    if (row.version != absentVersion && row.version <= cachedVersion(prefix, name))
+        return {};
+
     if (prefix == hostPrefix) {
         BOOST_LEAF_AUTO(record, parseOptional<HostRecord>(row, parseHostRecord));
         applyHost(row, name, observed, std::move(record));
@@ -144,26 +148,20 @@
     } else if (prefix == teamPrefix) {
         BOOST_LEAF_AUTO(record, parseOptional<TeamRecord>(row, parseTeamRecord));
         auto &team = m_teams[name];
-        if (row.version == absentVersion || row.version > team.version) {
-            team.record = record.value_or(TeamRecord{name, {}});
-            team.version = record ? row.version : absentVersion;
-        }
+        team.record = record.value_or(TeamRecord{name, {}});
+        team.version = record ? row.version : absentVersion;
     } else if (prefix == placementPrefix) {
         BOOST_LEAF_AUTO(record, parseOptional<PlacementRecord>(row, parsePlacementRecord));
         auto &pool = m_pools[name];
-        if (row.version == absentVersion || row.version > pool.placementVersion) {
-            pool.placement = record.value_or(PlacementRecord());
-            pool.placementVersion = record ? row.version : absentVersion;
-            m_changedPools.insert(name);
-        }
+        pool.placement = record.value_or(PlacementRecord());
+        pool.placementVersion = record ? row.version : absentVersion;
+        m_changedPools.insert(name);
     } else if (prefix == drainRequestPrefix) {
         BOOST_LEAF_AUTO(record, parseOptional<DrainRequest>(row, parseDrainRequest));
         auto &host = m_hosts[name];
-        if (row.version == absentVersion || row.version > host.drainRequestVersion) {
-            host.drainRequest = std::move(record);
-            host.drainRequestVersion = host.drainRequest ? row.version : absentVersion;
-            markHost(host);
-        }
+        host.drainRequest = std::move(record);
+        host.drainRequestVersion = host.drainRequest ? row.version : absentVersion;
+        markHost(host);
     }
     if (row.value.empty() && row.version != absentVersion) {
         if (m_deleted.size() >= rememberedDeletions)
@@ -173,6 +171,26 @@
     return {};
 }
 
+Version FleetView::cachedVersion(std::string_view prefix, const std::string &name) const
+{
+    const auto versionOf = [&](const auto *entry, auto member) {
+        return entry ? entry->*member : absentVersion;
+    };
+    if (prefix == hostPrefix)
+        return versionOf(host(name), &Host::version);
+    if (prefix == poolPrefix)
+        return versionOf(pool(name), &Pool::version);
+    if (prefix == jobPrefix)
+        return versionOf(job(name), &Job::version);
+    if (prefix == teamPrefix)
+        return versionOf(team(name), &Team::version);
+    if (prefix == placementPrefix)
+        return versionOf(pool(name), &Pool::placementVersion);
+    if (prefix == drainRequestPrefix)
+        return versionOf(host(name), &Host::drainRequestVersion);
+    return absentVersion;
+}
+
 void FleetView::markHost(const Host &host)
 {
     if (host.record)
@@ -186,8 +204,6 @@
 {
     const auto version = row.version;
     auto &host = m_hosts[name];
-    if (version != absentVersion && version <= host.version)
-        return;
     markHost(host);
     if (host.record)
         m_pools[host.record->pool].hosts.erase(name);
@@ -213,8 +229,6 @@
                           std::optional<PoolRecord> record)
 {
     auto &pool = m_pools[name];
-    if (version != absentVersion && version <= pool.version)
-        return;
     pool.record = std::move(record);
     pool.version = pool.record ? version : absentVersion;
     m_changedPools.insert(name);
@@ -223,8 +237,6 @@
 void FleetView::applyJob(const std::string &name, Version version, std::optional<JobRecord> record)
 {
     auto &job = m_jobs[name];
-    if (version != absentVersion && version <= job.version)
-        return;
     if (job.record)
         indexJob(*job.record, false);
     else if (job.specification)
--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -120,6 +120,7 @@
 
 private:
     Result<void> applyRow(const Row &row, TimePoint observed);
+    Version cachedVersion(std::string_view prefix, const std::string &name) const;
     void applyHost(const Row &row, const std::string &name, TimePoint observed,
                    std::optional<HostRecord> record);
     void applyPool(const std::string &name, Version version, std::optional<PoolRecord> record);
