Tests: Require the fault matrix to detect nine broken variants

Each variant drops a check, hides a fact or repeats a command through a hook of the driver. Longer isolation of hosts, which the variant of task leases needs, showed that a host was rebooted a second time when it had rebooted unseen and was recorded as failed meanwhile; its boot count now proves the reboot.

--- a/Kernel/Fleet/HostSteps.cpp
+++ b/Kernel/Fleet/HostSteps.cpp
@@ -238,6 +238,13 @@
     }
     if (!m_health.isLive(host))
         return;
+    if (host.record->targetGeneration > host.record->generation
+        && host.report->bootCount > host.record->rebootFrom) {
+        // The decided reboot took place while the platform could not see the host.
+        m_step.enter(name, HostState::Returning, m_now);
+        m_step.changeHost(name).generation = host.record->targetGeneration;
+        return;
+    }
     const auto &ledger = m_step.ledger();
     // Maintenance before the return costs no further permit: the host counts as unavailable
     // already. It is skipped while failures alone exceed the budget.
--- a/Tests/Kernel/Fleet/FaultRun.cpp
+++ b/Tests/Kernel/Fleet/FaultRun.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto startTime = TimePoint(std::chrono::hours(1000));
 constexpr auto disturbance = std::chrono::seconds(40);
+// Longer than a task lease, so that tasks of isolated hosts are started elsewhere.
+constexpr auto isolation = std::chrono::seconds(400);
 constexpr auto operatorDrainTime = std::chrono::seconds(60);
 constexpr unsigned settleTicks = 25;
 constexpr unsigned runTicks = 900;
@@ -210,7 +212,8 @@
         else
             worker.fail(m_now);
     }
-    m_disturbanceEnd = m_now + disturbance;
+    const bool isLong = isolate && m_random.below(3) == 0;
+    m_disturbanceEnd = m_now + (isLong ? isolation : disturbance);
 }
 
 void FaultRun::endDisturbances(bool force)
@@ -218,6 +221,7 @@
     if (!m_disturbanceEnd || (m_now < *m_disturbanceEnd && !force))
         return;
     m_disturbanceEnd.reset();
+    m_judgedRevision = 0;
     for (auto &[name, worker] : m_fleet.workers) {
         worker.isolate(false);
         worker.recover();
@@ -245,16 +249,16 @@
 {
     m_holder->readRows(m_now);
     m_holder->readReports(m_now);
-    m_formerViews.push_back(m_holder->view());
+    if (m_fault == Fault::StaleView)
+        m_formerViews.push_back(m_holder->view());
     if (m_formerViews.size() > keptViews)
         m_formerViews.pop_front();
     for (const auto &plan : m_holder->plan(m_now)) {
         m_fleet.deliver(plan.commands, m_now);
         for (std::size_t index = 0; index < plan.transactions.size(); ++index) {
             ++m_step;
-            const bool faulty = m_counting
-                                && std::find(m_faultSteps.begin(), m_faultSteps.end(), m_step)
-                                       != m_faultSteps.end();
+            const bool faulty
+                = std::find(m_faultSteps.begin(), m_faultSteps.end(), m_step) != m_faultSteps.end();
             if (faulty && !inject(plan.transactions, index))
                 return;
             commit(*m_holder, plan.transactions[index]);
@@ -268,8 +272,6 @@
         tick();
         passWithFaults();
     }
-    m_step = 0;
-    m_counting = true;
 }
 
 void FaultRun::begin()
@@ -289,10 +291,11 @@
         m_holder->commit(planOperatorDrain(m_holder->view(), host, command).value(), m_now);
 }
 
-bool FaultRun::reachedGoal() const
+bool FaultRun::reachedGoal()
 {
-    if (m_disturbanceEnd)
+    if (m_disturbanceEnd || m_table.revision() == m_judgedRevision)
         return false;
+    m_judgedRevision = m_table.revision();
     for (const auto &host : m_manifest->hosts) {
         const auto row = m_table.read(rowKey(hostPrefix, host.name));
         const auto record = parseJson(row.value).value();
--- a/Tests/Kernel/Fleet/FaultRun.h
+++ b/Tests/Kernel/Fleet/FaultRun.h
@@ -72,7 +72,7 @@
     void operate();
     void disturbHosts(bool isolate);
     void endDisturbances(bool force);
-    bool reachedGoal() const;
+    bool reachedGoal();
     void check(const std::string &event);
 
     Scenario m_scenario;
@@ -91,7 +91,7 @@
     TimePoint m_now;
     std::uint64_t m_holders = 0;
     unsigned m_step = 0;
-    bool m_counting = false;
+    Version m_judgedRevision = 0;
     std::optional<TimePoint> m_disturbanceEnd;
     std::string m_violation;
 };
--- a/Tests/Kernel/Fleet/FleetChecker.cpp
+++ b/Tests/Kernel/Fleet/FleetChecker.cpp
@@ -50,7 +50,7 @@
     for (const auto &row : m_table.scan(prefix)) {
         auto &[version, value] = m_parsed[row.key];
         if (version != row.version)
-            value = parseJson(row.value).value();
+            value = std::make_shared<const Json::Value>(parseJson(row.value).value());
         version = row.version;
         result[row.key.substr(prefix.size())] = value;
     }
@@ -73,6 +73,10 @@
 std::string FleetChecker::check(TimePoint now)
 {
     noteWorkers(now);
+    auto workers = checkWorkers();
+    if (!workers.empty() || m_table.revision() == m_checkedRevision)
+        return workers;
+    m_checkedRevision = m_table.revision();
     const auto hosts = rows("host/");
     const auto pools = rows("pool/");
     auto violation = checkLedgers(hosts, pools);
@@ -84,7 +88,7 @@
     if (violation.empty())
         violation = checkDrainTimes(hosts, now);
     if (violation.empty())
-        violation = checkWorkers();
+        violation = checkNewPlacements(hosts);
     m_formerPools = pools;
     return violation;
 }
@@ -93,23 +97,23 @@
 {
     std::map<std::string, std::string> ledgerOf;
     for (const auto &[pool, ledger] : pools) {
-        auto names = ledger["permits"].getMemberNames();
-        for (const auto &name : ledger["unavailable"].getMemberNames())
+        auto names = (*ledger)["permits"].getMemberNames();
+        for (const auto &name : (*ledger)["unavailable"].getMemberNames())
             names.push_back(name);
-        for (const auto &name : ledger["arrivals"])
+        for (const auto &name : (*ledger)["arrivals"])
             names.push_back(name.asString());
         for (const auto &name : names) {
             if (!ledgerOf.emplace(name, pool).second)
                 return "host " + name + " is counted twice";
-            if (!hosts.contains(name) || hosts.at(name)["pool"].asString() != pool)
+            if (!hosts.contains(name) || (*hosts.at(name))["pool"].asString() != pool)
                 return "pool " + pool + " counts host " + name + " of another pool";
         }
-        if (ledger["permits"].size() > m_budgets.at(pool))
+        if ((*ledger)["permits"].size() > m_budgets.at(pool))
             return "pool " + pool + " has more permits than its budget";
     }
     for (const auto &[name, host] : hosts) {
-        const auto state = host["state"].asString();
-        const auto pool = host["pool"].asString();
+        const auto state = (*host)["state"].asString();
+        const auto pool = (*host)["pool"].asString();
         if (state == "active") {
             if (ledgerOf.contains(name))
                 return "active host " + name + " is counted as unavailable";
@@ -117,10 +121,11 @@
         }
         if (!pools.contains(pool))
             return "host " + name + " is in a pool without a ledger";
-        const auto &ledger = pools.at(pool);
-        if (isPlannedAbsence(state) && !ledger["permits"].isMember(name))
+        const auto ledger = pools.at(pool);
+        if (isPlannedAbsence(state) && !(*ledger)["permits"].isMember(name))
             return "host " + name + " is " + state + " without a permit";
-        if ((state == "failed" || state == "quarantined") && !ledger["unavailable"].isMember(name))
+        if ((state == "failed" || state == "quarantined")
+            && !(*ledger)["unavailable"].isMember(name))
             return "host " + name + " is " + state + " and not counted";
         if (state == "returning" && !ledgerOf.contains(name))
             return "host " + name + " is returning and not counted";
@@ -133,22 +138,22 @@
     for (const auto &[pool, ledger] : pools) {
         const auto former = m_formerPools.find(pool);
         bool granted = false;
-        for (const auto &name : ledger["permits"].getMemberNames()) {
+        for (const auto &name : (*ledger)["permits"].getMemberNames()) {
             const bool counted = former != m_formerPools.end()
-                                 && (former->second["permits"].isMember(name)
-                                     || former->second["unavailable"].isMember(name));
+                                 && ((*former->second)["permits"].isMember(name)
+                                     || (*former->second)["unavailable"].isMember(name));
             granted = granted || !counted;
         }
         if (!granted)
             continue;
         std::size_t absent = 0;
         for (const auto &[name, host] : hosts) {
-            if (host["pool"].asString() != pool || contains(ledger["arrivals"], name))
+            if ((*host)["pool"].asString() != pool || contains((*ledger)["arrivals"], name))
                 continue;
             const auto unreachable = m_unreachableSince.find(name);
             const bool dark = unreachable != m_unreachableSince.end()
                               && now - unreachable->second > noticeDelay;
-            absent += host["state"].asString() != "active" || dark ? 1 : 0;
+            absent += (*host)["state"].asString() != "active" || dark ? 1 : 0;
         }
         if (absent > m_budgets.at(pool))
             return "pool " + pool + " granted a permit beyond its budget";
@@ -159,7 +164,7 @@
 std::string FleetChecker::checkDrainTimes(const Rows &hosts, TimePoint now)
 {
     for (const auto &[name, host] : hosts) {
-        const auto state = host["state"].asString();
+        const auto state = (*host)["state"].asString();
         if (state == "draining") {
             m_drainStart.try_emplace(name, now);
             continue;
@@ -175,6 +180,24 @@
     return {};
 }
 
+std::string FleetChecker::checkNewPlacements(const Rows &hosts)
+{
+    for (const auto &[job, row] : rows("job/")) {
+        unsigned index = 0;
+        for (const auto &task : (*row)["tasks"]) {
+            const auto name = job + "/" + std::to_string(index++);
+            const auto host = hosts.find(task["host"].asString());
+            const auto epoch = task["epoch"].asUInt64();
+            if (host == hosts.end() || epoch == std::exchange(m_epochs[name], epoch))
+                continue;
+            if ((*host->second)["state"] != "active")
+                return "task " + name + " was placed on host " + host->first
+                       + ", which is not active";
+        }
+    }
+    return {};
+}
+
 std::string FleetChecker::checkWorkers()
 {
     std::map<std::string, std::string> executing;
--- a/Tests/Kernel/Fleet/FleetChecker.h
+++ b/Tests/Kernel/Fleet/FleetChecker.h
@@ -18,13 +18,14 @@
     void setManifest(const Manifest &manifest);
 
 private:
-    using Rows = std::map<std::string, Json::Value>;
+    using Rows = std::map<std::string, std::shared_ptr<const Json::Value>>;
 
     Rows rows(const std::string &prefix);
     void noteWorkers(TimePoint now);
     std::string checkLedgers(const Rows &hosts, const Rows &pools) const;
     std::string checkNewPermits(const Rows &hosts, const Rows &pools, TimePoint now) const;
     std::string checkDrainTimes(const Rows &hosts, TimePoint now);
+    std::string checkNewPlacements(const Rows &hosts);
     std::string checkWorkers();
 
     std::map<std::string, unsigned> m_budgets;
@@ -33,11 +34,14 @@
     bool m_admitted = false;
     const FakeTable &m_table;
     FakeFleet &m_fleet;
-    std::map<std::string, std::pair<Version, Json::Value>> m_parsed; ///< by key
+    std::map<std::string, std::pair<Version, std::shared_ptr<const Json::Value>>>
+        m_parsed; ///< by key
+    Version m_checkedRevision = 0;
     Rows m_formerPools;
     std::map<std::string, TimePoint> m_drainStart;
     std::map<std::string, TimePoint> m_unreachableSince;
     std::map<std::string, unsigned> m_finished;
+    std::map<std::string, std::uint64_t> m_epochs; ///< by task
 };
 
 } // namespace Peridot
