--- a/Kernel/Membership/MembershipNodeMessages.cpp
+++ b/Kernel/Membership/MembershipNodeMessages.cpp
@@ -19,8 +19,7 @@
     std::set<std::string> addressed{m_settings.self.peerAddress};
     std::set<std::string> recipients = m_tracker.instancesWithRow();
     recipients.insert(m_tracker.view().instances.begin(), m_tracker.view().instances.end());
-    for (const auto &member : m_tracker.liveMembers(now))
-        recipients.insert(member.instance);
+    recipients.merge(m_tracker.heard(now));
     recipients.erase(m_settings.self.instance);
     const std::uint64_t version = m_follower.versionInForce();
     for (const auto &instance : recipients) {
--- a/Kernel/Membership/MembershipTracker.cpp
+++ b/Kernel/Membership/MembershipTracker.cpp
@@ -69,6 +69,16 @@
     return result;
 }
 
+std::set<std::string> MembershipTracker::heard(TimePoint now) const
+{
+    std::set<std::string> result;
+    for (const auto &[instance, peer] : m_peers) {
+        if (now < peer.heardAt + m_timing.viewRemoval)
+            result.insert(instance);
+    }
+    return result;
+}
+
 bool MembershipTracker::hasMajorityContact(TimePoint now) const
 {
     return isStrictMajority(m_view, inContact(now));
--- a/Kernel/include/Kernel/Membership/MembershipTracker.h
+++ b/Kernel/include/Kernel/Membership/MembershipTracker.h
@@ -41,6 +41,9 @@
     /// Instances in contact: those that echoed a heartbeat which this process sent within the
     /// contact window. What they said was therefore true after that moment. Without itself.
     std::set<std::string> inContact(TimePoint now) const;
+    /// Instances whose heartbeats arrive, in contact or not. A process that starts while the store
+    /// is down has no row, and is answered because it was heard.
+    std::set<std::string> heard(TimePoint now) const;
     /// Whether the peers in contact, without this process, are a strict majority of the view.
     bool hasMajorityContact(TimePoint now) const;
     /// Highest configuration version and view epoch that any peer has stated.
--- /dev/null
+++ b/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <Kernel/Membership/MembershipNode.h>
+#include <Kernel/Request/RequestKernel.h>
+#include <LibBase/Error.h>
+#include <LibMembership/ProcessClock.h>
+#include <LibPeer/PeerSocket.h>
+#include <LibStore/Store.h>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace Peridot {
+
+struct MembershipAgentSettings
+{
+    MembershipNodeSettings node; ///< self.peerAddress may be empty: the bound address is used
+    PeerSocketSettings peer;
+    std::function<TimePoint()> clock = processNow;
+    Duration stopLimit = std::chrono::seconds(3); ///< for the release of leases at a stop
+};
+
+/// Called on the thread of the agent. A hook must not block and must not destroy the agent.
+struct MembershipHooks
+{
+    /// Entry processes with a live lease or in contact, and the epoch of the view.
+    std::function<void(const EntryMembers &)> onMembersChanged;
+    /// A higher configuration version is in force in this process from the return of this call.
+    std::function<void(std::uint64_t version, const std::string &manifest)> onConfiguration;
+    /// End of the lease under which this process may write claims; the epoch of the clock when it
+    /// has none.
+    std::function<void(TimePoint leaseEnd)> onLease;
+    std::function<void(const std::string &instance, const std::string &message)> onPeerMessage;
+    /// Runs after every tick, for parts that share the thread.
+    std::function<void(MembershipNode &node, TimePoint now)> onTick;
+};
+
+/// Runs the membership parts of one process over a store and a peer socket, on a thread of its own.
+class MembershipAgent
+{
+public:
+    /// The callbacks of \a store may run on any thread while the agent exists.
+    MembershipAgent(MembershipAgentSettings settings, Store &store, MembershipHooks hooks);
+    ~MembershipAgent();
+    MembershipAgent(const MembershipAgent &) = delete;
+    MembershipAgent &operator=(const MembershipAgent &) = delete;
+
+    /// Errors: those of PeerSocket::open().
+    Result<void> start();
+    /// Releases the leases and removes the member row, for at most the stop limit, then ends the
+    /// thread. Returns whether everything was released.
+    bool stop();
+
+    /// Whether this process may serve at this moment. Any thread; it reads the clock, so a process
+    /// that was paused past its lease sees that before it acts.
+    ServingState servingState() const;
+    bool mayServe() const { return Peridot::mayServe(servingState()); }
+    TimePoint now() const { return m_settings.clock(); }
+
+    /// Any thread.
+    void sendPeerMessage(const std::string &instance, const std::string &message);
+    /// Runs \a work on the thread of the agent.
+    void post(std::function<void(MembershipNode &node, TimePoint now)> work);
+    asio::io_context &context() { return *m_context; }
+
+private:
+    void tick();
+    void checkStop(TimePoint time);
+    void afterEvent();
+    void performStoreRequests();
+    void publish(TimePoint now);
+    void publishMembers(TimePoint now);
+    bool messageReceived(const std::string &message);
+
+    MembershipAgentSettings m_settings;
+    Store &m_store;
+    MembershipHooks m_hooks;
+    std::shared_ptr<asio::io_context> m_context = std::make_shared<asio::io_context>(1);
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::steady_timer m_timer;
+    PeerSocket m_socket;
+    std::unique_ptr<MembershipNode> m_node;
+    std::promise<bool> m_stopFinished;
+    std::optional<TimePoint> m_stopDeadline; ///< a stop is under way
+    std::thread m_thread;
+    EntryMembers m_members;
+    bool m_membersKnown = false;
+    TimePoint m_publishedLeaseEnd;
+    std::atomic<std::int64_t> m_fullUntil{0}; ///< nanoseconds of the clock
+    std::atomic<std::int64_t> m_idempotentUntil{0};
+    std::atomic<ServingState> m_refusal{ServingState::NoConfiguration};
+    bool m_released = false;
+};
+
+} // namespace Peridot
