Services, Utilities: Add the fleet process and the operator command line

Membership runs on one thread, planning on another, and operators' calls on the threads of the RPC server; each call is carried to the thread that owns its data. Operators' commands are planned again after a conflict or an unknown outcome, and a wish that is already recorded has no writes.

--- a/Libraries/LibMembership/MembershipAgent.cpp
+++ b/Libraries/LibMembership/MembershipAgent.cpp
@@ -22,13 +22,29 @@
 
 MembershipAgent::MembershipAgent(MembershipAgentSettings settings, Store &store,
                                  MembershipHooks hooks)
-    : m_settings(std::move(settings)), m_store(store), m_hooks(std::move(hooks)),
+    : m_settings(std::move(settings)), m_hooks(std::move(hooks)),
       m_work(asio::make_work_guard(*m_context)), m_timer(*m_context),
       m_socket(*m_context, m_settings.peer,
-               [this](const std::string &message) { return messageReceived(message); })
+               [this](const std::string &message) { return messageReceived(message); }),
+      m_store(&store)
 {
 }
 
+MembershipAgent::MembershipAgent(MembershipAgentSettings settings, const StoreFactory &makeStore,
+                                 MembershipHooks hooks)
+    : m_settings(std::move(settings)), m_hooks(std::move(hooks)),
+      m_work(asio::make_work_guard(*m_context)), m_timer(*m_context),
+      m_socket(*m_context, m_settings.peer,
+               [this](const std::string &message) { return messageReceived(message); }),
+      m_ownedStore(makeStore(*m_context)), m_store(m_ownedStore.get())
+{
+}
+
+void MembershipAgent::setServiceAddress(const std::string &address)
+{
+    m_settings.node.self.serviceAddress = address;
+}
+
 MembershipAgent::~MembershipAgent()
 {
     if (m_thread.joinable())
@@ -156,12 +172,12 @@
             });
         };
         if (const auto *transaction = std::get_if<Transaction>(&pending.request))
-            m_store.commit(*transaction, [reply](const CommitResult &result) { reply(result); });
+            m_store->commit(*transaction, [reply](const CommitResult &result) { reply(result); });
         else if (const auto *read = std::get_if<ReadRows>(&pending.request))
-            m_store.read(read->keys, [reply](const ReadResult &result) { reply(result); });
+            m_store->read(read->keys, [reply](const ReadResult &result) { reply(result); });
         else if (const auto *scan = std::get_if<ScanRows>(&pending.request))
-            m_store.scan(scan->prefix, scan->startAfter, scan->limit,
-                         [reply](const ReadResult &result) { reply(result); });
+            m_store->scan(scan->prefix, scan->startAfter, scan->limit,
+                          [reply](const ReadResult &result) { reply(result); });
     }
 }
 
--- a/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
+++ b/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
@@ -46,12 +46,19 @@
 class MembershipAgent
 {
 public:
+    using StoreFactory = std::function<std::unique_ptr<Store>(asio::io_context &)>;
+
     /// The callbacks of \a store may run on any thread while the agent exists.
     MembershipAgent(MembershipAgentSettings settings, Store &store, MembershipHooks hooks);
+    /// Makes a store that runs on the context of the agent and is destroyed with it.
+    MembershipAgent(MembershipAgentSettings settings, const StoreFactory &makeStore,
+                    MembershipHooks hooks);
     ~MembershipAgent();
     MembershipAgent(const MembershipAgent &) = delete;
     MembershipAgent &operator=(const MembershipAgent &) = delete;
 
+    /// Address for callers or operators in the member row. Before start() only.
+    void setServiceAddress(const std::string &address);
     /// Errors: those of PeerSocket::open().
     Result<void> start();
     /// Releases the leases and removes the member row, for at most the stop limit, then ends the
@@ -80,12 +87,13 @@
     bool messageReceived(const std::string &message);
 
     MembershipAgentSettings m_settings;
-    Store &m_store;
     MembershipHooks m_hooks;
     std::shared_ptr<asio::io_context> m_context = std::make_shared<asio::io_context>(1);
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::steady_timer m_timer;
     PeerSocket m_socket;
+    std::unique_ptr<Store> m_ownedStore;
+    Store *m_store;
     std::unique_ptr<MembershipNode> m_node;
     std::promise<bool> m_stopFinished;
     std::optional<TimePoint> m_stopDeadline; ///< a stop is under way
--- /dev/null
+++ b/Services/Fleet/Main.cpp
@@ -0,0 +1,66 @@
+#include "FleetProcess.h"
+
+#include <LibBase/Log.h>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <docopt/docopt.h>
+#include <iostream>
+
+using namespace Peridot;
+
+namespace {
+
+constexpr const char *usageText = R"(Manages configuration, pools, maintenance and placement.
+
+Usage:
+  peridot-fleet --settings=FILE [--check-settings]
+  peridot-fleet (-h | --help)
+
+Options:
+  --settings=FILE   JSON with comments.
+  --check-settings  Check the settings and exit.
+
+Exit status: 0 after SIGTERM or SIGINT, or when the settings are valid; 1 when the process cannot
+start; 2 for wrong arguments.
+)";
+
+Result<int> run(const std::string &path, bool checkOnly)
+{
+    BOOST_LEAF_AUTO(settings, loadFleetSettings(path));
+    if (checkOnly) {
+        std::cout << "settings=valid\n";
+        return 0;
+    }
+    configureLog(settings.logLevel);
+    asio::io_context context;
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    FleetProcess process(settings);
+    BOOST_LEAF_CHECK(process.start());
+    signals.async_wait([](const asio::error_code &, int) {});
+    context.run();
+    process.stop();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::map<std::string, docopt::value> options;
+    try {
+        options = docopt::docopt_parse(usageText, {argv + 1, argv + argc}, true, false);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usageText;
+        return 0;
+    } catch (const std::exception &) {
+        std::cerr << usageText;
+        return 2;
+    }
+    configureLog(LogLevel::Info);
+    return valueOrElse(
+        [&] { return run(options["--settings"].asString(), options["--check-settings"].asBool()); },
+        [](const Error &error) {
+            logEvent(LogLevel::Error, "start-failed", {{"error", describe(error)}});
+            return 1;
+        });
+}
--- /dev/null
+++ b/Services/Fleet/OperatorService.cpp
@@ -0,0 +1,228 @@
+#include "OperatorService.h"
+
+#include "FleetStatus.h"
+#include <LibBase/Json.h>
+#include <LibBase/Log.h>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <future>
+#include <utility>
+
+namespace Peridot {
+
+namespace {
+
+// Longest time a call waits for the store or for another thread of this process.
+constexpr auto callLimit = std::chrono::seconds(10);
+constexpr auto retryDelay = std::chrono::milliseconds(200);
+constexpr unsigned commitAttempts = 10;
+
+/// Compares in a time that does not depend on where the texts differ.
+bool sameToken(const std::string &left, const std::string &right)
+{
+    unsigned difference = left.size() == right.size() ? 0 : 1;
+    for (std::size_t index = 0; index < std::min(left.size(), right.size()); ++index)
+        difference |= static_cast<unsigned char>(left[index] ^ right[index]);
+    return difference == 0;
+}
+
+[[noreturn]] void fail(const Error &error, const Json::Value &data = {})
+{
+    throw RpcError{std::string(errorCodeNames.nameOf(error.code)), error.field, error.detail, data};
+}
+
+std::string text(const Json::Value &parameters, const char *name)
+{
+    if (!parameters[name].isString())
+        fail({ErrorCode::MissingField, name, "string expected"});
+    return parameters[name].asString();
+}
+
+} // namespace
+
+OperatorService::OperatorService(std::vector<OperatorAccess> operators, std::string instance,
+                                 MembershipAgent &agent, asio::io_context &fleetContext,
+                                 FleetPlanner &planner)
+    : m_operators(std::move(operators)), m_instance(std::move(instance)), m_agent(agent),
+      m_context(fleetContext), m_planner(planner)
+{
+}
+
+std::string OperatorService::authenticate(const Json::Value &parameters) const
+{
+    const std::string token = parameters.isObject() && parameters["token"].isString()
+                                  ? parameters["token"].asString()
+                                  : std::string();
+    for (const auto &access : m_operators) {
+        if (sameToken(access.token, token))
+            return access.name;
+    }
+    return {};
+}
+
+void OperatorService::add(RpcServer &server, const std::string &name, Handler handler)
+{
+    server.addMethod(name, [this, name, handler = std::move(handler)](const Json::Value &input) {
+        const std::string author = authenticate(input);
+        if (author.empty()) {
+            logEvent(LogLevel::Warning, "operator-refused", {{"method", name}});
+            fail({ErrorCode::Unauthorized, "token", "unknown token"});
+        }
+        logEvent(LogLevel::Info, "operator-call", {{"method", name}, {"operator", author}});
+        return handler(author, input);
+    });
+}
+
+void OperatorService::addMethods(RpcServer &server)
+{
+    add(server, "validate", [this](auto &, auto &input) { return validate(input); });
+    add(server, "diff", [this](auto &, auto &input) { return diff(input); });
+    add(server, "apply", [this](auto &author, auto &input) { return apply(author, input); });
+    add(server, "status", [this](auto &, auto &) { return status(); });
+    add(server, "watch", [this](auto &, auto &) { return status(); });
+    add(server, "explain", [this](auto &, auto &input) { return explain(input); });
+    add(server, "dump", [this](auto &, auto &) { return dump(); });
+    add(server, "drain", [this](auto &author, auto &input) {
+        const std::string host = text(input, "host");
+        return command(author, "drain", input, [this, host](const OperatorCommand &wish) {
+            return planOperatorDrain(m_planner.view(), host, wish);
+        });
+    });
+    add(server, "undrain", [this](auto &author, auto &input) {
+        const std::string host = text(input, "host");
+        return command(author, "undrain", input, [this, host](const OperatorCommand &wish) {
+            return planOperatorUndrain(m_planner.view(), host, wish);
+        });
+    });
+    add(server, "wave", [this](auto &author, auto &input) {
+        const std::string pool = text(input, "pool");
+        const auto wave = waveCommandNames.valueOf(text(input, "command"));
+        if (!wave)
+            fail({ErrorCode::InvalidValue, "command", text(input, "command")});
+        return command(author, "wave-" + text(input, "command"), input,
+                       [this, pool, wave](const OperatorCommand &wish) {
+                           return planWaveCommand(m_planner.view(), pool, *wave, wish);
+                       });
+    });
+}
+
+Json::Value OperatorService::await(const std::function<void(ReplyCallback)> &start)
+{
+    auto promise = std::make_shared<std::promise<Reply>>();
+    auto future = promise->get_future();
+    start([promise](Reply reply) { promise->set_value(std::move(reply)); });
+    if (future.wait_for(callLimit) != std::future_status::ready)
+        fail({ErrorCode::Timeout, {}, "the outcome is unknown; ask for the status"});
+    Reply reply = future.get();
+    if (reply.error)
+        fail(*reply.error, reply.data);
+    return reply.value;
+}
+
+Json::Value OperatorService::onFleetThread(std::function<Reply()> work)
+{
+    return await([&](ReplyCallback reply) {
+        asio::post(m_context,
+                   [work = std::move(work), reply = std::move(reply)] { reply(work()); });
+    });
+}
+
+std::string OperatorService::operationId(TimePoint now)
+{
+    return m_instance + "/operator/" + std::to_string(now.time_since_epoch().count()) + '/'
+           + std::to_string(++m_operationCount);
+}
+
+Json::Value OperatorService::command(const std::string &author, const std::string &action,
+                                     const Json::Value &parameters, Planner planner)
+{
+    OperatorCommand wish;
+    wish.author = author;
+    wish.reason = parameters.get("reason", "").asString();
+    wish.now = m_planner.now();
+    wish.operationId = operationId(wish.now);
+    const std::string subject = parameters.get("host", parameters.get("pool", "")).asString();
+    return await([&](ReplyCallback reply) {
+        asio::post(m_context, [this, wish, action, subject, planner, reply] {
+            commitCommand(wish, action, subject, planner, 0, reply);
+        });
+    });
+}
+
+void OperatorService::commitCommand(OperatorCommand command, std::string action,
+                                    std::string subject, Planner planner, unsigned attempt,
+                                    ReplyCallback reply)
+{
+    std::optional<Error> failure;
+    Transaction transaction = valueOrElse([&] { return planner(command); },
+                                          [&](const Error &error) {
+                                              failure = error;
+                                              return Transaction{};
+                                          });
+    if (failure)
+        return reply({{}, failure, {}});
+    Json::Value done(Json::objectValue);
+    done["action"] = action;
+    done["subject"] = subject;
+    if (transaction.writes.empty())
+        return reply({done, {}, {}});
+    Json::Value audit(Json::objectValue);
+    audit["who"] = command.author;
+    audit["what"] = action;
+    audit["subject"] = subject;
+    audit["reason"] = command.reason;
+    audit["version"] = Json::UInt64(m_planner.view().manifestVersion());
+    audit["time_ms"] = Json::Int64(toUnixMilliseconds(command.now));
+    transaction.writes.push_back({"audit/" + std::to_string(toUnixMilliseconds(command.now)) + '-'
+                                      + m_instance + "-o" + std::to_string(m_operationCount),
+                                  writeJson(audit)});
+    m_planner.store().commit(transaction, [=, this](const CommitResult &result) {
+        if (result.status == CommitStatus::Committed) {
+            m_planner.settle(transaction, result, [reply, done] { reply({done, {}, {}}); });
+            return;
+        }
+        if (attempt + 1 >= commitAttempts) {
+            const bool certain = result.status == CommitStatus::Unavailable;
+            return reply(
+                {{},
+                 Error{certain ? ErrorCode::StoreUnavailable : ErrorCode::StoreUnknownOutcome,
+                       subject,
+                       {}},
+                 {}});
+        }
+        // The rows are read again. A wish that took effect although its answer was lost is then
+        // found recorded, and the plan has no writes.
+        m_planner.settle(transaction, result, [=, this] {
+            auto timer = std::make_shared<asio::steady_timer>(m_context, retryDelay);
+            timer->async_wait([=, this](const asio::error_code &) {
+                static_cast<void>(timer);
+                commitCommand(command, action, subject, planner, attempt + 1, reply);
+            });
+        });
+    });
+}
+
+Json::Value OperatorService::status()
+{
+    Json::Value pools = onFleetThread([this] {
+        return Reply{poolStatusesToJson(poolStatuses(m_planner.view(), m_planner.now())), {}, {}};
+    });
+    Json::Value result = await([this](ReplyCallback reply) {
+        m_agent.post([reply](MembershipNode &node, TimePoint now) {
+            reply({node.dumpState(now), {}, {}});
+        });
+    });
+    result["pools"] = std::move(pools);
+    return result;
+}
+
+Json::Value OperatorService::dump()
+{
+    Json::Value result = status();
+    result["fleet"] = onFleetThread([this] {
+        return Reply{fleetViewToJson(m_planner.view()), {}, {}};
+    });
+    return result;
+}
+
+} // namespace Peridot
--- /dev/null
+++ b/Utilities/Control/ControlOptions.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibBase/Error.h>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+/// Where and as whom peridotctl calls.
+struct ControlOptions
+{
+    std::vector<std::string> addresses; ///< "ip:port"; tried in turn
+    std::string token;
+    long timeoutSeconds = 40;
+    bool json = false;
+};
+
+/// Reads \a path when it is not empty; flags override the file.
+/// Errors: those of loadSettings().
+Result<ControlOptions> loadControlOptions(const std::string &path);
+
+} // namespace Peridot
