--- a/Libraries/LibMembership/MembershipAgent.cpp
+++ b/Libraries/LibMembership/MembershipAgent.cpp
@@ -197,8 +197,8 @@
     const bool contact
         = !leaseEnd && m_node->servingState(time + lookAhead) == ServingState::IdempotentOnly;
     m_idempotentUntil = contact ? nanoseconds(time + lookAhead) : 0;
-    const ServingState refusal = Peridot::mayServe(state) ? ServingState::Isolated : state;
-    if (m_refusal.exchange(refusal) != refusal)
+    m_refusal = Peridot::mayServe(state) ? ServingState::Isolated : state;
+    if (std::exchange(m_publishedState, state) != state)
         logEvent(LogLevel::Info, "serving-state", {{"state", servingStateNames.nameOf(state)}});
     const TimePoint published = leaseEnd.value_or(TimePoint{});
     if (published != std::exchange(m_publishedLeaseEnd, published) && m_hooks.onLease)
--- a/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
+++ b/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
@@ -101,6 +101,7 @@
     EntryMembers m_members;
     bool m_membersKnown = false;
     TimePoint m_publishedLeaseEnd;
+    ServingState m_publishedState = ServingState::NoConfiguration;
     std::atomic<std::int64_t> m_fullUntil{0}; ///< nanoseconds of the clock
     std::atomic<std::int64_t> m_idempotentUntil{0};
     std::atomic<ServingState> m_refusal{ServingState::NoConfiguration};
--- a/Utilities/Control/ControlOutput.cpp
+++ b/Utilities/Control/ControlOutput.cpp
@@ -12,7 +12,7 @@
 {
     if (value.isString())
         return value.asString();
-    if (value.isDouble()) {
+    if (value.isDouble() && !value.isIntegral()) {
         char buffer[32];
         std::snprintf(buffer, sizeof buffer, "%.1f", value.asDouble());
         return buffer;
--- a/Utilities/Control/Main.cpp
+++ b/Utilities/Control/Main.cpp
@@ -196,23 +196,27 @@
 
 int call(const ControlOptions &control, const Options &options, const std::string &command)
 {
-    return valueOrElse(
+    std::optional<Json::Value> parameters;
+    const int status = valueOrElse(
         [&]() -> Result<int> {
-            BOOST_LEAF_AUTO(parameters, parametersOf(options, command));
-            const ControlClient client(control);
-            const long count = command == "watch" ? options.at("--count").asLong() : 1;
-            for (long round = 0; count == 0 || round < count; ++round) {
-                if (round > 0)
-                    std::this_thread::sleep_for(std::chrono::seconds(1));
-                const Json::Value answer = client.call(command, parameters);
-                std::cout << (control.json ? writeJson(answer) + '\n' : format(command, answer))
-                          << std::flush;
-                if (command == "apply" && answer["state"].asString() == "proposed")
-                    return ExitPending;
-            }
+            BOOST_LEAF_ASSIGN(parameters, parametersOf(options, command));
             return ExitDone;
         },
         [&](const Error &error) { return printError(toRpcError(error), control.json); });
+    if (!parameters)
+        return status;
+    const ControlClient client(control);
+    const long count = command == "watch" ? options.at("--count").asLong() : 1;
+    for (long round = 0; count == 0 || round < count; ++round) {
+        if (round > 0)
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+        const Json::Value answer = client.call(command, *parameters);
+        std::cout << (control.json ? writeJson(answer) + '\n' : format(command, answer))
+                  << std::flush;
+        if (command == "apply" && answer["state"].asString() == "proposed")
+            return ExitPending;
+    }
+    return ExitDone;
 }
 
 Result<ControlOptions> controlOptions(const Options &options)
