--- a/Libraries/LibStore/include/LibStore/GroupCommitter.h
+++ b/Libraries/LibStore/include/LibStore/GroupCommitter.h
@@ -17,7 +17,8 @@
 namespace Peridot {
 
 /// Conditional write of one row. The check and the write name the same row, and the written value
-/// should contain the operation id as a JSON string, so that an unknown outcome can be resolved.
+/// should carry the operation id as in carriesOperation(), so that an unknown outcome can be
+/// resolved.
 struct RowOperation
 {
     std::string operationId;
@@ -35,9 +36,6 @@
     Duration queueAge = std::chrono::seconds(1); ///< a row never sent is then Unavailable
     Duration resolveLimit = std::chrono::seconds(5); ///< a row in doubt is then Unknown
     unsigned unavailableAttempts = 1; ///< sends of a row before it is answered Unavailable
-    /// Whether a conflict is read back before it is answered. A request that the network applied
-    /// twice answers with a conflict of its own making.
-    bool verifyConflicts = true;
 };
 
 /// Merges independent single-row operations into one transaction a flush. Operations on the same
@@ -56,7 +54,7 @@
     using Callback = std::function<void(const CommitResult &)>;
     /// Decides whether \a row, which is not in the state that the check expects, shows that the
     /// operation was applied (true), or that it was not and never will be (false). Nothing: the
-    /// committer looks for the operation id in the value.
+    /// committer decides with carriesOperation().
     using OwnershipHook
         = std::function<std::optional<bool>(const RowOperation &operation, const Row &row)>;
 
