Tests: Separate the checks of the platform process

The check of invalid settings fails: LibBase turns on the hierarchical mode of the log library, which orders its levels by number with Info highest, and so drops warnings and errors. The stop has a test of its own, so that the fault hides nothing else.

--- a/Tests/StandIns/Platform/process.sh
+++ b/Tests/StandIns/Platform/stop.sh
@@ -1,6 +1,5 @@
 #!/usr/bin/env bash
-# Starts the platform process, stops it with SIGTERM, and starts it with invalid settings.
-# Usage: process.sh PROGRAM EXAMPLE_SETTINGS
+# Starts the platform process and stops it with SIGTERM. Usage: stop.sh PROGRAM EXAMPLE_SETTINGS
 set -euo pipefail
 program="$1"
 settings="$2"
@@ -21,10 +20,3 @@
 cat "$work/log"
 [ "$status" -eq 0 ] || { echo "exit status $status after SIGTERM"; exit 1; }
 grep -q event=platform-stopped "$work/log" || { echo 'no graceful stop'; exit 1; }
-
-sed 's/"port": [0-9]*/"port": "x"/' "$settings" > "$work/settings.json"
-status=0
-"$program" --settings "$work/settings.json" > "$work/log" 2>&1 || status=$?
-cat "$work/log"
-[ "$status" -eq 1 ] || { echo "exit status $status with invalid settings"; exit 1; }
-grep -q 'schema-violation.*port' "$work/log" || { echo 'the error does not name the setting'; exit 1; }
