LibBase: Write warnings and errors at level Info

Cause: the hierarchical mode of easylogging++ orders its levels by their bit numbers (error 16, warning 32, info 128), so a minimum of Info passed only Info. The failing test was TestPlatformProcess-invalid-settings, whose expected error line was missing. The minimum is now kept beside the library.

--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -1,5 +1,6 @@
 #include <LibBase/Log.h>
 
+#include <atomic>
 #include <cstdio>
 #include <easylogging++.h>
 
@@ -59,20 +60,9 @@
     return buffer;
 }
 
-el::Level toLibraryLevel(LogLevel level)
-{
-    switch (level) {
-    case LogLevel::Debug:
-        return el::Level::Debug;
-    case LogLevel::Info:
-        return el::Level::Info;
-    case LogLevel::Warning:
-        return el::Level::Warning;
-    case LogLevel::Error:
-        return el::Level::Error;
-    }
-    return el::Level::Error;
-}
+// The library's hierarchical mode orders its levels by the number of their bit, which would drop
+// warnings and errors at level Info; the minimum is therefore kept here.
+std::atomic<LogLevel> minimumLogLevel{LogLevel::Info};
 
 } // namespace
 
@@ -124,10 +114,9 @@
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     configuration.setGlobally(el::ConfigurationType::Format,
                               "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
-    el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
     el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
     el::Loggers::reconfigureLogger("default", configuration);
-    el::Loggers::setLoggingLevel(toLibraryLevel(minimumLevel));
+    minimumLogLevel.store(minimumLevel, std::memory_order_relaxed);
 }
 
 std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
@@ -139,8 +128,15 @@
     return line;
 }
 
+bool isLogged(LogLevel level)
+{
+    return level >= minimumLogLevel.load(std::memory_order_relaxed);
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
+    if (!isLogged(level))
+        return;
     const std::string line = formatLogLine(event, fields);
     switch (level) {
     case LogLevel::Debug:
--- a/Libraries/LibBase/include/LibBase/Log.h
+++ b/Libraries/LibBase/include/LibBase/Log.h
@@ -25,9 +25,12 @@
     std::string value;
 };
 
-/// Configures the log of this process: one line an event on the standard error stream.
+/// Configures the log of this process: one line an event on the standard output.
 void configureLog(LogLevel minimumLevel);
 
+/// Whether events of this level are written. The default minimum is Info.
+bool isLogged(LogLevel level);
+
 /// Writes one key=value line, starting with event=\a event. Values with spaces, quotes or control
 /// characters are quoted and escaped, so that a value can never add a line or a field.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
--- a/Tests/LibBase/TestBase.cpp
+++ b/Tests/LibBase/TestBase.cpp
@@ -53,6 +53,16 @@
     REQUIRE(formatLogLine("x", {{"id", "a b=c\n\"d"}}) == R"(event=x id="a b=c\x0a\"d")");
 }
 
+TEST_CASE("The minimum level drops only less severe events")
+{
+    // Guards against the level order of the log library, which dropped warnings and errors at Info.
+    configureLog(LogLevel::Info);
+    REQUIRE_FALSE(isLogged(LogLevel::Debug));
+    REQUIRE(isLogged(LogLevel::Info));
+    REQUIRE(isLogged(LogLevel::Warning));
+    REQUIRE(isLogged(LogLevel::Error));
+}
+
 TEST_CASE("An unknown plug-in is a typed error")
 {
     struct Interface
