LibHttp: Destroy the connections before the server

ThreadSanitizer found that handlers left in the Asio context were destroyed after the RESTinio server and used its connection limiter. The entry process now also destroys its open requests, which hold connections, before its servers.

--- a/Libraries/LibHttp/RestinioServer.cpp
+++ b/Libraries/LibHttp/RestinioServer.cpp
@@ -97,6 +97,12 @@
     std::uint64_t m_serial;
 };
 
+class ServerContext : public asio::io_context
+{
+public:
+    void destroyHandlers() { shutdown(); }
+};
+
 class RestinioServer : public HttpServer
 {
 public:
@@ -109,7 +115,13 @@
         asio::use_service<RefusalService>(m_context).format = formatRefusal();
     }
 
-    ~RestinioServer() override { stopThreads(); }
+    ~RestinioServer() override
+    {
+        stopThreads();
+        // The connections belong to handlers of the context and refer to the server, so that they
+        // are destroyed before it.
+        m_context.destroyHandlers();
+    }
 
     Result<void> open()
     {
@@ -243,7 +255,7 @@
     HttpServerSettings m_settings;
     HttpServerHooks m_hooks;
     std::shared_ptr<ConnectionTable> m_table;
-    asio::io_context m_context;
+    ServerContext m_context;
     std::atomic<std::uint64_t> m_nextSerial{1};
     std::uint16_t m_port = 0;
     std::optional<restinio::http_server_t<ServerTraits>> m_server;
--- a/Libraries/LibHttp/include/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -84,7 +84,8 @@
     virtual std::size_t pendingResponses() const = 0;
     /// Accepts no further connection; open ones stay.
     virtual void closeListener() = 0;
-    /// Closes every connection and joins the threads.
+    /// Joins the threads; connections are served no more. Responders must be destroyed before the
+    /// server.
     virtual void stop() = 0;
 };
 
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -47,13 +47,13 @@
 
 EntryProcess::~EntryProcess()
 {
-    // Servers first: their threads call into the dispatcher.
+    // The threads of the servers call into the dispatcher, and its open requests refer to
+    // connections of the servers.
     if (m_callerServer)
         m_callerServer->stop();
     if (m_administration)
         m_administration->stop();
-    if (m_dispatcher)
-        m_dispatcher->stop();
+    m_dispatcher.reset();
 }
 
 Result<std::unique_ptr<EntryProcess>> EntryProcess::start(const EntrySettings &settings,
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -102,6 +102,13 @@
         server = HttpServer::start(settings, std::move(hooks)).value();
     }
 
+    ~ServerFixture()
+    {
+        server->stop();
+        // A responder that nobody took refers to a connection of the server.
+        held = {};
+    }
+
     asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(context);
