--- a/Utilities/Measure/ConfigurationMeasurement.cpp
+++ b/Utilities/Measure/ConfigurationMeasurement.cpp
@@ -97,7 +97,9 @@
     else
         ++times.failed;
     disturb(members, disturbance, victim, false);
-    members.run(disturbance == Disturbance::None ? roundPeriod : settlingTime);
+    const bool memberReturns
+        = disturbance == Disturbance::FrozenMember || disturbance == Disturbance::CutMember;
+    members.run(memberReturns ? settlingTime : roundPeriod);
 }
 
 class ConfigurationMeasurement : public Measurement
@@ -108,8 +110,13 @@
         const std::size_t rounds
             = arguments.empty() ? 100 : std::strtoul(arguments[0].c_str(), nullptr, 10);
         for (const bool push : {false, true}) {
-            for (const auto &[disturbance, name] : disturbanceNames.entries)
-                measure(push, disturbance, rounds);
+            for (const auto &[disturbance, name] : disturbanceNames.entries) {
+                // Each round with a disturbed member takes the end of a lease as well.
+                const bool longRound = disturbance == Disturbance::FrozenMember
+                                       || disturbance == Disturbance::CutMember;
+                measure(push, disturbance,
+                        longRound ? std::max<std::size_t>(1, rounds / 5) : rounds);
+            }
         }
         return 0;
     }
@@ -121,6 +128,7 @@
         settings.seed = 20261204;
         settings.push = push;
         settings.messageLoss = 0.01;
+        settings.tick = std::chrono::milliseconds(50);
         if (disturbance == Disturbance::SlowStore) {
             settings.storeDelay = std::chrono::milliseconds(300);
             settings.storeJitter = std::chrono::milliseconds(200);
