--- a/Tests/Kernel/Request/TestClaimSchedules.cpp
+++ b/Tests/Kernel/Request/TestClaimSchedules.cpp
@@ -27,6 +27,7 @@
     std::string instance;
     TimePoint leaseEnd;
     TimePoint frozenUntil;
+    TimePoint renewsAgain; ///< the store doesn't renew its lease before
     bool lapsed = false;
     std::map<RequestToken, std::size_t> copies; ///< token to id
     std::map<std::uint64_t, std::size_t> attempts;
@@ -76,7 +77,11 @@
         settings.routingPolicy = "two-choices";
         process.driver = std::make_unique<KernelDriver>(m_table, process.instance, settings);
         process.driver->now = m_now;
-        process.driver->ready(makeTable(6, 2, {"treasury"}), {process.instance});
+        const auto table = makeTable(3, 1, {"treasury"});
+        // One attempt of each process at each server, so that requests wait.
+        for (BackendServerRoute &server : table->backendServers)
+            server.connections = 3;
+        process.driver->ready(table, {process.instance});
         process.leaseEnd = m_now + 10s;
         process.driver->kernel->leaseChanged(m_now, process.leaseEnd);
     }
@@ -181,7 +186,7 @@
                 continue;
             process.driver->now = m_now;
             process.driver->kernel->tick(m_now);
-            if (!process.lapsed && process.leaseEnd - m_now < 7s) {
+            if (!process.lapsed && process.leaseEnd - m_now < 7s && m_now >= process.renewsAgain) {
                 process.leaseEnd = m_now + 10s;
                 process.driver->kernel->leaseChanged(m_now, process.leaseEnd);
             }
@@ -231,11 +236,13 @@
             m_table.commit(m_late.front().check, m_late.front().write);
             m_late.erase(m_late.begin());
         } else if (choice < 18) {
-            pass(Duration(static_cast<Duration::rep>(m_random.below(1'200'000'000))));
+            pass(Duration(static_cast<Duration::rep>(m_random.below(700'000'000))));
         } else if (choice == 18 && m_random.below(4) == 0) {
             freeze(process);
-        } else if (choice == 19 && m_random.below(4) == 0) {
+        } else if (choice == 19 && m_random.below(process.lapsed ? 1 : 8) == 0) {
             crash(process);
+        } else if (choice == 20 && m_random.below(4) == 0) {
+            process.renewsAgain = m_now + 12s;
         } else if (!frozen(process)) {
             process.driver->now = m_now;
             if (m_random.below(2) == 0)
