Kernel: Lend no slot that a waiting request needs

A slot that came back with a State was lent again in the reply, before the waiting requests of its owner were looked at. During a flood the lent slots therefore never came home: in a simulation of 3 entry processes and 24 slots the other service's p99 rose to 358 ms from 65 ms, and 11% of the slots were idle.

--- a/Kernel/Request/SlotExchangeMessages.cpp
+++ b/Kernel/Request/SlotExchangeMessages.cpp
@@ -122,6 +122,9 @@
 {
     const std::vector<ServerIndex> servers = m_hooks.freeServers(service);
     for (const ServerIndex server : servers) {
+        // A slot that this State gave back is free here before a waiting request takes it.
+        if (m_hooks.isNeeded(server))
+            continue;
         Server &entry = m_servers[server];
         for (std::uint32_t number = 0; number < entry.slots.size() && count > 0; ++number) {
             const Slot &slot = entry.slots[number];
--- a/Utilities/Measure/FloodMeasurement.cpp
+++ b/Utilities/Measure/FloodMeasurement.cpp
@@ -122,10 +122,12 @@
             "flood_urgency={} others_goodput_ratio={:.4f} "
             "others_p99_ratio={:.2f} slots_in_use={:.3f} "
             "slots_in_use_without_flood={:.3f} flood_answered_ratio={:.3f} "
+            "peer_messages_per_request={:.3f} "
             "targets_met={}\n",
             deployment.name, policy, deployment.floodingService, urgencyNames.nameOf(urgency),
             figures.goodput, figures.p99, flood.busySlots(), base.busySlots(),
             static_cast<double>(own.answered) / static_cast<double>(own.arrived),
+            static_cast<double>(flood.peerMessages()) / static_cast<double>(flood.attempts()),
             met ? "yes" : "no");
     }
     return lines;
@@ -164,7 +166,7 @@
         static_cast<double>(simulation.peerMessages())
             / static_cast<double>(simulation.attempts()));
     if (failingServer >= 0)
-        std::cout << fmt::format(
+        line += fmt::format(
             " failing_server=yes attempts_at_failing_ratio={:.5f}",
             static_cast<double>(simulation.attemptsAt(static_cast<unsigned>(failingServer)))
                 / static_cast<double>(simulation.attempts()));
