Entry: Join the membership, the configuration and the slot messages

The entry process takes its lease, members, configuration and peer messages from the membership agent, and derives its routing table from the manifest, the host rows and the platform's list of hosts. It asks before each request and each attempt whether it may serve, so that a process that was paused does not act on an outdated configuration.

--- a/Kernel/include/Kernel/Membership/MembershipTiming.h
+++ b/Kernel/include/Kernel/Membership/MembershipTiming.h
@@ -37,6 +37,16 @@
     Duration rebalanceDelay = std::chrono::seconds(10);
 };
 
+/// Timing for another length of the leases; renewal and margin keep their proportions.
+inline MembershipTiming membershipTimingFor(Duration lease)
+{
+    MembershipTiming timing;
+    timing.leaseDuration = lease;
+    timing.leaseRenewal = lease * 3 / 10;
+    timing.leaseMargin = lease / 10;
+    return timing;
+}
+
 /// Deliberately broken variants, set by tests only, to prove that the fault matrix detects them.
 struct MembershipDefects
 {
--- a/Kernel/include/Kernel/Request/RoutingTable.h
+++ b/Kernel/include/Kernel/Request/RoutingTable.h
@@ -12,6 +12,8 @@
     std::string name;
     double weight = 1.0; ///< share of the slots relative to the other services
     Duration deadline = std::chrono::seconds(10); ///< when the caller names none
+
+    bool operator==(const ServiceRoute &) const = default;
 };
 
 struct BackendServerRoute
@@ -23,6 +25,8 @@
     unsigned connections = 64; ///< limit over all entry processes
     std::vector<std::string> services; ///< services it may execute
     bool leaving = false; ///< finishes what it has, receives no new work
+
+    bool operator==(const BackendServerRoute &) const = default;
 };
 
 /// Services and backend servers at one configuration version. Immutable once published.
@@ -31,6 +35,8 @@
     std::uint64_t version = 0;
     std::vector<ServiceRoute> services;
     std::vector<BackendServerRoute> backendServers;
+
+    bool operator==(const RoutingTable &) const = default;
 };
 
 } // namespace Peridot
--- a/Libraries/LibStore/include/LibStore/StorePacer.h
+++ b/Libraries/LibStore/include/LibStore/StorePacer.h
@@ -17,6 +17,27 @@
     BackoffSettings backoff;
 };
 
+/// Parts of the limits of the store. Claims of requests take most of the writes; membership,
+/// configuration and fleet planning share the rest, so that neither can starve the other.
+constexpr double claimWriteFraction = 0.6;
+constexpr double claimReadFraction = 0.5;
+
+/// Limits for the claims of all entry processes together.
+inline StorePacerSettings claimPacing(StorePacerSettings limits)
+{
+    limits.writesPerSecond *= claimWriteFraction;
+    limits.readsPerSecond *= claimReadFraction;
+    return limits;
+}
+
+/// Limits for the control work of all processes together.
+inline StorePacerSettings controlPacing(StorePacerSettings limits)
+{
+    limits.writesPerSecond *= 1 - claimWriteFraction;
+    limits.readsPerSecond *= 1 - claimReadFraction;
+    return limits;
+}
+
 /// Keeps the calls of one process within its share of the limits of the store. First attempts and
 /// retries take from the same buckets, so that retries never raise the load. Single-threaded; the
 /// time is passed in.
--- a/Services/Entry/Dispatcher.cpp
+++ b/Services/Entry/Dispatcher.cpp
@@ -202,8 +202,10 @@
 {
     const auto found = m_requests.find(action.token);
     const BackendServerRoute *server = findServer(action.backendServer);
-    if (found == m_requests.end() || server == nullptr) {
-        // The server left the routing table between the decision and the attempt.
+    const bool mayServe = !m_settings.mayServe || m_settings.mayServe();
+    if (found == m_requests.end() || server == nullptr || !mayServe) {
+        // The server left the routing table between the decision and the attempt, or this process
+        // was paused in between and may act on an outdated configuration.
         post([this, action] {
             attemptFinished(action.token, action.attempt, action.backendServer, {});
         });
--- a/Services/Entry/Dispatcher.h
+++ b/Services/Entry/Dispatcher.h
@@ -25,6 +25,7 @@
     BackendClientSettings client;
     Clock clock;
     PeerSender sendPeerMessage; ///< called on the dispatcher thread
+    std::function<bool()> mayServe; ///< asked before each attempt; empty: always
 };
 
 /// Owns the request kernel and the backend client, and runs both on one thread. Feeds events to the
--- /dev/null
+++ b/Services/Entry/EntryControl.cpp
@@ -0,0 +1,157 @@
+#include "EntryControl.h"
+
+#include <LibBase/Log.h>
+#include <LibMembership/ProcessClock.h>
+#include <LibStore/AsioExecutor.h>
+#include <LibStore/HttpStore.h>
+#include <utility>
+
+namespace Peridot {
+
+namespace {
+
+// Fleet processes use the store for membership and for planning; the limits are divided evenly over
+// these users.
+constexpr std::size_t storeUsersPerProcess = 2;
+
+HttpChannelSettings channelSettings(const EntrySettings &settings, const std::string &instance)
+{
+    HttpChannelSettings channel;
+    channel.address = settings.storeUrl;
+    channel.instance = instance;
+    return channel;
+}
+
+std::string endpointText(const ListenAddress &endpoint, std::uint16_t port)
+{
+    return endpoint.address + ':' + std::to_string(port);
+}
+
+} // namespace
+
+StorePacerSettings storeLimits(const EntrySettings &settings)
+{
+    StorePacerSettings limits;
+    if (settings.membership) {
+        limits.writesPerSecond = settings.membership->writesPerSecond;
+        limits.readsPerSecond = settings.membership->readsPerSecond;
+    }
+    return limits;
+}
+
+EntryControl::EntryControl(const EntrySettings &settings) : m_settings(settings) { }
+
+EntryControl::~EntryControl()
+{
+    if (m_published)
+        stop();
+}
+
+void EntryControl::supply(EntryProcess::Parts &parts)
+{
+    parts.standalone = false;
+    parts.clock = processNow;
+    parts.mayServe = [this] {
+        const MembershipAgent *agent = m_published;
+        return agent && agent->mayServe();
+    };
+    parts.sendPeerMessage = [this](const std::string &instance, const std::string &message) {
+        if (MembershipAgent *agent = m_published)
+            agent->sendPeerMessage(instance, message);
+    };
+}
+
+MembershipAgentSettings EntryControl::agentSettings(const EntryProcess &process) const
+{
+    MembershipAgentSettings settings;
+    settings.node.self.instance = process.instance();
+    settings.node.self.role = MemberRole::Entry;
+    settings.node.self.dataCentre = m_settings.dataCentre;
+    settings.node.peers = m_settings.membership->peers;
+    settings.node.timing = membershipTimingFor(m_settings.membership->lease);
+    settings.peer.address = endpointText(m_settings.peers, m_settings.peers.port);
+    settings.peer.sharedKey = m_settings.membership->peerKey;
+    return settings;
+}
+
+MembershipHooks EntryControl::hooks(EntryProcess &process)
+{
+    MembershipHooks hooks;
+    hooks.onMembersChanged = process.hooks().onMembersChanged;
+    hooks.onLease = process.hooks().onLease;
+    hooks.onPeerMessage = process.hooks().onPeerMessage;
+    hooks.onConfiguration = [this](std::uint64_t version, const std::string &manifest) {
+        configurationChanged(version, manifest);
+    };
+    hooks.onTick = [this](MembershipNode &node, TimePoint now) {
+        agentTicked(node, now);
+    };
+    return hooks;
+}
+
+void EntryControl::makeAgent(EntryProcess &process)
+{
+    m_agent = std::make_unique<MembershipAgent>(
+        agentSettings(process),
+        [this, &process](asio::io_context &context) {
+            auto http = std::make_unique<HttpStore>(channelSettings(m_settings, process.instance()),
+                                                    asioExecutor(context.get_executor()));
+            auto paced = std::make_unique<PacedStore>(
+                context, std::move(http), controlPacing(storeLimits(m_settings)),
+                std::hash<std::string>{}(process.instance()), processNow);
+            m_store = paced.get();
+            return paced;
+        },
+        hooks(process));
+}
+
+Result<void> EntryControl::start(EntryProcess &process)
+{
+    makeAgent(process);
+    m_agent->setServiceAddress(endpointText(m_settings.callers, process.callerPort()));
+    m_channel = std::make_shared<HttpChannel>(channelSettings(m_settings, process.instance()),
+                                              asioExecutor(m_agent->context().get_executor()));
+    m_platform = std::make_unique<PlatformClient>(m_channel);
+    m_watcher = std::make_unique<HostWatcher>(m_agent->context(), *m_store, *m_platform, processNow,
+                                              process.hooks().onRoutingTable);
+    BOOST_LEAF_CHECK(m_agent->start());
+    m_published = m_agent.get();
+    m_agent->post([this](MembershipNode &, TimePoint) { m_watcher->start(); });
+    return {};
+}
+
+void EntryControl::stop()
+{
+    m_agent->post([this](MembershipNode &, TimePoint) { m_watcher->stop(); });
+    if (!m_agent->stop())
+        logEvent(LogLevel::Warning, "membership-not-released");
+    m_published = nullptr;
+}
+
+void EntryControl::configurationChanged(std::uint64_t version, const std::string &manifest)
+{
+    valueOrElse(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(parsed, parseManifest(manifest));
+            m_watcher->setManifest(std::make_shared<const Manifest>(std::move(parsed)), version);
+            logEvent(LogLevel::Info, "configuration-in-force", {{"version", version}});
+            return 0;
+        },
+        [&](const Error &error) {
+            logEvent(LogLevel::Error, "configuration-malformed",
+                     {{"version", version}, {"error", describe(error)}});
+            return 0;
+        });
+}
+
+void EntryControl::agentTicked(MembershipNode &node, TimePoint now)
+{
+    const std::size_t processes = node.liveInstances(now, MemberRole::Entry).size()
+                                  + node.liveInstances(now, MemberRole::Fleet).size();
+    if (processes == m_processes || processes == 0)
+        return;
+    m_processes = processes;
+    m_store->setProcesses(processes * storeUsersPerProcess);
+}
+
+} // namespace Peridot
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -43,6 +43,10 @@
 {
     if (!m_parts.clock)
         m_parts.clock = forwardClock();
+    if (!m_parts.mayServe)
+        m_parts.mayServe = [this] {
+            return m_parts.clock().time_since_epoch().count() < m_leaseEnd;
+        };
 }
 
 EntryProcess::~EntryProcess()
@@ -77,6 +81,7 @@
     dispatcher.client.idleConnectionLimit = m_settings.idleConnectionLimit;
     dispatcher.clock = m_parts.clock;
     dispatcher.sendPeerMessage = m_parts.sendPeerMessage;
+    dispatcher.mayServe = m_parts.mayServe;
     BOOST_LEAF_ASSIGN(m_dispatcher, Dispatcher::create(std::move(dispatcher), m_parts.makeClaims,
                                                        m_metrics, m_log));
     makeHooks();
@@ -160,8 +165,8 @@
         return "stopping";
     if (!m_routing.load())
         return "no-routing-table";
-    if (m_parts.clock().time_since_epoch().count() >= m_leaseEnd)
-        return "no-lease";
+    if (!m_parts.mayServe())
+        return "may-not-serve";
     return {};
 }
 
@@ -179,7 +184,7 @@
         refusal.closeConnection = true;
         return refuse(std::move(refusal), message, *responder);
     }
-    if (!routing || m_parts.clock().time_since_epoch().count() >= m_leaseEnd) {
+    if (!routing || !m_parts.mayServe()) {
         refusal.reason = RefusalReason::NotReady;
         return refuse(std::move(refusal), message, *responder);
     }
--- a/Services/Entry/EntryProcess.h
+++ b/Services/Entry/EntryProcess.h
@@ -34,6 +34,8 @@
         PeerSender sendPeerMessage; ///< may be empty
         bool standalone = true; ///< false: membership and lease arrive through hooks()
         Clock clock; ///< empty: wall clock that never steps back
+        /// Whether requests may be accepted and sent now; any thread. Empty: while the lease lasts.
+        std::function<bool()> mayServe;
     };
 
     static Result<std::unique_ptr<EntryProcess>> start(const EntrySettings &settings, Parts parts);
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -41,6 +41,28 @@
     readDuration(limits, "stop_limit_ms", settings.stopLimit);
 }
 
+Result<void> readMembership(const Json::Value &value, EntrySettings &settings)
+{
+    if (!value.isMember("membership"))
+        return {};
+    if (settings.storeUrl.empty())
+        return makeError(ErrorCode::MissingField, "store_url", "membership needs the store");
+    if (!value.isMember("peers"))
+        return makeError(ErrorCode::MissingField, "peers", "membership needs a datagram address");
+    const Json::Value &section = value["membership"];
+    EntryMembershipSettings membership;
+    membership.peerKey = section["peer_key"].asString();
+    for (const auto &peer : section["peers"])
+        membership.peers.push_back(peer.asString());
+    membership.lease = std::chrono::seconds(section.get("lease_s", 10).asInt64());
+    membership.writesPerSecond
+        = section.get("writes_per_second", membership.writesPerSecond).asDouble();
+    membership.readsPerSecond
+        = section.get("reads_per_second", membership.readsPerSecond).asDouble();
+    settings.membership = std::move(membership);
+    return {};
+}
+
 } // namespace
 
 Result<EntrySettings> loadEntrySettings(const std::string &path)
@@ -64,7 +86,7 @@
         BOOST_LEAF_AUTO(table, parseRoutingTable(value["bootstrap"]));
         settings.bootstrap = std::move(table);
     }
-    settings.document = std::move(value);
+    BOOST_LEAF_CHECK(readMembership(value, settings));
     return settings;
 }
 
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <json/value.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,16 @@
     std::uint16_t port = 0; ///< 0: chosen by the operating system
 };
 
+/// Membership of an entry process, in the section "membership".
+struct EntryMembershipSettings
+{
+    std::string peerKey; ///< shared by all members
+    std::vector<std::string> peers; ///< "ip:port" of the other members
+    std::chrono::seconds lease{10};
+    double writesPerSecond = 300; ///< over all processes
+    double readsPerSecond = 2000; ///< over all processes
+};
+
 /// Settings of one entry process.
 struct EntrySettings
 {
@@ -42,7 +53,7 @@
     std::string routingPolicy = "lent-slots";
     std::string logLevel = "info";
     std::shared_ptr<const RoutingTable> bootstrap; ///< used until a configuration arrives
-    Json::Value document; ///< the whole file, for the parts that read sections of their own
+    std::optional<EntryMembershipSettings> membership; ///< nothing: its own only member
 };
 
 /// Errors: FileUnreadable, InvalidJson, SchemaViolation, DuplicateName, UnknownReference, with the
--- a/Services/Entry/EntrySettingsSchema.h
+++ b/Services/Entry/EntrySettingsSchema.h
@@ -25,7 +25,18 @@
     "callers": {"$ref": "#/definitions/endpoint"},
     "administration": {"$ref": "#/definitions/endpoint"},
     "peers": {"$ref": "#/definitions/endpoint"},
-    "membership": {"type": "object"},
+    "membership": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["peer_key"],
+      "properties": {
+        "peer_key": {"type": "string", "minLength": 8},
+        "peers": {"type": "array", "items": {"type": "string"}},
+        "lease_s": {"type": "integer", "minimum": 2, "maximum": 3600},
+        "writes_per_second": {"type": "number", "minimum": 1},
+        "reads_per_second": {"type": "number", "minimum": 1}
+      }
+    },
     "store_url": {"type": "string", "pattern": "^http://"},
     "operator_token": {"type": "string", "minLength": 8},
     "threads": {"type": "integer", "minimum": 1, "maximum": 64},
--- a/Services/Entry/GroupedClaims.cpp
+++ b/Services/Entry/GroupedClaims.cpp
@@ -17,9 +17,9 @@
 } // namespace
 
 GroupedClaims::GroupedClaims(const std::string &instance, std::unique_ptr<Store> store,
-                             DispatcherExecutor executor)
+                             DispatcherExecutor executor, const StorePacerSettings &limits)
     : m_store(std::move(store)), m_executor(std::move(executor)),
-      m_pacer({}, std::hash<std::string>{}(instance)),
+      m_pacer(claimPacing(limits), std::hash<std::string>{}(instance)),
       m_committer(*m_store, m_pacer, committerSettings(instance))
 {
 }
--- a/Services/Entry/GroupedClaims.h
+++ b/Services/Entry/GroupedClaims.h
@@ -15,8 +15,9 @@
 {
 public:
     /// The callbacks of \a store run on the dispatcher thread, like the executor.
+    /// \a limits are those of the store over all processes.
     GroupedClaims(const std::string &instance, std::unique_ptr<Store> store,
-                  DispatcherExecutor executor);
+                  DispatcherExecutor executor, const StorePacerSettings &limits = {});
 
     void read(TimePoint now, const std::string &key, ReadCallback callback) override;
     void commit(TimePoint now, const CommitClaim &claim, CommitCallback callback) override;
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -1,4 +1,5 @@
 #include "AbsentClaimStore.h"
+#include "EntryControl.h"
 #include "EntryProcess.h"
 #include "EntrySettings.h"
 #include "GroupedClaims.h"
@@ -30,7 +31,8 @@
 )";
 
 std::unique_ptr<ClaimStore> makeClaimStore(const std::string &url, const std::string &instance,
-                                           DispatcherExecutor executor)
+                                           DispatcherExecutor executor,
+                                           const StorePacerSettings &limits)
 {
     if (url.empty())
         return std::make_unique<AbsentClaimStore>(std::move(executor));
@@ -38,7 +40,7 @@
     channel.address = url;
     channel.instance = instance;
     auto store = std::make_unique<HttpStore>(std::move(channel), executor);
-    return std::make_unique<GroupedClaims>(instance, std::move(store), std::move(executor));
+    return std::make_unique<GroupedClaims>(instance, std::move(store), std::move(executor), limits);
 }
 
 LogLevel parseLogLevel(const std::string &name)
@@ -71,14 +73,24 @@
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     EntryProcess::Parts parts;
-    parts.makeClaims
-        = [url = settings.storeUrl](const std::string &instance, DispatcherExecutor executor) {
-              return makeClaimStore(url, instance, std::move(executor));
-          };
+    parts.makeClaims = [&settings](const std::string &instance, DispatcherExecutor executor) {
+        return makeClaimStore(settings.storeUrl, instance, std::move(executor),
+                              storeLimits(settings));
+    };
+    std::unique_ptr<EntryControl> control;
+    if (settings.membership) {
+        control = std::make_unique<EntryControl>(settings);
+        control->supply(parts);
+    }
     BOOST_LEAF_AUTO(process, EntryProcess::start(settings, std::move(parts)));
+    if (control)
+        BOOST_LEAF_CHECK(control->start(*process));
     int signal = 0;
     sigwait(&signals, &signal);
-    return process->stop() ? 0 : 1;
+    const bool allEnded = process->stop();
+    if (control)
+        control->stop();
+    return allEnded ? 0 : 1;
 }
 
 } // namespace
--- a/Services/Fleet/FleetProcess.cpp
+++ b/Services/Fleet/FleetProcess.cpp
@@ -42,7 +42,7 @@
     StorePacerSettings pacer;
     pacer.writesPerSecond = settings.writesPerSecond;
     pacer.readsPerSecond = settings.readsPerSecond;
-    return pacer;
+    return controlPacing(pacer);
 }
 
 FleetPlannerSettings plannerSettings(const FleetSettings &settings, const std::string &instance)
--- a/Services/Fleet/FleetSettings.cpp
+++ b/Services/Fleet/FleetSettings.cpp
@@ -45,15 +45,6 @@
     return name == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
-MembershipTiming timingFor(Duration lease)
-{
-    MembershipTiming timing;
-    timing.leaseDuration = lease;
-    timing.leaseRenewal = lease * 3 / 10;
-    timing.leaseMargin = lease / 10;
-    return timing;
-}
-
 } // namespace
 
 Result<FleetSettings> loadFleetSettings(const std::string &path)
@@ -79,7 +70,7 @@
     settings.planPeriod = std::chrono::milliseconds(value.get("plan_period_ms", 500).asInt64());
     settings.placementPolicy = value.get("placement_policy", "peridot").asString();
     settings.logLevel = parseLogLevel(value.get("log_level", "info").asString());
-    settings.timing = timingFor(std::chrono::seconds(value.get("lease_s", 10).asInt64()));
+    settings.timing = membershipTimingFor(std::chrono::seconds(value.get("lease_s", 10).asInt64()));
     return settings;
 }
 
