--- a/Libraries/LibHttp/LingeringClose.cpp
+++ b/Libraries/LibHttp/LingeringClose.cpp
@@ -9,7 +9,7 @@
 
 // A sender that has not noticed the refusal by then loses it.
 constexpr std::chrono::seconds lingerLimit{2};
-constexpr std::size_t discardLimit = 4 * 1024 * 1024; ///< bytes
+constexpr std::size_t discardLimit = 4UL * 1024 * 1024; ///< bytes
 
 } // namespace
 
--- a/Libraries/LibHttp/LingeringClose.h
+++ b/Libraries/LibHttp/LingeringClose.h
@@ -28,7 +28,7 @@
     asio::strand<asio::any_io_executor> m_strand;
     asio::steady_timer m_timer;
     std::string m_lastResponse;
-    std::array<char, 16 * 1024> m_buffer{};
+    std::array<char, 16UL * 1024> m_buffer{};
     std::size_t m_discardedBytes = 0;
 };
 
--- a/Libraries/LibHttp/include/LibHttp/BackendClient.h
+++ b/Libraries/LibHttp/include/LibHttp/BackendClient.h
@@ -16,7 +16,7 @@
 
 struct BackendClientSettings
 {
-    std::size_t maximumAnswerBytes = 4 * 1024 * 1024; ///< headers and body
+    std::size_t maximumAnswerBytes = 4UL * 1024 * 1024; ///< headers and body
     long maximumConnectionsPerServer = 64; ///< the caller's part of the server's limit
     std::chrono::milliseconds connectTimeout{1000};
     /// Idle connections older than this are not used again. It must be shorter than the idle
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -64,7 +64,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     MessageParser m_parser;
-    std::array<char, 16 * 1024> m_buffer{};
+    std::array<char, 16UL * 1024> m_buffer{};
     std::string m_requestText;
     Callback m_callback;
     bool m_connected = false;
--- a/Libraries/LibHttp/include/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -42,7 +42,7 @@
     std::size_t threads = 1;
     std::size_t maximumConnections = 1000; ///< further ones wait in the listen backlog
     std::size_t maximumHeaders = 100;
-    std::size_t maximumBodyBytes = 1024 * 1024;
+    std::size_t maximumBodyBytes = 1024UL * 1024;
     std::chrono::milliseconds readTimeout{10000}; ///< from the first wait to the whole request
 };
 
--- a/Libraries/LibHttp/include/LibHttp/MessageParser.h
+++ b/Libraries/LibHttp/include/LibHttp/MessageParser.h
@@ -14,7 +14,7 @@
 public:
     enum class Kind { Request, Response };
 
-    explicit MessageParser(Kind kind, std::size_t bodyLimit = 16 * 1024 * 1024);
+    explicit MessageParser(Kind kind, std::size_t bodyLimit = 16UL * 1024 * 1024);
     MessageParser(const MessageParser &) = delete;
     MessageParser &operator=(const MessageParser &) = delete;
 
--- a/Services/Entry/AnswerFormat.h
+++ b/Services/Entry/AnswerFormat.h
@@ -8,7 +8,7 @@
 namespace Peridot {
 
 /// Bodies up to this size are recorded for repeats of a non-idempotent request.
-constexpr std::size_t recordedBodyLimit = 16 * 1024; ///< bytes
+constexpr std::size_t recordedBodyLimit = 16UL * 1024; ///< bytes
 
 /// The answer as the kernel records it. Without \a withBody only the status is filled, which saves
 /// idempotent requests a copy and a hash.
--- a/Services/Entry/GroupedClaims.cpp
+++ b/Services/Entry/GroupedClaims.cpp
@@ -73,7 +73,7 @@
         WaitingRead read = std::move(m_reads.front());
         m_reads.pop_front();
         if (!tooOld) {
-            sendRead(std::move(read));
+            sendRead(read);
             continue;
         }
         m_executor([read = std::move(read)] {
@@ -84,7 +84,7 @@
     }
 }
 
-void GroupedClaims::sendRead(WaitingRead read)
+void GroupedClaims::sendRead(const WaitingRead &read)
 {
     m_store->read({read.key}, [read](const ReadResult &result) {
         if (result.status == ReadStatus::Ok && result.rows.size() == 1)
--- a/Services/Entry/GroupedClaims.h
+++ b/Services/Entry/GroupedClaims.h
@@ -33,7 +33,7 @@
     };
 
     void sendReads(TimePoint now);
-    void sendRead(WaitingRead read);
+    void sendRead(const WaitingRead &read);
 
     std::unique_ptr<Store> m_store;
     DispatcherExecutor m_executor;
--- a/Services/Entry/RequestValidator.cpp
+++ b/Services/Entry/RequestValidator.cpp
@@ -28,7 +28,7 @@
     return false;
 }
 
-Refusal badInput(RefusalReason reason, std::string field, std::string detail)
+Refusal badInput(RefusalReason reason, std::string field, const std::string &detail)
 {
     Refusal refusal;
     refusal.reason = reason;
--- a/StandIns/Backend/BackendConnection.h
+++ b/StandIns/Backend/BackendConnection.h
@@ -34,7 +34,7 @@
     std::shared_ptr<BackendState> m_state;
     asio::steady_timer m_timer;
     MessageParser m_parser;
-    std::array<char, 16 * 1024> m_buffer{};
+    std::array<char, 16UL * 1024> m_buffer{};
     std::string m_pending; ///< bytes received but not parsed
     std::string m_output;
     std::string m_requestId;
--- a/StandIns/Backend/ControlServer.cpp
+++ b/StandIns/Backend/ControlServer.cpp
@@ -53,14 +53,14 @@
 
 } // namespace
 
-Result<std::unique_ptr<HttpServer>> startControlServer(std::shared_ptr<BackendState> state)
+Result<std::unique_ptr<HttpServer>> startControlServer(const std::shared_ptr<BackendState> &state)
 {
     HttpServerSettings settings;
     settings.address = state->settings().address;
     settings.port = state->settings().controlPort;
     HttpServerHooks hooks;
     hooks.onRequest
-        = [state](RequestMessage request, const std::shared_ptr<HttpResponder> &responder) {
+        = [state](const RequestMessage &request, const std::shared_ptr<HttpResponder> &responder) {
               responder->send(handleControl(*state, request));
           };
     return HttpServer::start(settings, std::move(hooks));
--- a/StandIns/Load/Caller.cpp
+++ b/StandIns/Load/Caller.cpp
@@ -79,10 +79,10 @@
     m_ledger.sent(m_request.service);
     m_connections[m_entry]->exchange(
         requestText(), false, m_settings.patience,
-        [self = shared_from_this()](Exchange exchange) { self->received(std::move(exchange)); });
+        [self = shared_from_this()](const Exchange &exchange) { self->received(exchange); });
 }
 
-void Caller::received(Exchange exchange)
+void Caller::received(const Exchange &exchange)
 {
     if (exchange.end != ExchangeEnd::Complete) {
         // A broken connection is no answer; an answer that ends early must not look like one, which
--- a/StandIns/Load/Caller.h
+++ b/StandIns/Load/Caller.h
@@ -33,7 +33,7 @@
 private:
     void begin();
     void send();
-    void received(Exchange exchange);
+    void received(const Exchange &exchange);
     void judge(const ResponseMessage &response, const std::string &outcome);
     void checkAnswer(const ResponseMessage &response);
     void repeatLater();
--- a/StandIns/Load/LoadSettings.cpp
+++ b/StandIns/Load/LoadSettings.cpp
@@ -105,7 +105,7 @@
     BOOST_LEAF_AUTO(deadline, number(options, "--deadline-ms", mostMilliseconds));
     BOOST_LEAF_AUTO(patience, number(options, "--patience-ms", mostMilliseconds));
     BOOST_LEAF_ASSIGN(settings.requestLimit, number(options, "--requests", mostRequests));
-    BOOST_LEAF_ASSIGN(settings.payloadBytes, number(options, "--payload", 1024 * 1024));
+    BOOST_LEAF_ASSIGN(settings.payloadBytes, number(options, "--payload", 1024UL * 1024));
     BOOST_LEAF_ASSIGN(settings.seed, number(options, "--seed", UINT64_MAX));
     settings.callers = static_cast<unsigned>(callers);
     settings.rate = static_cast<double>(rate);
--- a/Tests/LibHttp/TestBackendClient.cpp
+++ b/Tests/LibHttp/TestBackendClient.cpp
@@ -52,7 +52,8 @@
         BackendFixture fixture;
         auto request = fixture.request("POST");
         fixture.server.reset();
-        REQUIRE(fixture.run(std::move(request)).status == AttemptStatus::NotSent);
+        const auto answer = fixture.run(std::move(request));
+        REQUIRE(answer.status == AttemptStatus::NotSent);
     }
     SECTION("an answer above the limit is never passed on in part")
     {
@@ -60,7 +61,8 @@
         settings.maximumAnswerBytes = 1024;
         BackendFixture fixture(settings);
         auto request = fixture.request("POST", "", "id-1", std::string(5000, 'x'));
-        REQUIRE(fixture.run(std::move(request)).status == AttemptStatus::Truncated);
+        const auto answer = fixture.run(std::move(request));
+        REQUIRE(answer.status == AttemptStatus::Truncated);
     }
     SECTION("an HTTP error of the backend server is its answer")
     {
@@ -117,7 +119,8 @@
     {
         auto slow = fixture.request("POST", "slow", "slow");
         slow.timeout = std::chrono::milliseconds(50);
-        REQUIRE(fixture.run(std::move(slow)).status == AttemptStatus::TimedOut);
+        const auto late = fixture.run(std::move(slow));
+        REQUIRE(late.status == AttemptStatus::TimedOut);
         const auto answer = fixture.run(fixture.request("POST", "", "next"));
         REQUIRE(answer.status == AttemptStatus::Answered);
         REQUIRE(echoedId(answer) == "next");
@@ -164,7 +167,8 @@
                           [&](const BackendAnswer &) { slowEnded = true; });
     auto second = fixture.request("POST", "", "second");
     second.timeout = std::chrono::milliseconds(50);
-    REQUIRE(fixture.run(std::move(second)).status == AttemptStatus::NotSent);
+    const auto waited = fixture.run(std::move(second));
+    REQUIRE(waited.status == AttemptStatus::NotSent);
     while (!slowEnded)
         fixture.context.run_one();
     REQUIRE(fixture.counts()["runs"]["second"].asUInt() == 0);
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -83,12 +83,12 @@
         settings.threads = 2;
         settings.readTimeout = std::chrono::milliseconds(300);
         HttpServerHooks hooks;
-        hooks.onRequest
-            = [this](RequestMessage request, const std::shared_ptr<HttpResponder> &responder) {
-                  if (request.target == "/hold")
-                      return held.set_value({request.serial, responder});
-                  responder->send({200, {}, request.method + ' ' + request.body});
-              };
+        hooks.onRequest = [this](const RequestMessage &request,
+                                 const std::shared_ptr<HttpResponder> &responder) {
+            if (request.target == "/hold")
+                return held.set_value({request.serial, responder});
+            responder->send({200, {}, request.method + ' ' + request.body});
+        };
         hooks.onAbandoned = [this](std::uint64_t serial) {
             abandoned.set_value(serial);
         };
