Kernel: Refuse requests in a process that is not in the view

Such a process owns no slots, so its requests would wait for their deadlines. Services that left the routing table lose their weight, so that the shares of the others are right.

Tests cover this, the refusal by time waited and the limit on records.

--- a/Kernel/Request/AdmissionPolicy.cpp
+++ b/Kernel/Request/AdmissionPolicy.cpp
@@ -1,12 +1,21 @@
 #include <Kernel/Request/AdmissionPolicy.h>
 
+#include <algorithm>
+
 namespace Peridot {
 
+namespace {
+
+// Keeps the order of services defined. Services that left the routing table have this weight.
+constexpr double leastWeight = 1e-6;
+
+} // namespace
+
 void AdmissionPolicy::setService(ServiceIndex service, double weight)
 {
     if (service >= m_services.size())
         m_services.resize(service + 1);
-    m_services[service].weight = weight;
+    m_services[service].weight = std::max(weight, leastWeight);
     m_totalWeight = 0;
     for (const Service &entry : m_services)
         m_totalWeight += entry.weight;
--- a/Kernel/Request/RequestArrival.cpp
+++ b/Kernel/Request/RequestArrival.cpp
@@ -59,7 +59,7 @@
             return;
         }
     }
-    auto reason = request.idempotent ? std::nullopt : checkClaimable(now, request);
+    auto reason = request.idempotent ? std::nullopt : checkClaimable(now);
     if (!reason)
         reason = checkQueue(now, request, service);
     if (reason)
@@ -73,7 +73,7 @@
                                                              const RequestDescription &request,
                                                              ServiceIndex &service) const
 {
-    if (!m_table || !m_hasMembers)
+    if (!m_table || !m_isMember)
         return RefusalReason::NotReady;
     if (m_stopping)
         return RefusalReason::Stopping;
@@ -93,8 +93,7 @@
     return std::nullopt;
 }
 
-std::optional<RefusalReason> RequestDispatcher::checkClaimable(TimePoint now,
-                                                               const RequestDescription &)
+std::optional<RefusalReason> RequestDispatcher::checkClaimable(TimePoint now)
 {
     // A lease ends without a renewal only when the store could not be reached in time.
     if (!leaseIsLive(now) || !m_claims.breaker().wouldPass(now))
--- a/Kernel/Request/RequestDispatcher.cpp
+++ b/Kernel/Request/RequestDispatcher.cpp
@@ -60,6 +60,10 @@
         m_admission->setService(found->second, route.weight);
         m_attemptLimit = std::max(m_attemptLimit, route.deadline);
     }
+    for (ServiceIndex service = 0; service < m_services.size(); ++service) {
+        if (!m_services[service].listed)
+            m_admission->setService(service, 0);
+    }
     m_pool.exchange().setAttemptLimit(m_attemptLimit);
     m_pool.tableChanged(now, *m_table, m_serviceIndex);
     m_admission->setCapacity(m_pool.capacity());
@@ -72,7 +76,7 @@
     advance(now);
     m_suspendedUntil.reset();
     m_members = {members.instances.begin(), members.instances.end()};
-    m_hasMembers = true;
+    m_isMember = m_members.contains(m_settings.instance);
     m_pool.membersChanged(now, members);
     m_admission->setCapacity(m_pool.capacity());
     finishEvent(now);
--- a/Kernel/Request/RequestDispatcher.h
+++ b/Kernel/Request/RequestDispatcher.h
@@ -58,7 +58,7 @@
     // Arrival
     std::optional<RefusalReason> checkArrival(TimePoint now, const RequestDescription &request,
                                               ServiceIndex &service) const;
-    std::optional<RefusalReason> checkClaimable(TimePoint now, const RequestDescription &request);
+    std::optional<RefusalReason> checkClaimable(TimePoint now);
     std::optional<RefusalReason> checkQueue(TimePoint now, const RequestDescription &request,
                                             ServiceIndex service);
     Duration expectedWait(TimePoint now, ServiceIndex service, Urgency urgency) const;
@@ -122,7 +122,7 @@
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_invalidMessages = 0;
     unsigned m_goneMessages = 0;
-    bool m_hasMembers = false;
+    bool m_isMember = false;
     bool m_stopping = false;
 };
 
--- a/Kernel/include/Kernel/Request/RequestKernel.h
+++ b/Kernel/include/Kernel/Request/RequestKernel.h
@@ -98,6 +98,7 @@
 
     virtual void requestArrived(TimePoint now, const RequestDescription &request) = 0;
     /// The caller is gone. A request that may have been sent runs on and its outcome is recorded.
+    /// Each request that arrived ends with exactly one AnswerRequest, a cancelled one too.
     virtual void requestCancelled(TimePoint now, RequestToken token) = 0;
     virtual void attemptFinished(TimePoint now, std::uint64_t attempt, AttemptStatus status,
                                  std::shared_ptr<const RecordedAnswer> answer)
--- a/Tests/Kernel/Request/TestRequestOutcomes.cpp
+++ b/Tests/Kernel/Request/TestRequestOutcomes.cpp
@@ -1,5 +1,6 @@
 #include "KernelDriver.h"
 
+#include <Kernel/Request/ClaimLedger.h>
 #include <catch2/catch.hpp>
 
 using namespace Peridot;
@@ -115,6 +116,39 @@
         CHECK(entry.answers[token].reason == RefusalReason::NotReady);
         CHECK(entry.answers[token].outcome == Outcome::NotRun);
     }
+    SECTION("after the process was removed from the view")
+    {
+        entry.ready(routes, {"entry-a"});
+        entry.kernel->membersChanged(entry.now, {2, {"entry-b"}});
+        const auto token = entry.arrive(entry.describe("treasury", true));
+        CHECK(entry.answers[token].reason == RefusalReason::NotReady);
+    }
+    SECTION("requests wait longer than its deadline allows")
+    {
+        entry.ready(routes, {"entry-a"});
+        entry.arrive(entry.describe("treasury", true));
+        const auto waiting = entry.arrive(entry.describe("treasury", true));
+        entry.advance(std::chrono::seconds(3));
+        auto request = entry.describe("treasury", true);
+        request.deadline = entry.now + std::chrono::seconds(2);
+        const auto refused = entry.arrive(request);
+        CHECK(entry.answers[refused].reason == RefusalReason::OverShare);
+        CHECK(entry.answers[refused].retryAfter >= std::chrono::seconds(3));
+        CHECK_FALSE(entry.answered(waiting));
+    }
+    SECTION("the limit on records is reached: refused, and no record is given up")
+    {
+        RequestKernelSettings settings;
+        settings.queueLimit = 2 * ClaimLedger::openLimit;
+        KernelDriver full(table, "entry-a", settings);
+        full.ready(routes, {"entry-a"});
+        for (std::size_t count = 0; count < ClaimLedger::openLimit; ++count)
+            full.arrive(full.describe("treasury", false));
+        CHECK(full.answerCount == 0);
+        const auto token = full.arrive(full.describe("treasury", false));
+        CHECK(full.answers[token].reason == RefusalReason::RecordLimit);
+        CHECK(full.answers[token].outcome == Outcome::NotRun);
+    }
     SECTION("unknown service")
     {
         entry.ready(routes, {"entry-a"});
