--- a/Kernel/Membership/LeaseSpread.cpp
+++ b/Kernel/Membership/LeaseSpread.cpp
@@ -10,7 +10,8 @@
     std::string best;
     std::uint64_t bestWeight = 0;
     for (const auto &instance : instances) {
-        const std::string text = name + '\n' + instance;
+        std::string text = name;
+        text.append(1, '\n').append(instance);
         const std::uint64_t weight = XXH64(text.data(), text.size(), 0);
         if (best.empty() || weight > bestWeight || (weight == bestWeight && instance < best)) {
             best = instance;
--- a/Kernel/Membership/MembershipTracker.cpp
+++ b/Kernel/Membership/MembershipTracker.cpp
@@ -153,6 +153,7 @@
         live[instance] = m_peers.at(instance).description;
     live.erase(m_self.instance);
     std::vector<MemberDescription> result;
+    result.reserve(live.size());
     for (auto &[instance, description] : live)
         result.push_back(std::move(description));
     return result;
--- a/Kernel/include/Kernel/Membership/MembershipNode.h
+++ b/Kernel/include/Kernel/Membership/MembershipNode.h
@@ -16,7 +16,7 @@
     MembershipTiming timing;
     MembershipDefects defects;
     bool push = true; ///< send notices and react to heartbeats; otherwise polling alone
-    std::size_t noticeLimit = 48 * 1024; ///< bytes of a manifest that a notice may carry
+    std::size_t noticeLimit = 48U << 10U; ///< bytes of a manifest that a notice may carry
 };
 
 struct PeerDatagram
