--- a/Kernel/Fleet/JobPlacer.cpp
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -76,7 +76,17 @@
 void JobPlacer::place(const std::vector<std::string> &jobs)
 {
     m_refusedSizes.clear();
-    for (const auto &name : jobs) {
+    // Displaced tasks go first: the buffer that new tasks leave free is meant for them.
+    auto ordered = jobs;
+    std::stable_partition(ordered.begin(), ordered.end(), [&](const std::string &name) {
+        const auto *record = m_step.job(name);
+        return record
+               && std::any_of(record->tasks.begin(), record->tasks.end(),
+                              [](const TaskRecord &task) {
+                                  return task.phase == TaskPhase::Pending && wasPlacedBefore(task);
+                              });
+    });
+    for (const auto &name : ordered) {
         if (m_step.isFull())
             return;
         restoreThrottled(name);
@@ -167,8 +177,11 @@
     auto size = estimatedSize(specification.taskSize, record.learned);
     if (!fitsSomeHost(size))
         size = specification.taskSize;
-    if (isHopeless(size))
+    if (isHopeless(size)) {
+        if (wasPlacedBefore(task))
+            m_buffer.take(size);
         return PendingReason::NoCapacity;
+    }
 
     const auto request = requestFor(record, size, task);
     bool bufferHeldBack = false;
@@ -189,6 +202,8 @@
         if (room.result == RoomMaker::Result::Waiting)
             return PendingReason::MakingRoom;
     }
+    if (wasPlacedBefore(task))
+        m_buffer.take(size);
     m_refusedSizes.push_back(size);
     return PendingReason::NoCapacity;
 }
--- a/Kernel/Fleet/Maintenance.cpp
+++ b/Kernel/Fleet/Maintenance.cpp
@@ -1,5 +1,6 @@
 #include "HostSteps.h"
 #include "PermitPlanner.h"
+#include <Kernel/Fleet/WaveOrder.h>
 
 namespace Peridot {
 
@@ -10,6 +11,8 @@
 class Maintenance final : public Reconciler
 {
 public:
+    explicit Maintenance(WaveOrder order) : m_order(order) { }
+
     FleetPlan plan(const FleetView &view, const PlanContext &context) override;
 
 private:
@@ -17,6 +20,8 @@
                   FleetPlan &plan);
     static void completeWave(const FleetView &view, const PoolScope &scope, TimePoint now,
                              LedgerStep &step);
+
+    WaveOrder m_order;
 };
 
 FleetPlan Maintenance::plan(const FleetView &view, const PlanContext &context)
@@ -43,7 +48,7 @@
         if (!step.isFull())
             steps.advance(name);
     }
-    PermitPlanner(view, scope, context.now, step).grant();
+    PermitPlanner(view, scope, context.now, step, m_order).grant();
     completeWave(view, scope, context.now, step);
     if (step.hasChanges())
         plan.transactions.push_back(step.transaction());
@@ -66,9 +71,15 @@
     changed.finishedAt = now;
 }
 
-const PluginRegistrar<ReconcilerRegistry> registrar("maintenance",
-                                                    [] { return std::make_unique<Maintenance>(); });
+const PluginRegistrar<ReconcilerRegistry> registrar("maintenance", [] {
+    return makeMaintenance(WaveOrder::FailureDomain);
+});
 
 } // namespace
 
+std::unique_ptr<Reconciler> makeMaintenance(WaveOrder order)
+{
+    return std::make_unique<Maintenance>(order);
+}
+
 } // namespace Peridot
--- a/Kernel/Fleet/PermitPlanner.cpp
+++ b/Kernel/Fleet/PermitPlanner.cpp
@@ -7,9 +7,9 @@
 namespace Peridot {
 
 PermitPlanner::PermitPlanner(const FleetView &view, const PoolScope &scope, TimePoint now,
-                             LedgerStep &step)
-    : m_view(view), m_scope(scope), m_now(now), m_step(step), m_health(view, *scope.pool, now),
-      m_doubts(m_health.uncountedDoubts(step.ledger())),
+                             LedgerStep &step, WaveOrder order)
+    : m_view(view), m_scope(scope), m_now(now), m_step(step), m_order(order),
+      m_health(view, *scope.pool, now), m_doubts(m_health.uncountedDoubts(step.ledger())),
       m_correlatedFailure(m_health.correlatedFailure())
 {
 }
@@ -84,19 +84,24 @@
         candidate.rackOpen = open.contains(candidate.rack);
         candidate.rackPending = pending[candidate.rack];
     }
-    std::sort(result.begin(), result.end(), goesBefore);
+    std::sort(result.begin(), result.end(), [&](const Candidate &left, const Candidate &right) {
+        return goesBefore(left, right);
+    });
     return result;
 }
 
-bool PermitPlanner::goesBefore(const Candidate &left, const Candidate &right)
+bool PermitPlanner::goesBefore(const Candidate &left, const Candidate &right) const
 {
+    if (m_order == WaveOrder::Name)
+        return left.name < right.name;
     const auto rank = [](const Candidate &candidate) {
         const bool scheduled = candidate.purpose == DrainPurpose::Maintenance;
         // A rack that is already open goes on, so that few failure domains are affected at once.
-        // Hosts with many tasks drain longest and go first, so that the wave does not end on them.
-        return std::make_tuple(scheduled, !candidate.rackOpen, -std::int64_t(candidate.rackPending),
-                               std::string_view(candidate.rack), -std::int64_t(candidate.tasks),
-                               std::string_view(candidate.name));
+        // Hosts with few tasks go first: maintained hosts then exist for the tasks of the others,
+        // which would otherwise move to a host that the wave drains later.
+        return std::make_tuple(scheduled, !candidate.rackOpen, candidate.tasks,
+                               -std::int64_t(candidate.rackPending),
+                               std::string_view(candidate.rack), std::string_view(candidate.name));
     };
     return rank(left) < rank(right);
 }
--- a/Kernel/Fleet/PermitPlanner.h
+++ b/Kernel/Fleet/PermitPlanner.h
@@ -2,6 +2,7 @@
 
 #include "LedgerStep.h"
 #include "PoolHealth.h"
+#include <Kernel/Fleet/WaveOrder.h>
 
 namespace Peridot {
 
@@ -9,7 +10,8 @@
 class PermitPlanner
 {
 public:
-    PermitPlanner(const FleetView &view, const PoolScope &scope, TimePoint now, LedgerStep &step);
+    PermitPlanner(const FleetView &view, const PoolScope &scope, TimePoint now, LedgerStep &step,
+                  WaveOrder order = WaveOrder::FailureDomain);
 
     void grant();
 
@@ -40,13 +42,14 @@
     };
 
     std::vector<Candidate> candidates() const;
-    static bool goesBefore(const Candidate &left, const Candidate &right);
+    bool goesBefore(const Candidate &left, const Candidate &right) const;
     bool keepsSpread(const std::string &name) const;
 
     const FleetView &m_view;
     const PoolScope &m_scope;
     TimePoint m_now;
     LedgerStep &m_step;
+    WaveOrder m_order;
     PoolHealth m_health;
     std::size_t m_doubts;
     std::optional<std::string> m_correlatedFailure;
--- a/Kernel/Fleet/PoolBuffer.cpp
+++ b/Kernel/Fleet/PoolBuffer.cpp
@@ -43,17 +43,32 @@
     return largerOf(largestRack, times(largestHost, budget));
 }
 
+Resources PoolBuffer::sharedNeed(const FleetView &view)
+{
+    // A rack that fails takes hosts of several pools with it.
+    std::unordered_map<std::string, Resources> racks;
+    Resources need;
+    Resources largestHost;
+    for (const auto &host : view.manifest()->hosts) {
+        auto &rack = racks[host.dataCentre + "/" + host.rack];
+        rack = plus(rack, host.capacity);
+        need = largerOf(need, rack);
+        largestHost = largerOf(largestHost, host.capacity);
+    }
+    for (const auto &pool : view.manifest()->pools)
+        need = largerOf(need, times(largestHost, pool.availabilityBudget));
+    return need;
+}
+
 PoolBuffer::PoolBuffer(const FleetView &view, const PoolScope &scope, bool shared) : m_view(view)
 {
     const auto *spare = shared ? sparePool(view) : nullptr;
     m_poolIsSpare = spare == scope.pool;
     auto required = need(view, *scope.pool);
-    if (m_poolIsSpare) {
-        for (const auto &[name, pool] : view.pools())
-            required = largerOf(required, need(view, pool));
-    } else if (spare) {
+    if (m_poolIsSpare)
+        required = largerOf(required, sharedNeed(view));
+    else if (spare)
         required = positivePart(minus(required, positivePart(room(*spare, true))));
-    }
     // Accelerators are not buffered: they are too few for every rack to be doubled.
     required.accelerators = 0;
     m_room = minus(room(*scope.pool, m_poolIsSpare), required);
--- a/Kernel/Fleet/PoolBuffer.h
+++ b/Kernel/Fleet/PoolBuffer.h
@@ -22,6 +22,9 @@
     /// hosts.
     static Resources need(const FleetView &view, const FleetView::Pool &pool);
 
+    /// Common buffer: the larger of the largest rack of the fleet and the largest budget in hosts.
+    static Resources sharedNeed(const FleetView &view);
+
 private:
     Resources room(const FleetView::Pool &pool, bool countEvictable) const;
 
--- a/Utilities/FleetFake/FleetDriver.cpp
+++ b/Utilities/FleetFake/FleetDriver.cpp
@@ -53,11 +53,13 @@
 {
 }
 
-FleetDriver::Reconcilers FleetDriver::standardReconcilers(const std::string &placementPolicy)
+FleetDriver::Reconcilers FleetDriver::standardReconcilers(const std::string &placementPolicy,
+                                                          WaveOrder order)
 {
     Reconcilers reconcilers;
-    for (const auto *name : {"host-admission", "maintenance", "move"})
-        reconcilers.push_back(ReconcilerRegistry::create(name).value());
+    reconcilers.push_back(ReconcilerRegistry::create("host-admission").value());
+    reconcilers.push_back(makeMaintenance(order));
+    reconcilers.push_back(ReconcilerRegistry::create("move").value());
     reconcilers.push_back(makePlacement(placementPolicy).value());
     return reconcilers;
 }
--- a/Utilities/FleetFake/FleetFixture.cpp
+++ b/Utilities/FleetFake/FleetFixture.cpp
@@ -1,6 +1,9 @@
 #include <FleetFake/FleetFixture.h>
 
+#include <LibBase/Random.h>
+#include <algorithm>
 #include <fmt/format.h>
+#include <numeric>
 
 namespace Peridot {
 
@@ -21,14 +24,21 @@
         pool.spare = name == options.sparePool;
         manifest.pools.push_back(pool);
     }
+    std::vector<unsigned> numbers(options.hosts);
+    std::iota(numbers.begin(), numbers.end(), 0U);
+    if (options.nameSeed > 0) {
+        RandomSource random(options.nameSeed);
+        std::shuffle(numbers.begin(), numbers.end(), random.engine());
+    }
     const auto racks = (options.hosts + options.hostsPerRack - 1) / options.hostsPerRack;
     for (unsigned index = 0; index < options.hosts; ++index) {
         const auto rack = index / options.hostsPerRack;
         const auto dataCentre = rack * options.dataCentres / std::max(1U, racks);
         // Racks are shared between pools: a failure domain is not the property of one pool.
         const auto &pool = options.pools[index % options.pools.size()];
-        manifest.hosts.push_back({fmt::format("h{:05}", index), pool, fmt::format("r{:04}", rack),
-                                  fmt::format("dc{:02}", dataCentre), "region", options.capacity});
+        manifest.hosts.push_back({fmt::format("h{:05}", numbers[index]), pool,
+                                  fmt::format("r{:04}", rack), fmt::format("dc{:02}", dataCentre),
+                                  "region", options.capacity});
         for (unsigned server = 0; server < options.backendServersPerHost; ++server)
             manifest.backendServers.push_back(
                 {fmt::format("s{:05}-{}", index, server), manifest.hosts.back().name, "127.0.0.1",
--- a/Utilities/FleetFake/include/FleetFake/FleetDriver.h
+++ b/Utilities/FleetFake/include/FleetFake/FleetDriver.h
@@ -4,6 +4,7 @@
 #include <FleetFake/FakeWorker.h>
 #include <Kernel/Fleet/FleetView.h>
 #include <Kernel/Fleet/Reconciler.h>
+#include <Kernel/Fleet/WaveOrder.h>
 #include <functional>
 #include <memory>
 
@@ -32,7 +33,8 @@
     FleetDriver(std::string instance, FakeTable &table, FakeFleet &fleet, Reconcilers reconcilers);
 
     /// Reconcilers of a fleet process, with the given placement policy.
-    static Reconcilers standardReconcilers(const std::string &placementPolicy = "peridot");
+    static Reconcilers standardReconcilers(const std::string &placementPolicy = "peridot",
+                                           WaveOrder order = WaveOrder::FailureDomain);
 
     void setManifest(std::shared_ptr<const Manifest> manifest, std::uint64_t version);
     /// Takes the leases of all pools of the manifest over from whoever holds them and reads all
@@ -47,6 +49,7 @@
     void pass(TimePoint now);
 
     FleetView &view() { return m_view; }
+    const FleetView &view() const { return m_view; }
     void setView(const FleetView &view) { m_view = view; }
     PlanContext context(TimePoint now);
 
--- a/Utilities/FleetFake/include/FleetFake/FleetFixture.h
+++ b/Utilities/FleetFake/include/FleetFake/FleetFixture.h
@@ -14,6 +14,7 @@
     unsigned budget = 2;
     Resources capacity = {8, 32, 0};
     unsigned backendServersPerHost = 0;
+    std::uint64_t nameSeed = 0; ///< above 0: names do not follow racks
 };
 
 /// Manifest with one team "team" of unlimited quota, one service a pool when there are backend
--- a/Utilities/Measure/OverheadClient.cpp
+++ b/Utilities/Measure/OverheadClient.cpp
@@ -51,8 +51,7 @@
 private:
     void planNext()
     {
-        const std::chrono::duration<double> gap(
-            m_random.exponential(m_load.threads / m_load.rate));
+        const std::chrono::duration<double> gap(m_random.exponential(m_load.threads / m_load.rate));
         m_next += std::chrono::duration_cast<Clock::duration>(gap);
         if (m_next >= m_end)
             return;
@@ -138,8 +137,7 @@
     for (auto &client : clients) {
         auto &part = client->result();
         total.failures += part.failures;
-        total.latencies.insert(total.latencies.end(), part.latencies.begin(),
-                               part.latencies.end());
+        total.latencies.insert(total.latencies.end(), part.latencies.begin(), part.latencies.end());
     }
     std::sort(total.latencies.begin(), total.latencies.end());
     return total;
--- a/Utilities/Measure/OverheadMeasurement.cpp
+++ b/Utilities/Measure/OverheadMeasurement.cpp
@@ -33,8 +33,7 @@
         }
         for (const char *name : {"entry", "backend", "control", "entry_pid", "backend_pid"}) {
             if (m_arguments.count(name) == 0) {
-                std::cerr << "overhead: missing " << name
-                          << "=...; run Meta/measure-overhead.sh\n";
+                std::cerr << "overhead: missing " << name << "=...; run Meta/measure-overhead.sh\n";
                 return 2;
             }
         }
@@ -123,9 +122,8 @@
         const OverheadResult direct = half("backend");
         const OverheadResult entry = half("entry");
         std::cout << "added_p50_us=" << entry.percentile(0.5) - direct.percentile(0.5)
-                  << " target=150 added_p99_us="
-                  << entry.percentile(0.99) - direct.percentile(0.99) << " target=1000"
-                  << std::endl;
+                  << " target=150 added_p99_us=" << entry.percentile(0.99) - direct.percentile(0.99)
+                  << " target=1000" << std::endl;
     }
 
     static std::string requestText(const std::string &method, const std::string &body)
@@ -140,8 +138,7 @@
     void setServiceTime(const std::string &microseconds)
     {
         asio::io_context context;
-        const auto connection
-            = std::make_shared<ClientConnection>(context, endpoint("control"));
+        const auto connection = std::make_shared<ClientConnection>(context, endpoint("control"));
         connection->exchange(requestText("POST", "{\"service_time_us\":" + microseconds + '}'),
                              false, std::chrono::seconds(5),
                              [connection](const Exchange &) { connection->close(); });
@@ -193,8 +190,9 @@
     double m_entryThroughput = 0;
 };
 
-const PluginRegistrar<MeasurementRegistry>
-    registrar("overhead", [] { return std::make_unique<OverheadMeasurement>(); });
+const PluginRegistrar<MeasurementRegistry> registrar("overhead", [] {
+    return std::make_unique<OverheadMeasurement>();
+});
 
 } // namespace
 
