Kernel: Limit the slots that claims in progress may hold

A claim holds its slot until the store answers. With a store that takes nearly a second, claims would hold every slot and idempotent requests would wait. At most half of the slots of a process now wait for claims; further requests that need a claim are set aside until one ends, so that they don't stand before idempotent requests of the same service. Leaving them at the head of their queue was ruled out for that reason.

--- a/Kernel/Request/RequestDispatcher.cpp
+++ b/Kernel/Request/RequestDispatcher.cpp
@@ -188,7 +188,7 @@
     const RefusalReason reason
         = late ? RefusalReason::DeadlineExceeded : RefusalReason::StoreUnavailable;
     if (request.phase == Phase::Queued) {
-        m_admission->remove(request.node);
+        removeFromQueue(request);
         if (request.claimed)
             releaseClaim(now, request, reason);
         else
@@ -245,6 +245,7 @@
     state["suspended"] = m_suspendedUntil.has_value();
     state["lease_live"] = leaseIsLive(now);
     state["open_requests"] = Json::UInt64(openRequests());
+    state["claims_in_progress"] = Json::UInt64(m_claiming);
     state["attempts_in_flight"] = Json::UInt64(m_attempts.size());
     state["invalid_peer_messages"] = Json::UInt64(m_invalidMessages);
     Json::Value &slots = state["slots"];
--- a/Kernel/Request/RequestDispatcher.h
+++ b/Kernel/Request/RequestDispatcher.h
@@ -8,6 +8,7 @@
 #include <Kernel/Request/RequestKernel.h>
 #include <Kernel/Request/RetryBudget.h>
 #include <Kernel/Request/ServiceCounters.h>
+#include <deque>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -70,6 +71,11 @@
     void enqueue(TimePoint now, RequestState &request, bool front);
     void dispatchWaiting(TimePoint now);
     bool startNext(TimePoint now);
+    void park(TimePoint now, RequestState &request);
+    void unpark();
+    std::size_t claimLimit() const;
+    void endClaiming(RequestState &request);
+    void removeFromQueue(RequestState &request);
     void start(TimePoint now, RequestState &request);
     void dispatch(TimePoint now, RequestState &request);
     void freeSlot(TimePoint now, RequestState &request, AttemptVerdict verdict);
@@ -114,6 +120,8 @@
     std::unordered_set<std::string> m_members;
     std::vector<RequestAction> m_actions;
     std::vector<ServiceIndex> m_blocked; ///< services without a usable server, in one pass
+    std::deque<RequestToken> m_parked; ///< may claim when another claim has ended; may be gone
+    std::size_t m_claiming = 0;
     Duration m_attemptLimit;
     TimePoint m_leaseEnd;
     TimePoint m_lastEvent;
--- a/Kernel/Request/RequestExecution.cpp
+++ b/Kernel/Request/RequestExecution.cpp
@@ -9,7 +9,7 @@
 /// Attempts of one request.
 constexpr unsigned attemptCountLimit = 4;
 /// A claim that is not written after this time counts as failed.
-constexpr Duration claimLimit = std::chrono::seconds(1);
+constexpr Duration claimTimeLimit = std::chrono::seconds(1);
 constexpr int firstServerError = 500;
 /// An attempt that timed out speaks against its server when it ran for this many typical times.
 constexpr int slowAttemptFactor = 4;
@@ -51,6 +51,7 @@
 {
     if (m_suspendedUntil)
         return;
+    unpark();
     m_blocked.clear();
     while (m_admission->waiting() > 0 && m_pool.hasFreeServer()) {
         if (!startNext(now))
@@ -82,6 +83,10 @@
         refuse(now, request, RefusalReason::StoreUnavailable);
         return true;
     }
+    if (needsClaim && m_claiming >= claimLimit()) {
+        park(now, request);
+        return true;
+    }
     request.reservation = m_pool.reserve(now, request.service, request.idempotent, request.avoid);
     if (!request.reservation) {
         m_admission->pushFront(*node);
@@ -93,6 +98,44 @@
     return true;
 }
 
+std::size_t RequestDispatcher::claimLimit() const
+{
+    // While the store is slow, claims must not hold the slots that idempotent requests need.
+    return std::max<std::size_t>(1, static_cast<std::size_t>(m_pool.capacity()) / 2);
+}
+
+void RequestDispatcher::park(TimePoint now, RequestState &request)
+{
+    if (m_parked.size() >= m_settings.queueLimit)
+        refuse(now, request, RefusalReason::QueueFull);
+    else
+        m_parked.push_back(request.token);
+}
+
+void RequestDispatcher::unpark()
+{
+    for (std::size_t room = claimLimit(); room > m_claiming && !m_parked.empty();) {
+        RequestState *request = find(m_parked.front());
+        m_parked.pop_front();
+        if (!request || request->phase != Phase::Queued || request->node.queued)
+            continue;
+        m_admission->pushFront(request->node);
+        --room;
+    }
+}
+
+void RequestDispatcher::endClaiming(RequestState &request)
+{
+    m_claiming -= request.claiming ? 1 : 0;
+    request.claiming = false;
+}
+
+void RequestDispatcher::removeFromQueue(RequestState &request)
+{
+    if (request.node.queued)
+        m_admission->remove(request.node);
+}
+
 void RequestDispatcher::start(TimePoint now, RequestState &request)
 {
     clearTimer(request);
@@ -101,7 +144,9 @@
         return;
     }
     request.phase = Phase::Claiming;
-    setTimer(request, std::min(request.deadline, now + claimLimit));
+    request.claiming = true;
+    ++m_claiming;
+    setTimer(request, std::min(request.deadline, now + claimTimeLimit));
     m_claims.breaker().mayCall(now);
     m_claims.claim(now, request.token);
 }
@@ -109,6 +154,7 @@
 void RequestDispatcher::dispatch(TimePoint now, RequestState &request)
 {
     clearTimer(request);
+    endClaiming(request);
     // The process may have been frozen since the claim: without a live lease the other processes
     // treat its claims as lost.
     if (!request.idempotent && !leaseIsLive(now)) {
@@ -148,6 +194,7 @@
 {
     if (!request.reservation)
         return;
+    endClaiming(request);
     m_pool.release(now, *request.reservation, verdict);
     m_admission->slotReleased(request.service);
     request.reservation.reset();
@@ -291,7 +338,7 @@
     request->cancelled = true;
     ++m_services[request->service].counters.cancelled;
     if (request->phase == Phase::Queued) {
-        m_admission->remove(request->node);
+        removeFromQueue(*request);
         if (request->claimed)
             releaseClaim(now, *request, RefusalReason::None);
         else
--- a/Kernel/Request/RequestState.h
+++ b/Kernel/Request/RequestState.h
@@ -25,6 +25,7 @@
     bool claimed = false; ///< its claim row is written by this process
     bool mayHaveRun = false; ///< an earlier attempt has an unknown result
     bool cancelled = false;
+    bool claiming = false; ///< counts as a claim in progress
     RefusalReason reason = RefusalReason::None; ///< of the last failed attempt, or of the release
     ServiceIndex service = 0;
     unsigned attempts = 0;
--- a/Kernel/include/Kernel/Request/SlotTable.h
+++ b/Kernel/include/Kernel/Request/SlotTable.h
@@ -35,7 +35,10 @@
     ServerIndex server = 0;
     std::uint32_t slot = 0;
 
-    auto operator<=>(const SlotReference &) const = default;
+    bool operator<(const SlotReference &other) const
+    {
+        return server != other.server ? server < other.server : slot < other.slot;
+    }
 };
 
 /// Divides the slots of \a server among \a members by rendezvous hashing: each member gets an equal
--- a/Tests/Kernel/Request/TestClaims.cpp
+++ b/Tests/Kernel/Request/TestClaims.cpp
@@ -1,6 +1,7 @@
 #include "KernelDriver.h"
 
 #include <Kernel/Request/ClaimRecord.h>
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace Peridot;
@@ -56,7 +57,7 @@
 /// Sends a request through \a entry until it runs.
 RequestDescription startRequest(KernelDriver &entry)
 {
-    const auto request = entry.describe("treasury", false);
+    auto request = entry.describe("treasury", false);
     entry.arrive(request);
     entry.serveStore();
     REQUIRE(entry.attempts.size() == 1);
@@ -314,6 +315,44 @@
     }
 }
 
+TEST_CASE_METHOD(Fixture, "Claims at a slow store leave slots to idempotent requests")
+{
+    RequestToken last = 0;
+    for (int count = 0; count < 30; ++count)
+        last = first.arrive(first.describe("treasury", false));
+    const auto claimsInProgress = [&] {
+        return std::count_if(first.commits.begin(), first.commits.end(), [](const auto &commit) {
+            return commit.check.expected == absentVersion;
+        });
+    };
+    // Half of the eight slots that this process owns.
+    CHECK(claimsInProgress() == 4);
+    first.arrive(first.describe("treasury", true));
+    CHECK(first.attempts.size() == 1);
+    first.finish();
+
+    SECTION("the others claim when a claim has ended")
+    {
+        while (first.answerCount < 31) {
+            REQUIRE(claimsInProgress() <= 4);
+            first.serveCommit();
+            while (!first.attempts.empty())
+                first.finish();
+        }
+        first.serveStore();
+        CHECK(first.kernel->openRequests() == 0);
+    }
+    SECTION("a waiting one can be cancelled, and its deadline counts")
+    {
+        first.kernel->requestCancelled(first.now, last);
+        first.collect();
+        CHECK(first.answered(last));
+        first.kernel->leaseChanged(first.now, first.now);
+        first.advance(10s);
+        CHECK(first.answerCount == 31);
+    }
+}
+
 TEST_CASE_METHOD(Fixture, "The outcome of a running request is recorded after its caller is gone")
 {
     const auto request = startRequest(first);
--- a/Utilities/Measure/RequestSimulation.cpp
+++ b/Utilities/Measure/RequestSimulation.cpp
@@ -294,11 +294,11 @@
 
 void RequestSimulation::take(unsigned entry)
 {
-    for (RequestAction &action : m_entries[entry].kernel->takeActions())
-        std::visit([this, entry](auto &value) { act(entry, std::move(value)); }, action);
+    for (const RequestAction &action : m_entries[entry].kernel->takeActions())
+        std::visit([this, entry](const auto &value) { act(entry, value); }, action);
 }
 
-void RequestSimulation::act(unsigned entry, StartAttempt action)
+void RequestSimulation::act(unsigned entry, const StartAttempt &action)
 {
     Call &call = m_calls.at(action.token);
     m_waiting -= call.waiting ? 1 : 0;
@@ -363,7 +363,7 @@
     });
 }
 
-void RequestSimulation::act(unsigned, AnswerRequest action)
+void RequestSimulation::act(unsigned, const AnswerRequest &action)
 {
     const auto found = m_calls.find(action.token);
     const Call &call = found->second;
@@ -376,7 +376,7 @@
     m_calls.erase(found);
 }
 
-void RequestSimulation::act(unsigned entry, ReadClaim action)
+void RequestSimulation::act(unsigned entry, const ReadClaim &action)
 {
     at(m_now + m_settings.storeDelay, [this, entry, action] {
         const auto found = m_rows.find(action.key);
@@ -387,7 +387,7 @@
     });
 }
 
-void RequestSimulation::act(unsigned entry, CommitClaim action)
+void RequestSimulation::act(unsigned entry, const CommitClaim &action)
 {
     at(m_now + m_settings.storeDelay, [this, entry, action] {
         Row &row = m_rows[action.write.key];
@@ -404,7 +404,7 @@
     });
 }
 
-void RequestSimulation::act(unsigned entry, SendPeerMessage action)
+void RequestSimulation::act(unsigned entry, const SendPeerMessage &action)
 {
     ++m_peerMessages;
     const unsigned receiver = m_entryIndex.at(action.instance);
--- a/Utilities/Measure/RequestSimulation.h
+++ b/Utilities/Measure/RequestSimulation.h
@@ -164,11 +164,11 @@
     void tick(unsigned entry);
     void sample();
     void take(unsigned entry);
-    void act(unsigned entry, StartAttempt action);
-    void act(unsigned entry, ReadClaim action);
-    void act(unsigned entry, CommitClaim action);
-    void act(unsigned entry, AnswerRequest action);
-    void act(unsigned entry, SendPeerMessage action);
+    void act(unsigned entry, const StartAttempt &action);
+    void act(unsigned entry, const ReadClaim &action);
+    void act(unsigned entry, const CommitClaim &action);
+    void act(unsigned entry, const AnswerRequest &action);
+    void act(unsigned entry, const SendPeerMessage &action);
     void attemptArrived(Attempt attempt);
     void execute(Attempt attempt);
 
