--- a/Utilities/Measure/FloodMeasurement.cpp
+++ b/Utilities/Measure/FloodMeasurement.cpp
@@ -117,7 +117,7 @@
         const SimulatedResult &own = flood.results[flooding];
         const bool met = figures.goodput >= goodputTarget && figures.p99 <= p99Target
                          && flood.busySlots() >= busyTarget;
-        std::cout << fmt::format(
+        lines += fmt::format(
             "measure=flood deployment={} policy={} flood_service={} "
             "flood_urgency={} others_goodput_ratio={:.4f} "
             "others_p99_ratio={:.2f} slots_in_use={:.3f} "
