--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -93,7 +93,7 @@
     server.port = m_settings.administration.port;
     HttpServerHooks hooks;
     hooks.onRequest
-        = [this](RequestMessage message, const std::shared_ptr<HttpResponder> &responder) {
+        = [this](const RequestMessage &message, const std::shared_ptr<HttpResponder> &responder) {
               handleAdministration(message, responder);
           };
     BOOST_LEAF_ASSIGN(m_administration, HttpServer::start(server, std::move(hooks)));
