Kernel: Keep renewals and proposals of the configuration lease apart

A proposal checks the version of the lease row, so a renewal in between made it conflict, be resolved by a read and be sent again.

--- a/Kernel/Membership/ConfigurationProposer.cpp
+++ b/Kernel/Membership/ConfigurationProposer.cpp
@@ -155,7 +155,8 @@
         finishProposal({proposal.ticket, ProposalStatus::NotHolder, 0, {}, {}});
         return std::nullopt;
     }
-    if (!m_follower.headKnown())
+    // A renewal under way changes the row version that this write would check.
+    if (!m_follower.headKnown() || !m_lease.idle())
         return std::nullopt;
     const std::uint64_t version = proposal.parent + 1;
     if (m_operation.empty())
--- a/Kernel/Membership/LeaseKeeper.cpp
+++ b/Kernel/Membership/LeaseKeeper.cpp
@@ -70,6 +70,8 @@
     if (holdsRow()) {
         if (now < m_nextRenewal && !m_renewSoon)
             return std::nullopt;
+        if (m_deferred && now < m_nextRenewal + m_settings.timing.leaseRenewal)
+            return std::nullopt;
         return writeTransaction(now, m_row.epoch, false);
     }
     if (!m_wanted || !isFree(now))
--- a/Kernel/Membership/MembershipNode.cpp
+++ b/Kernel/Membership/MembershipNode.cpp
@@ -142,6 +142,7 @@
 std::vector<MembershipNode::PendingRequest> MembershipNode::takeStoreRequests(TimePoint now)
 {
     std::vector<PendingRequest> requests;
+    m_configurationLease.setDeferred(!m_proposer.idle());
     for (auto *protocol : protocols()) {
         if (auto request = protocol->takeRequest(now))
             requests.push_back({protocol, std::move(*request)});
--- a/Kernel/include/Kernel/Membership/LeaseKeeper.h
+++ b/Kernel/include/Kernel/Membership/LeaseKeeper.h
@@ -49,6 +49,9 @@
     /// Writes the row at the next opportunity instead of at the renewal period.
     void renewSoon() { m_renewSoon = true; }
     void setGuard(LeaseGuard guard);
+    /// Puts a renewal off by up to one renewal period, while a write is under way that checks the
+    /// row version of the lease and would conflict with the renewal.
+    void setDeferred(bool deferred) { m_deferred = deferred; }
 
     /// Feeds a row that another part of the process read, for example by a scan.
     void observe(TimePoint now, const Row &row);
@@ -98,6 +101,7 @@
     bool m_releasing = false;
     bool m_releaseDone = false;
     bool m_renewSoon = false;
+    bool m_deferred = false;
     bool m_mustRead = true;
     bool m_guardConflict = false;
     std::optional<HeldLease> m_held;
--- a/Services/Fleet/OperatorConfiguration.cpp
+++ b/Services/Fleet/OperatorConfiguration.cpp
@@ -84,7 +84,7 @@
     const std::string manifest = parameters["manifest"].asString();
     const bool named = parameters["parent"].isUInt64();
     const std::uint64_t parent = named ? parameters["parent"].asUInt64() : 0;
-    const Json::Value proposed = await([&](ReplyCallback reply) {
+    Json::Value proposed = await([&](const ReplyCallback &reply) {
         m_agent.post(
             [this, author, manifest, named, parent, reply](MembershipNode &node, TimePoint) {
                 Proposal proposal;
@@ -108,7 +108,7 @@
     result["version"] = Json::UInt64(version);
     const auto limit = std::chrono::steady_clock::now() + acceptanceLimit;
     while (std::chrono::steady_clock::now() < limit) {
-        const Json::Value head = await([this](ReplyCallback reply) {
+        const Json::Value head = await([this](const ReplyCallback &reply) {
             m_agent.post([reply](MembershipNode &node, TimePoint) {
                 const ConfigurationHead &newest = node.configuration().head();
                 Json::Value value(Json::objectValue);
--- a/Services/Fleet/OperatorService.cpp
+++ b/Services/Fleet/OperatorService.cpp
@@ -121,7 +121,7 @@
 
 Json::Value OperatorService::onFleetThread(std::function<Reply()> work)
 {
-    return await([&](ReplyCallback reply) {
+    return await([&](const ReplyCallback &reply) {
         asio::post(m_context,
                    [work = std::move(work), reply = std::move(reply)] { reply(work()); });
     });
@@ -142,16 +142,16 @@
     wish.now = m_planner.now();
     wish.operationId = operationId(wish.now);
     const std::string subject = parameters.get("host", parameters.get("pool", "")).asString();
-    return await([&](ReplyCallback reply) {
+    return await([&](const ReplyCallback &reply) {
         asio::post(m_context, [this, wish, action, subject, planner, reply] {
             commitCommand(wish, action, subject, planner, 0, reply);
         });
     });
 }
 
-void OperatorService::commitCommand(OperatorCommand command, std::string action,
-                                    std::string subject, Planner planner, unsigned attempt,
-                                    ReplyCallback reply)
+void OperatorService::commitCommand(const OperatorCommand &command, const std::string &action,
+                                    const std::string &subject, const Planner &planner,
+                                    unsigned attempt, const ReplyCallback &reply)
 {
     std::optional<Error> failure;
     Transaction transaction = valueOrElse([&] { return planner(command); },
@@ -207,7 +207,7 @@
     Json::Value pools = onFleetThread([this] {
         return Reply{poolStatusesToJson(poolStatuses(m_planner.view(), m_planner.now())), {}, {}};
     });
-    Json::Value result = await([this](ReplyCallback reply) {
+    Json::Value result = await([this](const ReplyCallback &reply) {
         m_agent.post([reply](MembershipNode &node, TimePoint now) {
             reply({node.dumpState(now), {}, {}});
         });
--- a/Services/Fleet/OperatorService.h
+++ b/Services/Fleet/OperatorService.h
@@ -53,8 +53,9 @@
     Json::Value explain(const Json::Value &parameters);
     Json::Value command(const std::string &author, const std::string &action,
                         const Json::Value &parameters, Planner planner);
-    void commitCommand(OperatorCommand command, std::string action, std::string subject,
-                       Planner planner, unsigned attempt, ReplyCallback reply);
+    void commitCommand(const OperatorCommand &command, const std::string &action,
+                       const std::string &subject, const Planner &planner, unsigned attempt,
+                       const ReplyCallback &reply);
     std::string operationId(TimePoint now);
 
     std::vector<OperatorAccess> m_operators;
--- a/Tests/Kernel/Membership/MembershipInvariants.h
+++ b/Tests/Kernel/Membership/MembershipInvariants.h
@@ -2,6 +2,7 @@
 
 #include <VirtualMembers/VirtualMembers.h>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,12 +42,12 @@
         for (const auto &[name, lease] : member.node->heldLeases(m_members.clockOf(member))) {
             const auto holder = holders.emplace(name, member.instance).first->second;
             if (holder != member.instance)
-                fail("two holders of " + name + ": " + holder + " and " + member.instance);
+                fail(fmt::format("two holders of {}: {} and {}", name, holder, member.instance));
             const auto key = std::make_pair(name, lease.fencingEpoch);
             const auto first = m_epochs.emplace(key, member.instance).first->second;
             if (first != member.instance)
-                fail("epoch " + std::to_string(lease.fencingEpoch) + " of " + name + " used by "
-                     + first + " and " + member.instance);
+                fail(fmt::format("epoch {} of {} used by {} and {}", lease.fencingEpoch, name,
+                                 first, member.instance));
         }
     }
 
--- a/Tests/Kernel/Membership/MembershipScenario.h
+++ b/Tests/Kernel/Membership/MembershipScenario.h
@@ -21,7 +21,7 @@
             m_members.members()[m_members.fleetIndex(index)].node->setSharedLeases({"pool-a"});
     }
 
-    void injectInto(Fault fault)
+    void injectInto(const Fault &fault)
     {
         m_members.store().setFaultHook([this, fault](Peridot::StoreCallKind, std::uint64_t index) {
             m_calls = index + 1;
--- a/Tests/Kernel/Membership/TestFaultMatrix.cpp
+++ b/Tests/Kernel/Membership/TestFaultMatrix.cpp
@@ -80,7 +80,7 @@
 std::string runWith(const MatrixFault &fault, std::set<std::uint64_t> steps,
                     VirtualMembersSettings settings)
 {
-    MembershipScenario scenario(std::move(settings));
+    MembershipScenario scenario(settings);
     TimePoint reviveAt{};
     scenario.injectInto([&](MembershipScenario::Members &members, std::uint64_t step) {
         if (!steps.empty() && step > *steps.rbegin())
--- a/Utilities/Control/ControlOutput.cpp
+++ b/Utilities/Control/ControlOutput.cpp
@@ -26,6 +26,7 @@
                         const std::vector<std::vector<std::string>> &rows)
 {
     std::vector<std::size_t> widths;
+    widths.reserve(header.size());
     for (const auto &cell : header)
         widths.push_back(cell.size());
     for (const auto &row : rows) {
--- a/Utilities/VirtualMembers/VirtualMembers.cpp
+++ b/Utilities/VirtualMembers/VirtualMembers.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 VirtualMembers::VirtualMembers(VirtualMembersSettings settings)
-    : m_settings(std::move(settings)), m_random(m_settings.seed), m_store(m_settings.seed),
+    : m_settings(settings), m_random(m_settings.seed), m_store(m_settings.seed),
       m_nextTick(startTime)
 {
     m_store.advanceTo(startTime);
