--- a/Services/Fleet/OperatorService.cpp
+++ b/Services/Fleet/OperatorService.cpp
@@ -122,8 +122,7 @@
 Json::Value OperatorService::onFleetThread(std::function<Reply()> work)
 {
     return await([&](const ReplyCallback &reply) {
-        asio::post(m_context,
-                   [work = std::move(work), reply = std::move(reply)] { reply(work()); });
+        asio::post(m_context, [work = std::move(work), reply] { reply(work()); });
     });
 }
 
