--- a/Kernel/Fleet/HostSteps.cpp
+++ b/Kernel/Fleet/HostSteps.cpp
@@ -64,7 +64,7 @@
 }
 
 HostSteps::HostSteps(const FleetView &view, const PoolScope &scope, TimePoint now, LedgerStep &step)
-    : m_view(view), m_scope(scope), m_now(now), m_step(step), m_health(view, *scope.pool, now)
+    : m_view(view), m_now(now), m_step(step), m_health(view, *scope.pool, now)
 {
 }
 
--- a/Kernel/Fleet/HostSteps.h
+++ b/Kernel/Fleet/HostSteps.h
@@ -38,7 +38,6 @@
     bool provedItself(const FleetView::Host &host) const;
 
     const FleetView &m_view;
-    const PoolScope &m_scope;
     TimePoint m_now;
     LedgerStep &m_step;
     PoolHealth m_health;
