--- a/Utilities/Measure/PlacementMeasurement.cpp
+++ b/Utilities/Measure/PlacementMeasurement.cpp
@@ -47,8 +47,8 @@
     fmt::print("measure=placement table=buffer deployment={} policy={} buffer_hosts={:.2f} "
                "lower_bound_hosts={} ratio={:.3f} target_ratio={} met={} "
                "rack_failure_tasks_all_placed_again={}\n",
-               deployment.name, policy, buffer, bound, ratio, bufferTarget, ratio <= bufferTarget,
-               survives);
+               deployment.name, policy, buffer, bound, ratio, bufferTarget,
+               ratio <= bufferTarget && survives, survives);
 }
 
 void PlacementMeasurement::measureMoves(const FleetDeployment &deployment,
