Kernel, Fleet: Delete expired claim rows; print both bounds of a roll-out

Claim rows were kept for ever, so the number of records was not bounded. The holder of the lease configuration now deletes rows whose request id is older than the retention and a margin. The roll-out measurement prints the ratio to the bound without the budget that outages use, and judges the target by that one. Findings of the linter are fixed.

--- a/Kernel/Fleet/ManifestDifference.cpp
+++ b/Kernel/Fleet/ManifestDifference.cpp
@@ -103,7 +103,8 @@
         members[member] = 0;
     for (const auto &[member, unused] : members) {
         if (before[member] != after[member])
-            changes.push_back({ManifestChangeKind::Changed, path + "/" + member,
+            changes.push_back({ManifestChangeKind::Changed,
+                               std::string(path).append("/").append(member),
                                before.isMember(member) ? writeJson(before[member]) : std::string(),
                                after.isMember(member) ? writeJson(after[member]) : std::string()});
     }
@@ -118,7 +119,7 @@
     for (const auto &entry : after)
         entries[entry.name].second = encode(entry);
     for (const auto &[name, pair] : entries) {
-        const auto entryPath = path + "/" + name;
+        const auto entryPath = std::string(path).append("/").append(name);
         if (pair.first.isNull())
             changes.push_back({ManifestChangeKind::Added, entryPath, {}, writeJson(pair.second)});
         else if (pair.second.isNull())
--- a/Kernel/Fleet/PoolHealth.cpp
+++ b/Kernel/Fleet/PoolHealth.cpp
@@ -89,7 +89,7 @@
         for (const auto &name : m_view.domainHosts(dataCentre, rack))
             countHost(domain, *m_view.host(name));
         if (isFailing(domain, minimumFailedInRack))
-            return dataCentre + "/" + rack;
+            return std::string(dataCentre).append("/").append(rack);
     }
     return std::nullopt;
 }
--- a/Kernel/Request/ClaimRecord.cpp
+++ b/Kernel/Request/ClaimRecord.cpp
@@ -1,7 +1,7 @@
 #include "MessageJson.h"
 
 #include <Kernel/Request/ClaimRecord.h>
-
+#include <Kernel/Request/ClaimSweep.h>
 #include <Kernel/Request/RequestIdentifier.h>
 #include <boost/algorithm/hex.hpp>
 #include <boost/locale/encoding_utf.hpp>
@@ -123,7 +123,7 @@
 
 std::string claimKey(const std::string &service, const std::string &requestId)
 {
-    return "request/" + service + '/' + canonicalRequestId(requestId);
+    return std::string(claimPrefix) + service + '/' + canonicalRequestId(requestId);
 }
 
 } // namespace Peridot
--- /dev/null
+++ b/Kernel/include/Kernel/Request/ClaimSweep.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibBase/Time.h>
+#include <LibStore/Transaction.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+/// Key prefix of all claim rows.
+constexpr std::string_view claimPrefix = "request/";
+
+/// A claim row is deleted this long after the creation time of its request id: the time for which
+/// an id is accepted, plus a margin for clocks of entry processes that are apart.
+constexpr Duration claimDeletionAge = std::chrono::hours(24) + std::chrono::minutes(10);
+
+/// Next step of the deletion of expired claim rows.
+struct ClaimSweepStep
+{
+    std::optional<Transaction> deletion; ///< of the expired rows of the page
+    std::string startAfter; ///< where the next scan starts; empty: the sweep is complete
+};
+
+/// Decides about one page of a scan of the claim rows in key order. The rows of one service are
+/// ordered by creation time, because request ids are UUIDv7, so the first row that has not expired
+/// ends the service and the sweep goes on behind it. A repeat of a request whose row is deleted is
+/// refused by the age of its id and never runs again.
+ClaimSweepStep planClaimSweep(const std::vector<Row> &page, bool more, TimePoint now);
+
+} // namespace Peridot
--- a/Meta/peridot.sh
+++ b/Meta/peridot.sh
@@ -19,7 +19,8 @@
   lint [FILE...]    run clang-tidy; warnings are errors
   sanitize KIND [CTEST-ARGUMENT...]
                     build and run tests under: address,undefined | thread
-  measure NAME      print key=value lines: flood | overhead | rollout | placement | config | store | slopes
+  measure NAME      print key=value lines: flood | overhead | rollout | placement | config | store |
+                    request-slopes | fleet-slopes
 USAGE
 }
 
@@ -92,6 +93,8 @@
 
 measure() {
     build
+    # This measurement needs real processes, which a script starts.
+    [ "${1:-}" != overhead ] || exec Meta/measure-overhead.sh "${@:2}"
     exec "$build_directory/Utilities/Measure/peridot-measure" "$@"
 }
 
--- a/Services/Fleet/FleetProcess.cpp
+++ b/Services/Fleet/FleetProcess.cpp
@@ -66,7 +66,9 @@
       m_fleetHttpStore(m_fleetChannel),
       m_fleetStore(m_fleetContext, m_fleetHttpStore, pacerSettings(m_settings), 1, processNow),
       m_platform(m_fleetChannel),
-      m_planner(m_fleetContext, m_fleetStore, m_platform, plannerSettings(m_settings, m_instance))
+      m_planner(m_fleetContext, m_fleetStore, m_platform, plannerSettings(m_settings, m_instance)),
+      m_sweeper(m_fleetContext, m_fleetStore, processNow,
+                [this] { return m_holdsConfiguration.load(); })
 {
 }
 
@@ -128,6 +130,7 @@
                              + std::to_string(m_settings.operatorPort));
     m_agent->setServiceAddress(m_settings.operatorAddress + ':' + std::to_string(m_rpc->port()));
     BOOST_LEAF_CHECK(m_planner.start());
+    m_sweeper.start();
     BOOST_LEAF_CHECK(m_agent->start());
     m_fleetThread = std::thread([this] { m_fleetContext.run(); });
     m_started = true;
@@ -143,6 +146,7 @@
     m_rpc->stop();
     asio::post(m_fleetContext, [this] {
         m_planner.stop();
+        m_sweeper.stop();
         m_fleetContext.stop();
     });
     m_fleetThread.join();
@@ -195,7 +199,7 @@
         });
     }
     auto leases = node.heldLeases(now);
-    leases.erase(configurationLeaseName);
+    m_holdsConfiguration = leases.erase(configurationLeaseName) != 0;
     m_heldLeases = leases.size();
     asio::post(m_fleetContext, [this, leases = std::move(leases)] {
         m_planner.setLeases(leases);
--- a/Services/Fleet/FleetProcess.h
+++ b/Services/Fleet/FleetProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ClaimSweeper.h"
 #include "FleetMetrics.h"
 #include "FleetPlanner.h"
 #include "FleetSettings.h"
@@ -52,6 +53,7 @@
     PacedStore m_fleetStore;
     PlatformClient m_platform;
     FleetPlanner m_planner;
+    ClaimSweeper m_sweeper;
     std::unique_ptr<RpcServer> m_rpc;
     PacedStore *m_agentStore = nullptr; ///< owned by the agent
     std::unique_ptr<MembershipAgent> m_agent;
@@ -62,6 +64,7 @@
     std::vector<std::string> m_poolLeases; ///< thread of the planner
     std::atomic<std::size_t> m_heldLeases{0};
     std::atomic<std::uint64_t> m_version{0};
+    std::atomic<bool> m_holdsConfiguration{false}; ///< this process sweeps the claim rows
     bool m_started = false;
 };
 
--- a/Tests/Kernel/Fleet/FleetChecker.cpp
+++ b/Tests/Kernel/Fleet/FleetChecker.cpp
@@ -106,7 +106,11 @@
             if (!ledgerOf.emplace(name, pool).second)
                 return "host " + name + " is counted twice";
             if (!hosts.contains(name) || (*hosts.at(name))["pool"].asString() != pool)
-                return "pool " + pool + " counts host " + name + " of another pool";
+                return std::string("pool ")
+                    .append(pool)
+                    .append(" counts host ")
+                    .append(name)
+                    .append(" of another pool");
         }
         if ((*ledger)["permits"].size() > m_budgets.at(pool))
             return "pool " + pool + " has more permits than its budget";
@@ -121,12 +125,14 @@
         }
         if (!pools.contains(pool))
             return "host " + name + " is in a pool without a ledger";
-        const auto ledger = pools.at(pool);
+        const auto &ledger = pools.at(pool);
         if (isPlannedAbsence(state) && !(*ledger)["permits"].isMember(name))
-            return "host " + name + " is " + state + " without a permit";
+            return std::string("host ").append(name).append(" is ").append(state).append(
+                " without a permit");
         if ((state == "failed" || state == "quarantined")
             && !(*ledger)["unavailable"].isMember(name))
-            return "host " + name + " is " + state + " and not counted";
+            return std::string("host ").append(name).append(" is ").append(state).append(
+                " and not counted");
         if (state == "returning" && !ledgerOf.contains(name))
             return "host " + name + " is returning and not counted";
     }
@@ -209,7 +215,12 @@
         for (const auto &task : worker.executingTasks()) {
             const auto [other, inserted] = executing.emplace(task, name);
             if (!inserted)
-                return "task " + task + " executes on " + name + " and " + other->second;
+                return std::string("task ")
+                    .append(task)
+                    .append(" executes on ")
+                    .append(name)
+                    .append(" and ")
+                    .append(other->second);
         }
     }
     for (const auto &[task, count] : m_finished) {
--- a/Tests/Kernel/Fleet/TestBrokenVariants.cpp
+++ b/Tests/Kernel/Fleet/TestBrokenVariants.cpp
@@ -137,7 +137,7 @@
     for (const auto &variant : variants) {
         const auto violation = firstViolation(variant.breakage);
         INFO(variant.name << ": " << violation);
-        CHECK(violation != "");
+        CHECK_FALSE(violation.empty());
         CHECK(violation.find("goal") == std::string::npos);
     }
 }
--- a/Tests/Kernel/Fleet/TestFaultMatrix.cpp
+++ b/Tests/Kernel/Fleet/TestFaultMatrix.cpp
@@ -10,15 +10,15 @@
         FaultRun plain(scenario, Fault::None, {}, matrixSeed);
         const auto verdict = plain.run();
         INFO(plain.state());
-        REQUIRE(verdict == "");
+        REQUIRE_THAT(verdict, Catch::Equals(""));
         const auto steps = plain.steps();
         REQUIRE(steps > 5);
         for (const auto &[fault, name] : faultNames.entries) {
             for (unsigned step = 1; step <= steps; ++step) {
                 FaultRun once(scenario, fault, {step}, matrixSeed + step);
-                CHECK(once.run() == "");
+                CHECK_THAT(once.run(), Catch::Equals(""));
                 FaultRun twice(scenario, fault, {step, step + 1}, matrixSeed + step);
-                CHECK(twice.run() == "");
+                CHECK_THAT(twice.run(), Catch::Equals(""));
             }
         }
     }
--- a/Utilities/FleetFake/FleetDriver.cpp
+++ b/Utilities/FleetFake/FleetDriver.cpp
@@ -143,7 +143,7 @@
 
 CommitResult FleetDriver::commit(const Transaction &transaction, TimePoint now)
 {
-    const auto result = m_table.commit(transaction);
+    auto result = m_table.commit(transaction);
     if (result.status == CommitStatus::Committed) {
         m_view.applyCommitted(transaction, result.revision, now).value();
     } else {
--- a/Utilities/Measure/ClaimLoad.cpp
+++ b/Utilities/Measure/ClaimLoad.cpp
@@ -35,7 +35,7 @@
     m_store.setLatency(std::chrono::milliseconds(2), std::chrono::milliseconds(2));
     for (std::size_t index = 0; index < entryHosts; ++index) {
         Host host;
-        host.pacer = std::make_unique<StorePacer>(StorePacerSettings{}, index);
+        host.pacer = std::make_unique<StorePacer>(claimPacing({}), index);
         host.pacer->setProcesses(startTime, entryHosts);
         GroupCommitterSettings settings;
         settings.instance = "entry-" + std::to_string(index);
--- a/Utilities/Measure/OverheadClient.cpp
+++ b/Utilities/Measure/OverheadClient.cpp
@@ -126,6 +126,7 @@
 {
     std::vector<std::unique_ptr<ClientThread>> clients;
     std::vector<std::thread> threads;
+    threads.reserve(load.threads);
     for (unsigned index = 0; index < load.threads; ++index)
         clients.push_back(std::make_unique<ClientThread>(load, index));
     for (auto &client : clients)
--- a/Utilities/Measure/OverheadMeasurement.cpp
+++ b/Utilities/Measure/OverheadMeasurement.cpp
@@ -108,7 +108,7 @@
     {
         OverheadLoad halfLoad = load(server);
         halfLoad.rate = m_entryThroughput / 2;
-        const OverheadResult result = runOverheadLoad(halfLoad);
+        OverheadResult result = runOverheadLoad(halfLoad);
         std::cout << "path=" << (server == "entry" ? "entry" : "direct")
                   << " load=half rate=" << halfLoad.rate
                   << " requests_per_s=" << result.throughput()
--- a/Utilities/Measure/PlacementModel.cpp
+++ b/Utilities/Measure/PlacementModel.cpp
@@ -112,7 +112,8 @@
 void PlacementModel::fill(double share, Urgency urgency)
 {
     const auto &options = m_deployment.options;
-    const double hostsPerPool = static_cast<double>(options.hosts) / options.pools.size();
+    const double hostsPerPool
+        = static_cast<double>(options.hosts) / static_cast<double>(options.pools.size());
     for (const auto &pool : options.pools)
         addTasks(pool, static_cast<unsigned>(hostsPerPool * tasksPerHost * share), urgency);
     run(std::chrono::seconds(8));
--- a/Utilities/Measure/RolloutMeasurement.cpp
+++ b/Utilities/Measure/RolloutMeasurement.cpp
@@ -32,10 +32,12 @@
         const double ratio = result.seconds / result.lowerBoundSeconds;
         worst = std::max(worst, ratio);
         fmt::print("measure=rollout deployment={} policy={} failing_hosts={} seed={} finished={} "
-                   "seconds={:.1f} lower_bound_s={:.1f} ratio={:.3f} most_unavailable_in_pool={} "
+                   "seconds={:.1f} lower_bound_s={:.1f} ratio={:.3f} "
+                   "outage_bound_s={:.1f} outage_ratio={:.3f} most_unavailable_in_pool={} "
                    "most_racks={} tasks={} task_moves={} cut_tasks={}\n",
                    options.deployment.name, policy, options.failures, seed, result.finished,
-                   result.seconds, result.lowerBoundSeconds, ratio, result.mostUnavailable,
+                   result.seconds, result.lowerBoundSeconds, ratio, result.outageBoundSeconds,
+                   result.seconds / result.outageBoundSeconds, result.mostUnavailable,
                    result.mostRacks, result.tasks, result.taskMoves, result.cutTasks);
     }
     if (target)
--- a/Utilities/Measure/RolloutModel.cpp
+++ b/Utilities/Measure/RolloutModel.cpp
@@ -81,7 +81,7 @@
 void RolloutModel::planFailures()
 {
     // All failures begin while a wave at the budget is under way.
-    const auto window = static_cast<std::uint64_t>(lowerBound() * 0.6);
+    const auto window = static_cast<std::uint64_t>(lowerBound(false) * 0.6);
     std::set<std::string> chosen;
     while (chosen.size() < m_options.failures)
         chosen.insert(m_manifest->hosts[m_random.below(m_manifest->hosts.size())].name);
@@ -126,7 +126,7 @@
     result.mostRacks = std::max(result.mostRacks, racks.size());
 }
 
-double RolloutModel::lowerBound() const
+double RolloutModel::lowerBound(bool countOutages) const
 {
     const double reboot = toSeconds(timing.reboot) + toSeconds(returnDelay);
     const double drain = toSeconds(routingDelay) + toSeconds(m_manifest->services.front().deadline);
@@ -149,8 +149,9 @@
             // failed is empty and needs no drain.
             const bool doneBefore = m_doneBeforeFailure.contains(host.name);
             const double beside = toSeconds(doubtAfter) + drain + reboot;
+            const double outageUse = std::max(0.0, toSeconds(outage) - beside);
             busy.push_back((doneBefore ? drain + reboot : reboot)
-                           + std::max(0.0, toSeconds(outage) - beside));
+                           + (countOutages ? outageUse : 0.0));
             if (!doneBefore)
                 latest = std::max(latest, toSeconds(failure->end - m_start) + reboot);
         }
@@ -185,7 +186,8 @@
                              [&](const Failure &failure) { return m_now >= failure.end; });
     }
     result.seconds = toSeconds(m_now - m_start);
-    result.lowerBoundSeconds = lowerBound();
+    result.lowerBoundSeconds = lowerBound(false);
+    result.outageBoundSeconds = lowerBound(true);
     result.taskMoves = m_starts - std::min(m_starts, result.tasks);
     for (const auto &[name, worker] : m_fleet.workers)
         result.cutTasks += worker.cutTasks();
--- a/Utilities/Measure/RolloutModel.h
+++ b/Utilities/Measure/RolloutModel.h
@@ -17,7 +17,8 @@
 struct RolloutResult
 {
     double seconds = 0;
-    double lowerBoundSeconds = 0;
+    double lowerBoundSeconds = 0; ///< by budget, drain and reboot times alone
+    double outageBoundSeconds = 0; ///< the same with the budget that outages use
     bool finished = false;
     std::size_t mostUnavailable = 0; ///< hosts of one pool, by its ledger
     std::size_t mostRacks = 0; ///< racks with hosts out of service for the wave at once
@@ -48,7 +49,7 @@
     void applyFailures();
     bool isDone() const;
     void observe(RolloutResult &result);
-    double lowerBound() const;
+    double lowerBound(bool countOutages) const;
 
     RolloutOptions m_options;
     std::shared_ptr<Manifest> m_manifest;
