Fleet: Observe borrowed hosts of the pools that a process acts for

Cause: the drain of a lent host never ended when another process held the lease of the borrowing pool. That process read worker reports of its own pool's hosts only, so it never saw that the checkpointed task had stopped, and the loan stayed. Ruled out: lease changes (the row was stable for 55 s) and the store (all writes were committed). Seen in end-to-end-fleet-wave in two of three runs: one host stayed draining, and the wave did not end within 180 s.

--- a/Kernel/Fleet/FleetView.cpp
+++ b/Kernel/Fleet/FleetView.cpp
@@ -69,6 +69,25 @@
     return names;
 }
 
+std::set<std::string> FleetView::observedHosts(const std::string &pool) const
+{
+    const Pool *entry = this->pool(pool);
+    if (!entry)
+        return {};
+    std::set<std::string> hosts = entry->hosts;
+    hosts.insert(entry->unadmittedHosts.begin(), entry->unadmittedHosts.end());
+    for (const auto &name : entry->jobs) {
+        const Job *job = this->job(name);
+        if (!job || !job->record)
+            continue;
+        for (const auto &task : job->record->tasks) {
+            if (!task.host.empty())
+                hosts.insert(task.host);
+        }
+    }
+    return hosts;
+}
+
 const std::set<std::string> &FleetView::domainHosts(const std::string &dataCentre,
                                                     const std::string &rack) const
 {
--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -110,6 +110,10 @@
     const std::set<std::string> &domainHosts(const std::string &dataCentre,
                                              const std::string &rack) const;
 
+    /// Hosts whose tasks the holder of the lease of \a pool must observe: its hosts, and hosts of
+    /// other pools that execute tasks of its jobs.
+    std::set<std::string> observedHosts(const std::string &pool) const;
+
     /// Pools whose hosts, jobs, rows or reports changed since the last call. A process plans these
     /// at once, and all its pools at its regular interval for changes that only time brings.
     std::set<std::string> takeChangedPools();
--- a/Libraries/LibBase/include/LibBase/Log.h
+++ b/Libraries/LibBase/include/LibBase/Log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/EnumTable.h>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -9,6 +10,13 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
+constexpr auto logLevelNames = makeEnumTable<LogLevel>({
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+});
+
 /// One key=value pair of a log line.
 struct LogField
 {
--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -1,61 +1,10 @@
 # Shell functions that run a whole small system on loopback. Sourced by demo.sh and the end-to-end tests.
-# The caller sets build (build directory), work (run directory) and then calls cluster_start.
+# The caller sets build (build directory), calls
+# begin_run and then cluster_start.
 
-declare -gA process_of=()
-operator_token=demo-operator-token
-next_port=$((20000 + RANDOM % 8000))
+source Meta/processes.sh
 
-# Ports come from a range below the ephemeral ports, so that no outgoing connection has them.
-free_port() {
-    while :; do
-        next_port=$((next_port + 1))
-        (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null || break
-    done
-    port="$next_port"
-}
-
-wait_for_port() {
-    for _ in $(seq 400); do
-        (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null && return
-        sleep 0.05
-    done
-    echo "nothing listens on port $1" >&2
-    return 1
-}
-
-wait_until() { # SECONDS COMMAND...
-    local tries=$(($1 * 5))
-    shift
-    for _ in $(seq "$tries"); do
-        "$@" > /dev/null 2>&1 && return
-        sleep 0.2
-    done
-    echo "timed out waiting for: $*" >&2
-    return 1
-}
-
-start() { # NAME PROGRAM [ARGUMENT...]
-    local name="$1"
-    shift
-    "$@" >> "$work/$name.log" 2>&1 &
-    process_of[$name]=$!
-}
-
-# Stops a process gracefully and checks its exit status.
-stop() { # NAME
-    kill -TERM "${process_of[$1]}"
-    wait "${process_of[$1]}"
-    unset "process_of[$1]"
-}
-
-kill_everything() {
-    local process
-    for process in "${process_of[@]}"; do
-        kill -CONT "$process" 2>/dev/null || true
-        kill -KILL "$process" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-}
+operator_token=demo-operator-token
 
 platform_control() { # JSON
     curl -sf -X POST -d "$1" "http://127.0.0.1:$platform_port/control" > /dev/null
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -6,19 +6,8 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
 readonly build="$1"
-work="$(mktemp -d)"
 source Meta/cluster.sh
-
-finish() {
-    local status=$?
-    kill_everything
-    if [ "$status" -ne 0 ]; then
-        echo "demo failed; last log lines:"
-        grep -hv request-finished "$work"/*.log | tail -n 40 || true
-    fi
-    rm -rf "$work"
-}
-trap finish EXIT
+begin_run
 
 echo '== start: platform, 10 backend servers, 3 entry and 2 fleet processes; apply the manifest'
 cluster_start kallada 10 3 2 4
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -43,15 +43,6 @@
     return std::make_unique<GroupedClaims>(instance, std::move(store), std::move(executor), limits);
 }
 
-LogLevel parseLogLevel(const std::string &name)
-{
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warning")
-        return LogLevel::Warning;
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 sigset_t stopSignals()
 {
     sigset_t signals;
@@ -64,7 +55,7 @@
 Result<int> run(const std::string &path, bool checkOnly)
 {
     BOOST_LEAF_AUTO(settings, loadEntrySettings(path));
-    configureLog(parseLogLevel(settings.logLevel));
+    configureLog(logLevelNames.valueOf(settings.logLevel).value_or(LogLevel::Info));
     if (checkOnly) {
         std::cout << "settings are valid\n";
         return 0;
--- a/Services/Fleet/FleetPlanner.cpp
+++ b/Services/Fleet/FleetPlanner.cpp
@@ -242,14 +242,12 @@
 
 std::vector<std::string> FleetPlanner::hostsOfHeldPools() const
 {
-    std::vector<std::string> hosts;
+    std::set<std::string> hosts;
     for (const auto &[name, pool] : m_view.pools()) {
-        if (m_leases.count(poolLeaseName(name)) == 0)
-            continue;
-        hosts.insert(hosts.end(), pool.hosts.begin(), pool.hosts.end());
-        hosts.insert(hosts.end(), pool.unadmittedHosts.begin(), pool.unadmittedHosts.end());
+        if (m_leases.count(poolLeaseName(name)) != 0)
+            hosts.merge(m_view.observedHosts(name));
     }
-    return hosts;
+    return {hosts.begin(), hosts.end()};
 }
 
 void FleetPlanner::readReports()
--- a/Services/Fleet/FleetSettings.cpp
+++ b/Services/Fleet/FleetSettings.cpp
@@ -36,15 +36,6 @@
   }
 })";
 
-LogLevel parseLogLevel(const std::string &name)
-{
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warning")
-        return LogLevel::Warning;
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 } // namespace
 
 Result<FleetSettings> loadFleetSettings(const std::string &path)
@@ -69,7 +60,8 @@
     settings.readsPerSecond = value.get("reads_per_second", settings.readsPerSecond).asDouble();
     settings.planPeriod = std::chrono::milliseconds(value.get("plan_period_ms", 500).asInt64());
     settings.placementPolicy = value.get("placement_policy", "peridot").asString();
-    settings.logLevel = parseLogLevel(value.get("log_level", "info").asString());
+    settings.logLevel
+        = logLevelNames.valueOf(value["log_level"].asString()).value_or(LogLevel::Info);
     settings.timing = membershipTimingFor(std::chrono::seconds(value.get("lease_s", 10).asInt64()));
     return settings;
 }
--- a/Tests/EndToEnd/fleet-wave.sh
+++ b/Tests/EndToEnd/fleet-wave.sh
@@ -7,18 +7,8 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 
 readonly build="$1"
-work="$(mktemp -d)"
 source Meta/cluster.sh
-
-finish() {
-    local status=$?
-    kill_everything
-    if [ "$status" -ne 0 ]; then
-        grep -hv request-finished "$work"/fleet*.log "$work"/entry*.log "$work"/check.log | tail -n 60 || true
-    fi
-    rm -rf "$work"
-}
-trap finish EXIT
+begin_run
 
 all_maintained() {
     curl -sf "http://127.0.0.1:$platform_port/control/state" | python3 -c '
--- a/Tests/EndToEnd/request-path.sh
+++ b/Tests/EndToEnd/request-path.sh
@@ -5,51 +5,11 @@
 set -euo pipefail
 
 readonly build="$1"
-work="$(mktemp -d)"
-declare -A process_of=()
+source "$(dirname "${BASH_SOURCE[0]}")/../../Meta/processes.sh"
+begin_run
 
 log() { printf '%s\n' "$*"; }
 
-stop_all() {
-    local status=$?
-    for process in "${process_of[@]}"; do
-        kill -CONT "$process" 2>/dev/null || true
-        kill -KILL "$process" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    if [ "$status" -ne 0 ]; then
-        tail -n 20 "$work"/*.log | grep -v request-finished || true
-    fi
-    rm -rf "$work"
-}
-trap stop_all EXIT
-
-# Ports are taken from a range below the ephemeral ports, so that no outgoing connection has them.
-next_port=$((20000 + RANDOM % 10000))
-free_port() {
-    while :; do
-        next_port=$((next_port + 1))
-        (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null || break
-    done
-    port="$next_port"
-}
-
-wait_for_port() {
-    for _ in $(seq 400); do
-        (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null && return
-        sleep 0.05
-    done
-    log "nothing listens on port $1"
-    return 1
-}
-
-start() { # NAME PROGRAM [ARGUMENT...]
-    local name="$1"
-    shift
-    "$@" >> "$work/$name.log" 2>&1 &
-    process_of[$name]=$!
-}
-
 # ---- set-up -------------------------------------------------------------------------------------
 
 free_port; platform="$port"
