StandIns: Report the end of a task that was never started

Cause: a task whose host started to drain before its Start was sent went to checkpointing and then to stopping, but the worker stand-in did not report a task that it never had, so the drain waited for the 5 min lease of the task. Seen in end-to-end-fleet-wave: the worker reported no tasks, the job row said stopping.

--- a/StandIns/Platform/SimulatedWorker.cpp
+++ b/StandIns/Platform/SimulatedWorker.cpp
@@ -47,12 +47,8 @@
     if (command.kind == WorkerCommandKind::Start)
         return start(now, command);
     const auto found = m_tasks.find(command.task);
-    if (found == m_tasks.end()) {
-        // A stop also holds for a start with the same epoch that is still on its way.
-        if (command.kind == WorkerCommandKind::Stop)
-            m_endedEpochs[command.task] = command.epoch;
-        return {command.kind == WorkerCommandKind::Stop, "no-such-task"};
-    }
+    if (found == m_tasks.end())
+        return endUnknown(now, command);
     switch (command.kind) {
     case WorkerCommandKind::Checkpoint:
         return checkpoint(now, found->second);
@@ -64,6 +60,19 @@
     }
 }
 
+CommandReply SimulatedWorker::endUnknown(TimePoint now, const WorkerCommand &command)
+{
+    if (command.kind == WorkerCommandKind::Throttle)
+        return {false, "no-such-task"};
+    // A start with the same epoch that is still on its way has no effect any more. The report says
+    // so; otherwise the caller would wait for the end of the task's lease.
+    Task &task = m_tasks[command.task];
+    task.report.task = command.task;
+    task.report.epoch = command.epoch;
+    end(now, task, TaskState::Stopped);
+    return {true, "no-such-task"};
+}
+
 CommandReply SimulatedWorker::reboot(TimePoint now, std::uint64_t epoch)
 {
     if (epoch < m_rebootEpoch)
--- a/StandIns/Platform/SimulatedWorker.h
+++ b/StandIns/Platform/SimulatedWorker.h
@@ -59,6 +59,7 @@
 
     CommandReply reboot(TimePoint now, std::uint64_t epoch);
     CommandReply start(TimePoint now, const WorkerCommand &command);
+    CommandReply endUnknown(TimePoint now, const WorkerCommand &command);
     CommandReply checkpoint(TimePoint now, Task &task);
     CommandReply throttle(TimePoint now, Task &task, const Resources &limit);
     CommandReply stop(TimePoint now, Task &task);
