LibBase, LibMembership: Share what entry and fleet processes wrote twice

Instance names, the comparison of tokens, the clock of a process, the number of live processes and the number of store users each stood in both services. One piece serves both now. A process without membership also takes its time from processNow(), which never steps back either.

--- a/Kernel/Membership/MembershipNode.cpp
+++ b/Kernel/Membership/MembershipNode.cpp
@@ -273,6 +273,12 @@
     return held->end;
 }
 
+std::size_t MembershipNode::liveProcesses(TimePoint now) const
+{
+    return liveInstances(now, MemberRole::Entry).size()
+           + liveInstances(now, MemberRole::Fleet).size();
+}
+
 std::vector<std::string> MembershipNode::liveInstances(TimePoint now, MemberRole role) const
 {
     std::vector<std::string> result;
--- a/Kernel/include/Kernel/Membership/MembershipNode.h
+++ b/Kernel/include/Kernel/Membership/MembershipNode.h
@@ -74,6 +74,8 @@
     std::string leaseHolder(const std::string &name) const;
     /// Live members with this role, including this process when it has the role.
     std::vector<std::string> liveInstances(TimePoint now, MemberRole role) const;
+    /// Number of live members of both roles.
+    std::size_t liveProcesses(TimePoint now) const;
     Json::Value dumpState(TimePoint now);
 
 private:
--- a/Libraries/LibMembership/include/LibMembership/PacedStore.h
+++ b/Libraries/LibMembership/include/LibMembership/PacedStore.h
@@ -13,6 +13,10 @@
 
 namespace Peridot {
 
+/// Fleet processes use the store for membership and for planning, entry processes for membership
+/// and host rows. The control part of the limits is divided evenly over these users.
+constexpr std::size_t storeUsersPerProcess = 2;
+
 /// Store that keeps the calls of this process within its share of the limits of the table service.
 /// Calls wait in one queue for writes and one for reads. Used on the thread of the context only,
 /// where the inner store must run its callbacks as well.
--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -121,7 +121,7 @@
     done
 }
 
-services_of() { # DEPLOYMENT
+services_of() {
     python3 -c 'import json, sys; print(",".join(s["name"] for s in json.load(open(sys.argv[1]))["services"]))' \
         "$work/manifest.json"
 }
--- a/Services/Entry/EntryControl.cpp
+++ b/Services/Entry/EntryControl.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-// Fleet processes use the store for membership and for planning; the limits are divided evenly over
-// these users.
-constexpr std::size_t storeUsersPerProcess = 2;
-
 HttpChannelSettings channelSettings(const EntrySettings &settings, const std::string &instance)
 {
     HttpChannelSettings channel;
@@ -146,8 +142,7 @@
 
 void EntryControl::agentTicked(MembershipNode &node, TimePoint now)
 {
-    const std::size_t processes = node.liveInstances(now, MemberRole::Entry).size()
-                                  + node.liveInstances(now, MemberRole::Fleet).size();
+    const std::size_t processes = node.liveProcesses(now);
     if (processes == m_processes || processes == 0)
         return;
     m_processes = processes;
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -1,8 +1,10 @@
 #include "EntryProcess.h"
 
-#include "InstanceName.h"
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibBase/Token.h>
+#include <LibMembership/InstanceName.h>
+#include <LibMembership/ProcessClock.h>
 #include <condition_variable>
 #include <mutex>
 
@@ -14,26 +16,6 @@
 constexpr std::chrono::milliseconds writePollInterval{5};
 constexpr std::chrono::seconds refusalRetryAfter{1};
 
-// The wall clock may be set back; deadlines and claims need time that only moves forward.
-Clock forwardClock()
-{
-    const auto wall = std::chrono::system_clock::now();
-    const auto steady = std::chrono::steady_clock::now();
-    return [wall, steady] {
-        return TimePoint(std::chrono::duration_cast<Duration>(wall.time_since_epoch())
-                         + (std::chrono::steady_clock::now() - steady));
-    };
-}
-
-bool equalInConstantTime(const std::string &left, const std::string &right)
-{
-    unsigned difference = left.size() == right.size() ? 0 : 1;
-    for (std::size_t index = 0; index < left.size(); ++index)
-        difference |= static_cast<unsigned char>(left[index])
-                      ^ static_cast<unsigned char>(right.empty() ? 0 : right[index % right.size()]);
-    return difference == 0;
-}
-
 } // namespace
 
 EntryProcess::EntryProcess(const EntrySettings &settings, Parts parts)
@@ -42,7 +24,7 @@
       m_log(settings.logLevel == "info" || settings.logLevel == "debug")
 {
     if (!m_parts.clock)
-        m_parts.clock = forwardClock();
+        m_parts.clock = processNow;
     if (!m_parts.mayServe)
         m_parts.mayServe = [this] {
             return m_parts.clock().time_since_epoch().count() < m_leaseEnd;
@@ -235,7 +217,7 @@
 {
     const std::string *authorization = findHeader(message.headers, "Authorization");
     if (authorization == nullptr
-        || !equalInConstantTime(*authorization, "Bearer " + m_settings.operatorToken))
+        || !equalTokens(*authorization, "Bearer " + m_settings.operatorToken))
         return responder->send(
             {401, {{"WWW-Authenticate", "Bearer"}}, "operator token required\n"});
     const std::string unready = unreadyReason();
--- a/Services/Fleet/FleetProcess.cpp
+++ b/Services/Fleet/FleetProcess.cpp
@@ -3,9 +3,9 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibMembership/InstanceName.h>
 #include <LibStore/AsioExecutor.h>
 #include <asio/post.hpp>
-#include <cstdio>
 #include <future>
 #include <random>
 #include <utility>
@@ -17,18 +17,6 @@
 // Longest time a page waits for the thread of the planner.
 constexpr auto pageLimit = std::chrono::seconds(5);
 
-// Two parts of each process use the store: membership and planning.
-constexpr std::size_t storeUsersPerProcess = 2;
-
-std::string uniqueName(const std::string &prefix)
-{
-    char suffix[40];
-    std::snprintf(suffix, sizeof suffix, "-%llx-%08x",
-                  static_cast<unsigned long long>(toUnixMilliseconds(processNow())),
-                  std::random_device{}());
-    return prefix + suffix;
-}
-
 HttpChannelSettings channelSettings(const FleetSettings &settings, const std::string &instance)
 {
     HttpChannelSettings channel;
@@ -59,7 +47,7 @@
 } // namespace
 
 FleetProcess::FleetProcess(FleetSettings settings)
-    : m_settings(std::move(settings)), m_instance(uniqueName(m_settings.instancePrefix)),
+    : m_settings(std::move(settings)), m_instance(makeInstanceName(m_settings.instancePrefix)),
       m_work(asio::make_work_guard(m_fleetContext)),
       m_fleetChannel(std::make_shared<HttpChannel>(channelSettings(m_settings, m_instance),
                                                    asioExecutor(m_fleetContext.get_executor()))),
@@ -189,8 +177,7 @@
 void FleetProcess::agentTicked(MembershipNode &node, TimePoint now)
 {
     m_operators->deliverProposals(node);
-    const std::size_t processes = node.liveInstances(now, MemberRole::Entry).size()
-                                  + node.liveInstances(now, MemberRole::Fleet).size();
+    const std::size_t processes = node.liveProcesses(now);
     if (processes != m_processes) {
         m_processes = processes;
         m_agentStore->setProcesses(processes * storeUsersPerProcess);
--- a/Services/Fleet/OperatorService.cpp
+++ b/Services/Fleet/OperatorService.cpp
@@ -3,6 +3,7 @@
 #include "FleetStatus.h"
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibBase/Token.h>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <future>
@@ -17,15 +18,6 @@
 constexpr auto retryDelay = std::chrono::milliseconds(200);
 constexpr unsigned commitAttempts = 10;
 
-/// Compares in a time that does not depend on where the texts differ.
-bool sameToken(const std::string &left, const std::string &right)
-{
-    unsigned difference = left.size() == right.size() ? 0 : 1;
-    for (std::size_t index = 0; index < std::min(left.size(), right.size()); ++index)
-        difference |= static_cast<unsigned char>(left[index] ^ right[index]);
-    return difference == 0;
-}
-
 [[noreturn]] void fail(const Error &error, const Json::Value &data = {})
 {
     throw RpcError{std::string(errorCodeNames.nameOf(error.code)), error.field, error.detail, data};
@@ -54,7 +46,7 @@
                                   ? parameters["token"].asString()
                                   : std::string();
     for (const auto &access : m_operators) {
-        if (sameToken(access.token, token))
+        if (equalTokens(access.token, token))
             return access.name;
     }
     return {};
--- a/Tests/LibBase/TestBase.cpp
+++ b/Tests/LibBase/TestBase.cpp
@@ -2,6 +2,7 @@
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibBase/PluginRegistry.h>
+#include <LibBase/Token.h>
 #include <catch2/catch.hpp>
 
 using namespace Peridot;
@@ -63,6 +64,15 @@
     REQUIRE(isLogged(LogLevel::Error));
 }
 
+TEST_CASE("A token is accepted only as a whole")
+{
+    // Guards against a comparison that stops at the shorter text.
+    REQUIRE(equalTokens("secret-token", "secret-token"));
+    REQUIRE_FALSE(equalTokens("secret-token", "secret"));
+    REQUIRE_FALSE(equalTokens("secret-token", "secret-tokem"));
+    REQUIRE_FALSE(equalTokens("secret-token", ""));
+}
+
 TEST_CASE("An unknown plug-in is a typed error")
 {
     struct Interface
