LibHttp: Create connections on the accepting thread

Cause: with separate_accept_and_create_connect, RESTinio posts the creation of each connection to the context, so that two server threads run it at once. It numbers connections with a plain counter; two connections could get the same number, and a response could be booked to the wrong one.

Ruled out: a race in our connection table (it locks) and a fault of the test (the race is between two threads of the server alone).

Now one accept at a time creates its connection itself. The new test opens 200 connections from four threads.

--- a/Libraries/LibHttp/RestinioServer.cpp
+++ b/Libraries/LibHttp/RestinioServer.cpp
@@ -190,8 +190,10 @@
                 options.set_option(asio::ip::tcp::no_delay{true});
             })
             .max_parallel_connections(m_settings.maximumConnections)
+            // RESTinio numbers connections with a plain counter. One accept at a time that also
+            // creates the connection keeps two threads from changing it at once.
             .concurrent_accepts_count(1)
-            .separate_accept_and_create_connect(true)
+            .separate_accept_and_create_connect(false)
             .max_pipelined_requests(pipelinedRequests)
             .read_next_http_message_timelimit(m_settings.readTimeout)
             .write_http_response_timelimit(writeLimit)
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 using namespace Peridot;
 
@@ -77,11 +78,11 @@
 
 struct ServerFixture
 {
-    ServerFixture()
+    explicit ServerFixture(std::chrono::milliseconds readTimeout = std::chrono::milliseconds(300))
     {
         HttpServerSettings settings;
         settings.threads = 2;
-        settings.readTimeout = std::chrono::milliseconds(300);
+        settings.readTimeout = readTimeout;
         HttpServerHooks hooks;
         hooks.onRequest = [this](const RequestMessage &request,
                                  const std::shared_ptr<HttpResponder> &responder) {
@@ -214,6 +215,42 @@
     responder->send({200, {}, "late"});
 }
 
+// Guards against a data race on the connection counter of RESTinio, which ThreadSanitizer reports
+// when two threads of the server create connections at the same time.
+TEST_CASE("Connections that arrive at once are served by several threads")
+{
+    constexpr int clients = 4;
+    constexpr int connectionsPerClient = 50;
+    ServerFixture fixture(patience);
+    std::atomic<int> served{0};
+    std::vector<std::thread> threads;
+    threads.reserve(clients);
+    for (int client = 0; client < clients; ++client) {
+        threads.emplace_back([&] {
+            asio::io_context context;
+            std::vector<asio::ip::tcp::socket> sockets;
+            for (int index = 0; index < connectionsPerClient; ++index) {
+                sockets.emplace_back(context);
+                sockets.back().connect(
+                    {asio::ip::make_address("127.0.0.1"), fixture.server->port()});
+            }
+            for (auto &socket : sockets) {
+                asio::error_code ignored;
+                asio::write(
+                    socket,
+                    asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")),
+                    ignored);
+                std::string received;
+                asio::read(socket, asio::dynamic_buffer(received), ignored);
+                served += received.find("HTTP/1.1 200") == 0 ? 1 : 0;
+            }
+        });
+    }
+    for (auto &thread : threads)
+        thread.join();
+    REQUIRE(served == clients * connectionsPerClient);
+}
+
 TEST_CASE("A port in use is a typed error")
 {
     ServerFixture fixture;
