FleetView, LibMembership: Share what entry and fleet processes derive alike

Entry and fleet processes each found the rows that a scan no longer returns and each parsed the manifest of a version and logged a malformed one, under two event names. FleetView::absentRows() and parseConfigurationManifest() now do both; the event is configuration-malformed in either process.

--- a/Kernel/Fleet/FleetView.cpp
+++ b/Kernel/Fleet/FleetView.cpp
@@ -3,6 +3,7 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/FleetTiming.h>
 #include <algorithm>
+#include <unordered_set>
 
 namespace Peridot {
 
@@ -129,6 +130,36 @@
     return {};
 }
 
+std::vector<Row> FleetView::absentRows(const std::vector<Row> &scanned,
+                                       const std::vector<std::string> &prefixes) const
+{
+    std::unordered_set<std::string_view> present;
+    for (const auto &row : scanned)
+        present.insert(row.key);
+    std::vector<Row> absent;
+    const auto addUnlessPresent = [&](std::string_view prefix, const std::string &name) {
+        auto key = rowKey(prefix, name);
+        if (present.count(key) == 0)
+            absent.push_back({std::move(key), absentVersion, {}});
+    };
+    for (const std::string_view prefix : prefixes) {
+        for (const auto &[name, host] : m_hosts) {
+            if ((prefix == hostPrefix && host.record)
+                || (prefix == drainRequestPrefix && host.drainRequest))
+                addUnlessPresent(prefix, name);
+        }
+        for (const auto &[name, pool] : m_pools) {
+            if (prefix == poolPrefix && pool.record)
+                addUnlessPresent(prefix, name);
+        }
+        for (const auto &[name, job] : m_jobs) {
+            if (prefix == jobPrefix && job.record)
+                addUnlessPresent(prefix, name);
+        }
+    }
+    return absent;
+}
+
 Result<void> FleetView::applyCommitted(const Transaction &transaction, Version revision,
                                        TimePoint observed)
 {
--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -81,6 +81,11 @@
     /// was planned.
     Result<void> applyRows(const std::vector<Row> &rows, TimePoint observed);
 
+    /// Absent rows for the hosts, pools, jobs and drain requests that this view knows and that a
+    /// complete scan of \a prefixes did not return. A scan does not state deletions.
+    std::vector<Row> absentRows(const std::vector<Row> &scanned,
+                                const std::vector<std::string> &prefixes) const;
+
     /// Applies the result of a committed transaction without reading the rows back.
     Result<void> applyCommitted(const Transaction &transaction, Version revision,
                                 TimePoint observed);
--- a/Services/Entry/EntryControl.cpp
+++ b/Services/Entry/EntryControl.cpp
@@ -1,6 +1,7 @@
 #include "EntryControl.h"
 
 #include <LibBase/Log.h>
+#include <LibMembership/ConfigurationManifest.h>
 #include <LibMembership/ProcessClock.h>
 #include <LibStore/AsioExecutor.h>
 #include <LibStore/HttpStore.h>
@@ -126,18 +127,11 @@
 
 void EntryControl::configurationChanged(std::uint64_t version, const std::string &manifest)
 {
-    valueOrElse(
-        [&]() -> Result<int> {
-            BOOST_LEAF_AUTO(parsed, parseManifest(manifest));
-            m_watcher->setManifest(std::make_shared<const Manifest>(std::move(parsed)), version);
-            logEvent(LogLevel::Info, "configuration-in-force", {{"version", version}});
-            return 0;
-        },
-        [&](const Error &error) {
-            logEvent(LogLevel::Error, "configuration-malformed",
-                     {{"version", version}, {"error", describe(error)}});
-            return 0;
-        });
+    auto parsed = parseConfigurationManifest(version, manifest);
+    if (!parsed)
+        return;
+    m_watcher->setManifest(std::move(parsed), version);
+    logEvent(LogLevel::Info, "configuration-in-force", {{"version", version}});
 }
 
 void EntryControl::agentTicked(MembershipNode &node, TimePoint now)
--- a/Services/Entry/HostWatcher.cpp
+++ b/Services/Entry/HostWatcher.cpp
@@ -3,7 +3,6 @@
 #include <Kernel/Fleet/BuildRoutingTable.h>
 #include <Kernel/Fleet/FleetKeys.h>
 #include <LibBase/Log.h>
-#include <set>
 #include <utility>
 
 namespace Peridot {
@@ -77,14 +76,8 @@
 
 void HostWatcher::scanFinished()
 {
-    std::set<std::string> present;
-    for (const Row &row : m_scanned)
-        present.insert(row.key);
-    for (const auto &[name, host] : m_view.hosts()) {
-        const std::string key = rowKey(hostPrefix, name);
-        if (host.record && present.count(key) == 0)
-            m_scanned.push_back({key, absentVersion, {}});
-    }
+    const auto absent = m_view.absentRows(m_scanned, {std::string(hostPrefix)});
+    m_scanned.insert(m_scanned.end(), absent.begin(), absent.end());
     valueOrElse(
         [&]() -> Result<int> {
             BOOST_LEAF_CHECK(m_view.applyRows(m_scanned, m_clock()));
--- a/Services/Fleet/FleetPlanner.cpp
+++ b/Services/Fleet/FleetPlanner.cpp
@@ -140,10 +140,8 @@
 
 void FleetPlanner::scanFinished(const std::vector<std::string> &prefixes)
 {
-    std::set<std::string> present;
-    for (const auto &row : m_scanned)
-        present.insert(row.key);
-    addAbsentRows(present, prefixes);
+    const auto absent = m_view.absentRows(m_scanned, prefixes);
+    m_scanned.insert(m_scanned.end(), absent.begin(), absent.end());
     apply(m_scanned);
     m_nextChangeScan = now() + m_settings.changeScan;
     if (prefixes.size() == allPrefixes.size()) {
@@ -153,27 +151,6 @@
     readReports();
 }
 
-void FleetPlanner::addAbsentRows(const std::set<std::string> &present,
-                                 const std::vector<std::string> &prefixes)
-{
-    const auto scanned = [&](std::string_view prefix) {
-        return std::find(prefixes.begin(), prefixes.end(), prefix) != prefixes.end();
-    };
-    const auto add = [&](std::string_view prefix, const std::string &name) {
-        const auto key = rowKey(prefix, name);
-        if (scanned(prefix) && present.count(key) == 0)
-            m_scanned.push_back({key, absentVersion, {}});
-    };
-    for (const auto &[name, host] : m_view.hosts()) {
-        add(hostPrefix, name);
-        add(drainRequestPrefix, name);
-    }
-    for (const auto &[name, pool] : m_view.pools())
-        add(poolPrefix, name);
-    for (const auto &[name, job] : m_view.jobs())
-        add(jobPrefix, name);
-}
-
 void FleetPlanner::apply(const std::vector<Row> &rows)
 {
     for (const auto &row : rows) {
--- a/Services/Fleet/FleetPlanner.h
+++ b/Services/Fleet/FleetPlanner.h
@@ -73,8 +73,6 @@
     void schedule(Duration delay);
     void scan(std::vector<std::string> prefixes, std::size_t index, const std::string &startAfter);
     void scanFinished(const std::vector<std::string> &prefixes);
-    void addAbsentRows(const std::set<std::string> &present,
-                       const std::vector<std::string> &prefixes);
     void readReports();
     void readWorkers(std::map<std::string, HostReport> listed);
     void plan(std::size_t index);
--- a/Services/Fleet/FleetProcess.cpp
+++ b/Services/Fleet/FleetProcess.cpp
@@ -3,6 +3,7 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibMembership/ConfigurationManifest.h>
 #include <LibMembership/InstanceName.h>
 #include <LibStore/AsioExecutor.h>
 #include <asio/post.hpp>
@@ -146,21 +147,13 @@
 void FleetProcess::configurationChanged(std::uint64_t version, const std::string &manifest)
 {
     m_version = version;
-    valueOrElse(
-        [&]() -> Result<int> {
-            BOOST_LEAF_AUTO(parsed, parseManifest(manifest));
-            auto shared = std::make_shared<const Manifest>(std::move(parsed));
-            asio::post(m_fleetContext, [this, shared, version] {
-                m_planner.setManifest(shared, version);
-                updateSharedLeases();
-            });
-            return 0;
-        },
-        [&](const Error &error) {
-            logEvent(LogLevel::Error, "manifest-unusable",
-                     {{"version", version}, {"error", describe(error)}});
-            return 0;
-        });
+    auto parsed = parseConfigurationManifest(version, manifest);
+    if (!parsed)
+        return;
+    asio::post(m_fleetContext, [this, parsed = std::move(parsed), version] {
+        m_planner.setManifest(parsed, version);
+        updateSharedLeases();
+    });
 }
 
 void FleetProcess::updateSharedLeases()
