LibHttp, LibRpc: Speak TLS to callers and operators

RESTinio's TLS socket was ruled out as it is: it cannot send the typed response to refused input, and it sets no limit on the handshake, so that a caller that never sends one holds a connection for ever. RefusingSocket therefore carries the stream itself, and a handshake has the time of a request. The connector of libjsonrpccpp's client was ruled out because it cannot be told which authority signed a certificate; RpcTransport on libcurl replaces it.

Certificates are read again at SIGHUP. Files that cannot be used leave the former certificate in use. libmicrohttpd takes a certificate only at its start, so the operators' server is started again on its port, after a trial of the files.

--- a/Libraries/LibHttp/RefusingSocket.h
+++ b/Libraries/LibHttp/RefusingSocket.h
@@ -2,42 +2,61 @@
 
 #include "LingeringClose.h"
 #include "RefusalService.h"
+#include "TlsHandshake.h"
+#include "TlsService.h"
 #include <asio/bind_executor.hpp>
 #include <asio/ip/tcp.hpp>
+#include <memory>
 #include <utility>
 
 namespace Peridot {
 
 /// TCP socket for RESTinio that answers refused input before it is closed. RESTinio closes the
 /// connection without a word after malformed input, an exceeded limit or a read timeout; a caller
-/// could not tell such an end from a crash.
+/// could not tell such an end from a crash. When the server has a certificate, the connection
+/// speaks TLS after startTls().
 class RefusingSocket : public asio::ip::tcp::socket
 {
 public:
     using Base = asio::ip::tcp::socket;
     using Base::Base;
 
+    /// The socket must not be moved afterwards.
+    void startTls(TlsContext context, std::chrono::milliseconds limit,
+                  TlsHandshake::Callback callback)
+    {
+        m_tlsContext = std::move(context);
+        m_tls = std::make_unique<TlsStream>(static_cast<Base &>(*this), *m_tlsContext);
+        TlsHandshake::start(*m_tls, limit, std::move(callback));
+    }
+
     template <typename Buffers, typename Handler>
     void async_read_some(const Buffers &buffers, Handler &&handler) // NOLINT(*-identifier-naming)
     {
         auto executor = asio::get_associated_executor(handler, get_executor());
-        Base::async_read_some(
-            buffers, asio::bind_executor(
-                         executor, [this, inner = std::forward<Handler>(handler)](
-                                       const asio::error_code &error, std::size_t length) mutable {
-                             if (error)
-                                 m_readFailed = true;
-                             else
-                                 m_unansweredBytes += length;
-                             inner(error, length);
-                         }));
+        auto whenRead = asio::bind_executor(
+            executor, [this, inner = std::forward<Handler>(handler)](const asio::error_code &error,
+                                                                     std::size_t length) mutable {
+                if (error)
+                    m_readFailed = true;
+                else
+                    m_unansweredBytes += length;
+                inner(error, length);
+            });
+        if (m_tls)
+            m_tls->async_read_some(buffers, std::move(whenRead));
+        else
+            Base::async_read_some(buffers, std::move(whenRead));
     }
 
     template <typename Buffers, typename Handler>
     void async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(*-identifier-naming)
     {
         m_unansweredBytes = 0;
-        Base::async_write_some(buffers, std::forward<Handler>(handler));
+        if (m_tls)
+            m_tls->async_write_some(buffers, std::forward<Handler>(handler));
+        else
+            Base::async_write_some(buffers, std::forward<Handler>(handler));
     }
 
     asio::error_code shutdown(shutdown_type what, asio::error_code &error)
@@ -50,11 +69,22 @@
         if (refusal.empty() || !is_open())
             return Base::shutdown(what, error);
         cancel(error);
+        if (m_tls)
+            encryptAndSend(std::exchange(refusal, {}));
         LingeringClose::start(std::move(static_cast<Base &>(*this)), std::move(refusal));
         return error;
     }
 
 private:
+    /// The stream ends with this socket, so that the lingering close cannot send the refusal. One
+    /// for which the send buffer has no room is dropped.
+    void encryptAndSend(const std::string &refusal)
+    {
+        asio::error_code error;
+        non_blocking(true, error);
+        m_tls->write_some(asio::buffer(refusal), error);
+    }
+
     std::string readTimeoutRefusal()
     {
         auto &context = asio::query(get_executor(), asio::execution::context);
@@ -64,6 +94,30 @@
 
     std::size_t m_unansweredBytes = 0;
     bool m_readFailed = false;
+    TlsContext m_tlsContext;
+    std::unique_ptr<TlsStream> m_tls;
 };
 
+/// Called by RESTinio, which finds it by the type of the socket, before it reads from a connection.
+template <typename Connection, typename StartRead, typename Fail>
+void prepare_connection_and_start_read( // NOLINT(readability-identifier-naming)
+    RefusingSocket &socket, Connection &connection, StartRead startRead, Fail fail)
+{
+    auto &execution = asio::query(socket.get_executor(), asio::execution::context);
+    auto &service = asio::use_service<TlsService>(execution);
+    auto context = service.context();
+    if (!context) {
+        startRead();
+        return;
+    }
+    socket.startTls(std::move(context), service.handshakeLimit,
+                    [keep = connection.shared_from_this(), startRead,
+                     fail](const asio::error_code &error) mutable {
+                        if (error)
+                            fail(error);
+                        else
+                            startRead();
+                    });
+}
+
 } // namespace Peridot
--- a/Libraries/LibHttp/RestinioServer.cpp
+++ b/Libraries/LibHttp/RestinioServer.cpp
@@ -113,6 +113,7 @@
         if (!m_hooks.onInputFault)
             m_hooks.onInputFault = plainRefusal;
         asio::use_service<RefusalService>(m_context).format = formatRefusal();
+        asio::use_service<TlsService>(m_context).handshakeLimit = m_settings.readTimeout;
     }
 
     ~RestinioServer() override
@@ -125,6 +126,7 @@
 
     Result<void> open()
     {
+        BOOST_LEAF_CHECK(reloadCertificate());
         http_parser_set_max_header_size(headerBlockLimit);
         asio::error_code addressError;
         const auto address = asio::ip::make_address(m_settings.address, addressError);
@@ -148,6 +150,15 @@
 
     std::size_t pendingResponses() const override { return m_table->pendingResponses(); }
 
+    Result<void> reloadCertificate() override
+    {
+        if (!m_settings.tls)
+            return {};
+        BOOST_LEAF_AUTO(context, loadTlsContext(*m_settings.tls));
+        asio::use_service<TlsService>(m_context).setContext(std::move(context));
+        return {};
+    }
+
     void closeListener() override
     {
         m_server->close_async([] {}, [](const std::exception_ptr &) {});
--- a/Libraries/LibHttp/include/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -2,12 +2,14 @@
 
 #include <LibBase/EnumTable.h>
 #include <LibBase/Error.h>
+#include <LibBase/TlsSettings.h>
 #include <LibHttp/HttpMessage.h>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Peridot {
@@ -44,6 +46,7 @@
     std::size_t maximumHeaders = 100;
     std::size_t maximumBodyBytes = 1024UL * 1024;
     std::chrono::milliseconds readTimeout{10000}; ///< from the first wait to the whole request
+    std::optional<TlsSettings> tls; ///< nothing: plain HTTP
 };
 
 /// Sends the response to one request, once, from any thread. Later calls have no effect. A response
@@ -72,7 +75,7 @@
     static constexpr std::uint32_t headerBlockLimit = 16 * 1024; ///< bytes, request line included
 
     /// Listens and starts the threads. Errors: InvalidValue (address), ConnectionFailed (port in
-    /// use), with the address and port in the field.
+    /// use), with the address and port in the field; those of reloadCertificate().
     static Result<std::unique_ptr<HttpServer>> start(const HttpServerSettings &settings,
                                                      HttpServerHooks hooks);
 
@@ -82,6 +85,11 @@
     virtual std::size_t openConnections() const = 0;
     /// Requests received whose response is not yet handed to the operating system.
     virtual std::size_t pendingResponses() const = 0;
+    /// Reads the files of the certificate again, for connections that are accepted from now on.
+    /// After an error the former certificate stays in use; without TLS nothing happens. Errors:
+    /// FileUnreadable, InvalidValue (the key belongs to another certificate), with the file in the
+    /// field.
+    virtual Result<void> reloadCertificate() = 0;
     /// Accepts no further connection; open ones stay.
     virtual void closeListener() = 0;
     /// Joins the threads; connections are served no more. Responders must be destroyed before the
--- a/Libraries/LibRpc/RpcClient.cpp
+++ b/Libraries/LibRpc/RpcClient.cpp
@@ -1,16 +1,17 @@
 #include <LibRpc/RpcClient.h>
 
+#include "RpcTransport.h"
 #include <jsonrpccpp/client.h>
-#include <jsonrpccpp/client/connectors/httpclient.h>
+#include <utility>
 
 namespace Peridot {
 
 class RpcClient::Connection
 {
 public:
-    Connection(const std::string &url, long timeoutMilliseconds) : m_http(url), m_client(m_http)
+    explicit Connection(RpcClientSettings settings)
+        : m_transport(std::move(settings)), m_client(m_transport)
     {
-        m_http.SetTimeout(timeoutMilliseconds);
     }
 
     Json::Value call(const std::string &method, const Json::Value &parameters)
@@ -19,12 +20,11 @@
     }
 
 private:
-    jsonrpc::HttpClient m_http;
+    RpcTransport m_transport;
     jsonrpc::Client m_client;
 };
 
-RpcClient::RpcClient(const std::string &url, long timeoutMilliseconds)
-    : m_connection(new Connection(url, timeoutMilliseconds))
+RpcClient::RpcClient(RpcClientSettings settings) : m_connection(new Connection(std::move(settings)))
 {
 }
 
--- a/Libraries/LibRpc/RpcConnector.cpp
+++ b/Libraries/LibRpc/RpcConnector.cpp
@@ -2,7 +2,10 @@
 
 #include <arpa/inet.h>
 #include <cstring>
+#include <fstream>
 #include <netinet/in.h>
+#include <sstream>
+#include <vector>
 
 namespace Peridot {
 
@@ -18,6 +21,15 @@
     std::string response;
 };
 
+bool readFile(const std::string &path, std::string &text)
+{
+    std::ifstream file(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    text = content.str();
+    return file.good() && !text.empty();
+}
+
 } // namespace
 
 RpcServer::Connector::Connector(RpcServerSettings settings, PageHandler pages)
@@ -30,20 +42,63 @@
     StopListening();
 }
 
-bool RpcServer::Connector::StartListening()
+bool RpcServer::Connector::readCertificate(Certificate &certificate) const
+{
+    if (m_settings.certificateFile.empty())
+        return true;
+    return readFile(m_settings.certificateFile, certificate.chain)
+           && readFile(m_settings.keyFile, certificate.key);
+}
+
+MHD_Daemon *RpcServer::Connector::startDaemon(const Certificate &certificate, std::uint16_t port)
 {
     sockaddr_in address;
     std::memset(&address, 0, sizeof address);
     address.sin_family = AF_INET;
-    address.sin_port = htons(m_settings.port);
+    address.sin_port = htons(port);
     if (inet_pton(AF_INET, m_settings.address.c_str(), &address.sin_addr) != 1)
+        return nullptr;
+    unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+    std::vector<MHD_OptionItem> tls;
+    if (!certificate.chain.empty()) {
+        flags |= MHD_USE_TLS;
+        tls.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, const_cast<char *>(certificate.chain.data())});
+        tls.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, const_cast<char *>(certificate.key.data())});
+    }
+    tls.push_back({MHD_OPTION_END, 0, nullptr});
+    return MHD_start_daemon(
+        flags, 0, nullptr, nullptr, &Connector::handle, this, MHD_OPTION_SOCK_ADDR, &address,
+        MHD_OPTION_THREAD_POOL_SIZE, m_settings.threads, MHD_OPTION_CONNECTION_LIMIT,
+        m_settings.connectionLimit, MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED, &Connector::completed,
+        this, MHD_OPTION_ARRAY, tls.data(), MHD_OPTION_END);
+}
+
+bool RpcServer::Connector::StartListening()
+{
+    if (!readCertificate(m_certificate))
         return false;
-    m_daemon = MHD_start_daemon(
-        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, 0, nullptr, nullptr, &Connector::handle,
-        this, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE, m_settings.threads,
-        MHD_OPTION_CONNECTION_LIMIT, m_settings.connectionLimit, MHD_OPTION_CONNECTION_TIMEOUT,
-        idleSeconds, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-        &Connector::completed, this, MHD_OPTION_END);
+    m_daemon = startDaemon(m_certificate, m_settings.port);
+    return m_daemon != nullptr;
+}
+
+bool RpcServer::Connector::reloadCertificate()
+{
+    if (m_settings.certificateFile.empty() || m_daemon == nullptr)
+        return true;
+    Certificate fresh;
+    if (!readCertificate(fresh))
+        return false;
+    // The library takes a certificate only when it starts. A trial on a port of its own shows
+    // whether the files are usable before the running server ends.
+    MHD_Daemon *trial = startDaemon(fresh, 0);
+    if (trial == nullptr)
+        return false;
+    MHD_stop_daemon(trial);
+    const std::uint16_t boundPort = port();
+    StopListening();
+    m_certificate = fresh;
+    m_daemon = startDaemon(m_certificate, boundPort);
     return m_daemon != nullptr;
 }
 
--- a/Libraries/LibRpc/RpcConnector.h
+++ b/Libraries/LibRpc/RpcConnector.h
@@ -17,9 +17,19 @@
     bool StartListening() override;
     bool StopListening() override;
     bool SendResponse(const std::string &response, void *addInfo) override;
+    bool reloadCertificate();
     std::uint16_t port() const;
 
 private:
+    struct Certificate
+    {
+        std::string chain; ///< PEM; empty: plain HTTP
+        std::string key;
+    };
+
+    MHD_Daemon *startDaemon(const Certificate &certificate, std::uint16_t port);
+    bool readCertificate(Certificate &certificate) const;
+
     static MHD_Result handle(void *connector, MHD_Connection *connection, const char *url,
                              const char *method, const char *version, const char *data,
                              std::size_t *size, void **state);
@@ -30,6 +40,7 @@
 
     RpcServerSettings m_settings;
     PageHandler m_pages;
+    Certificate m_certificate;
     MHD_Daemon *m_daemon = nullptr;
 };
 
--- a/Libraries/LibRpc/RpcServer.cpp
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -87,6 +87,11 @@
     m_connector->StopListening();
 }
 
+bool RpcServer::reloadCertificate()
+{
+    return m_connector->reloadCertificate();
+}
+
 std::uint16_t RpcServer::port() const
 {
     return m_connector->port();
--- a/Libraries/LibRpc/include/LibRpc/RpcClient.h
+++ b/Libraries/LibRpc/include/LibRpc/RpcClient.h
@@ -6,12 +6,18 @@
 
 namespace Peridot {
 
+struct RpcClientSettings
+{
+    std::string url; ///< for example https://127.0.0.1:7200/
+    long timeoutMilliseconds = 0; ///< of one call; 0: none
+    std::string authorityFile; ///< PEM certificates that may sign the server's; empty: the system's
+};
+
 /// Blocking JSON-RPC 2.0 client, for command line programs. Not for the request path.
 class RpcClient
 {
 public:
-    /// \a url for example http://127.0.0.1:7200/; \a timeoutMilliseconds for one call.
-    RpcClient(const std::string &url, long timeoutMilliseconds);
+    explicit RpcClient(RpcClientSettings settings);
     ~RpcClient();
     RpcClient(const RpcClient &) = delete;
     RpcClient &operator=(const RpcClient &) = delete;
--- a/Libraries/LibRpc/include/LibRpc/RpcServer.h
+++ b/Libraries/LibRpc/include/LibRpc/RpcServer.h
@@ -16,6 +16,8 @@
     std::size_t bodyLimit = 8U << 20U; ///< bytes of a request
     unsigned threads = 2;
     unsigned connectionLimit = 64;
+    std::string certificateFile; ///< PEM chain; empty: plain HTTP
+    std::string keyFile; ///< PEM private key of the certificate
 };
 
 struct RpcPage
@@ -41,9 +43,12 @@
 
     /// Before start() only.
     void addMethod(const std::string &name, Method method);
-    /// Returns whether the address could be bound.
+    /// Returns whether the address could be bound and the certificate, if any, be used.
     bool start();
     void stop();
+    /// Reads the files of the certificate again and serves on the same port with them; calls under
+    /// way end first. Returns false and keeps the former certificate when the files are unusable.
+    bool reloadCertificate();
     std::uint16_t port() const;
 
 private:
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -78,6 +78,7 @@
     HttpServerSettings server;
     server.address = m_settings.administration.address;
     server.port = m_settings.administration.port;
+    server.tls = m_settings.administration.tls;
     HttpServerHooks hooks;
     hooks.onRequest
         = [this](const RequestMessage &message, const std::shared_ptr<HttpResponder> &responder) {
@@ -87,6 +88,7 @@
 
     server.address = m_settings.callers.address;
     server.port = m_settings.callers.port;
+    server.tls = m_settings.callers.tls;
     server.threads = m_settings.serverThreads;
     server.maximumConnections = m_settings.maximumConnections;
     server.readTimeout = m_settings.readTimeout;
@@ -234,6 +236,23 @@
     });
 }
 
+void EntryProcess::reloadCertificates()
+{
+    for (HttpServer *server : {m_callerServer.get(), m_administration.get()}) {
+        valueOrElse(
+            [&]() -> Result<int> {
+                BOOST_LEAF_CHECK(server->reloadCertificate());
+                logEvent(LogLevel::Info, "certificate-reloaded", {{"port", int(server->port())}});
+                return 0;
+            },
+            [&](const Error &error) {
+                logEvent(LogLevel::Error, "certificate-unusable",
+                         {{"port", int(server->port())}, {"error", describe(error)}});
+                return 0;
+            });
+    }
+}
+
 bool EntryProcess::stop()
 {
     logEvent(LogLevel::Info, "entry-stopping", {{"instance", m_instance}});
--- a/Services/Entry/EntryProcess.h
+++ b/Services/Entry/EntryProcess.h
@@ -56,6 +56,9 @@
     /// whether every request ended.
     bool stop();
 
+    /// Reads the certificates of the two HTTP servers again and logs the result of each.
+    void reloadCertificates();
+
 private:
     EntryProcess(const EntrySettings &settings, Parts parts);
 
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -12,6 +12,7 @@
     ListenAddress endpoint;
     endpoint.address = value["address"].asString();
     endpoint.port = static_cast<std::uint16_t>(value["port"].asUInt());
+    endpoint.tls = parseTlsSettings(value["tls"]);
     return endpoint;
 }
 
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Request/RoutingTable.h>
 #include <LibBase/Error.h>
+#include <LibBase/TlsSettings.h>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +18,7 @@
 {
     std::string address; ///< IP address
     std::uint16_t port = 0; ///< 0: chosen by the operating system
+    std::optional<TlsSettings> tls; ///< nothing: plain HTTP
 };
 
 /// Membership of an entry process, in the section "membership".
--- a/Services/Entry/EntrySettingsSchema.h
+++ b/Services/Entry/EntrySettingsSchema.h
@@ -17,13 +17,31 @@
         "port": {"type": "integer", "minimum": 0, "maximum": 65535}
       }
     },
+    "http_endpoint": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["address", "port"],
+      "properties": {
+        "address": {"type": "string", "minLength": 1},
+        "port": {"type": "integer", "minimum": 0, "maximum": 65535},
+        "tls": {
+          "type": "object",
+          "additionalProperties": false,
+          "required": ["certificate", "key"],
+          "properties": {
+            "certificate": {"type": "string", "minLength": 1},
+            "key": {"type": "string", "minLength": 1}
+          }
+        }
+      }
+    },
     "name": {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
   },
   "properties": {
     "instance_prefix": {"$ref": "#/definitions/name"},
     "data_centre": {"$ref": "#/definitions/name"},
-    "callers": {"$ref": "#/definitions/endpoint"},
-    "administration": {"$ref": "#/definitions/endpoint"},
+    "callers": {"$ref": "#/definitions/http_endpoint"},
+    "administration": {"$ref": "#/definitions/http_endpoint"},
     "peers": {"$ref": "#/definitions/endpoint"},
     "membership": {
       "type": "object",
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -27,6 +27,8 @@
   --check-settings  check the settings and exit
   -h --help         this text
 
+SIGHUP reads the certificates again. SIGTERM and SIGINT stop the process after the requests in flight.
+
 Exit status: 0 after a graceful stop, 1 when requests were cut at the stop limit, 2 for bad settings.
 )";
 
@@ -43,12 +45,13 @@
     return std::make_unique<GroupedClaims>(instance, std::move(store), std::move(executor), limits);
 }
 
-sigset_t stopSignals()
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -61,7 +64,7 @@
         return 0;
     }
     // Blocked before any thread starts, so that only sigwait() receives the signals.
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     EntryProcess::Parts parts;
     parts.makeClaims = [&settings](const std::string &instance, DispatcherExecutor executor) {
@@ -77,7 +80,8 @@
     if (control)
         BOOST_LEAF_CHECK(control->start(*process));
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
+        process->reloadCertificates();
     const bool allEnded = process->stop();
     if (control)
         control->stop();
--- a/Services/Fleet/FleetProcess.cpp
+++ b/Services/Fleet/FleetProcess.cpp
@@ -97,6 +97,10 @@
     RpcServerSettings rpc;
     rpc.address = m_settings.operatorAddress;
     rpc.port = m_settings.operatorPort;
+    if (m_settings.operatorTls) {
+        rpc.certificateFile = m_settings.operatorTls->certificateFile;
+        rpc.keyFile = m_settings.operatorTls->keyFile;
+    }
     m_rpc
         = std::make_unique<RpcServer>(rpc, [this](const std::string &path) { return page(path); });
     m_agent = std::make_unique<MembershipAgent>(
@@ -115,8 +119,8 @@
     m_operators->addMethods(*m_rpc);
     if (!m_rpc->start())
         return makeError(ErrorCode::ConnectionFailed,
-                         m_settings.operatorAddress + ':'
-                             + std::to_string(m_settings.operatorPort));
+                         m_settings.operatorAddress + ':' + std::to_string(m_settings.operatorPort),
+                         "the port is in use, or operator_tls is unusable");
     m_agent->setServiceAddress(m_settings.operatorAddress + ':' + std::to_string(m_rpc->port()));
     BOOST_LEAF_CHECK(m_planner.start());
     m_sweeper.start();
@@ -128,6 +132,14 @@
     return {};
 }
 
+void FleetProcess::reloadCertificate()
+{
+    if (m_rpc->reloadCertificate())
+        logEvent(LogLevel::Info, "certificate-reloaded", {{"port", int(m_rpc->port())}});
+    else
+        logEvent(LogLevel::Error, "certificate-unusable", {{"port", int(m_rpc->port())}});
+}
+
 bool FleetProcess::stop()
 {
     m_started = false;
--- a/Services/Fleet/FleetProcess.h
+++ b/Services/Fleet/FleetProcess.h
@@ -31,6 +31,8 @@
     Result<void> start();
     /// Releases leases and the member row. Returns whether everything was released in time.
     bool stop();
+    /// Reads the certificate for operators again and logs the result.
+    void reloadCertificate();
 
     const std::string &instance() const { return m_instance; }
     std::uint16_t operatorPort() const { return m_rpc->port(); }
--- a/Services/Fleet/FleetSettings.cpp
+++ b/Services/Fleet/FleetSettings.cpp
@@ -21,6 +21,12 @@
     "peers": {"type": "array", "items": {"type": "string"}},
     "operator_address": {"type": "string", "minLength": 1},
     "operator_port": {"type": "integer", "minimum": 0, "maximum": 65535},
+    "operator_tls": {
+      "type": "object", "additionalProperties": false, "required": ["certificate", "key"],
+      "properties": {
+        "certificate": {"type": "string", "minLength": 1},
+        "key": {"type": "string", "minLength": 1}
+      }},
     "operators": {"type": "array", "minItems": 1, "items": {
       "type": "object", "additionalProperties": false, "required": ["name", "token"],
       "properties": {
@@ -54,6 +60,7 @@
     BOOST_LEAF_CHECK(parsePeerAddress(settings.peerAddress));
     settings.operatorAddress = value["operator_address"].asString();
     settings.operatorPort = static_cast<std::uint16_t>(value["operator_port"].asUInt());
+    settings.operatorTls = parseTlsSettings(value["operator_tls"]);
     for (const auto &entry : value["operators"])
         settings.operators.push_back({entry["name"].asString(), entry["token"].asString()});
     settings.writesPerSecond = value.get("writes_per_second", settings.writesPerSecond).asDouble();
--- a/Services/Fleet/FleetSettings.h
+++ b/Services/Fleet/FleetSettings.h
@@ -4,7 +4,9 @@
 #include <LibBase/Error.h>
 #include <LibBase/Log.h>
 #include <LibBase/Time.h>
+#include <LibBase/TlsSettings.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,7 @@
     std::vector<std::string> peers; ///< "ip:port" of the other members
     std::string operatorAddress; ///< IP address for operators' calls and pages
     std::uint16_t operatorPort = 0;
+    std::optional<TlsSettings> operatorTls; ///< nothing: plain HTTP
     std::vector<OperatorAccess> operators;
     double writesPerSecond = 300; ///< over all processes
     double readsPerSecond = 2000; ///< over all processes
--- a/Tests/LibRpc/TestRpc.cpp
+++ b/Tests/LibRpc/TestRpc.cpp
@@ -1,5 +1,6 @@
 #include <LibRpc/RpcClient.h>
 #include <LibRpc/RpcServer.h>
+#include <TestCertificate.h>
 #include <catch2/catch.hpp>
 #include <curl/curl.h>
 
@@ -44,7 +45,7 @@
     });
     REQUIRE(server.start());
     const std::string url = "http://127.0.0.1:" + std::to_string(server.port());
-    RpcClient client(url, 2000);
+    RpcClient client({url, 2000, {}});
     Json::Value parameters(Json::objectValue);
     parameters["x"] = "text";
 
@@ -87,3 +88,59 @@
         }
     }
 }
+
+TEST_CASE("Operators call a server over TLS")
+{
+    const TestCertificate certificate;
+    RpcServerSettings settings;
+    settings.address = "127.0.0.1";
+    settings.certificateFile = certificate.certificateFile();
+    settings.keyFile = certificate.keyFile();
+    RpcServer server(settings, [](const std::string &) { return RpcPage{}; });
+    server.addMethod("echo", [](const Json::Value &parameters) { return parameters; });
+    REQUIRE(server.start());
+    const std::string address = "127.0.0.1:" + std::to_string(server.port()) + "/";
+    Json::Value parameters(Json::objectValue);
+    parameters["x"] = "text";
+
+    const auto errorCode = [&](const std::string &scheme, const std::string &authority) {
+        try {
+            RpcClient({scheme + address, 5000, authority}).call("echo", parameters);
+        } catch (const RpcError &error) {
+            return error.code;
+        }
+        return std::string();
+    };
+    SECTION("a server whose certificate is known is called")
+    {
+        REQUIRE(errorCode("https://", certificate.certificateFile()).empty());
+    }
+    SECTION("a server with another certificate, and plain HTTP, are refused")
+    {
+        const TestCertificate other;
+        REQUIRE(errorCode("https://", other.certificateFile()) == "connection-failed");
+        REQUIRE(errorCode("http://", {}) == "connection-failed");
+    }
+    SECTION("a new certificate is used without a restart")
+    {
+        certificate.write(2);
+        REQUIRE(errorCode("https://", certificate.certificateFile()) == "connection-failed");
+        REQUIRE(server.reloadCertificate());
+        REQUIRE(errorCode("https://", certificate.certificateFile()).empty());
+    }
+    SECTION("an unusable certificate leaves the former in use")
+    {
+        const TestCertificate copy;
+        std::filesystem::copy_file(certificate.certificateFile(), copy.certificateFile(),
+                                   std::filesystem::copy_options::overwrite_existing);
+        certificate.writeGarbage();
+        REQUIRE_FALSE(server.reloadCertificate());
+        REQUIRE(errorCode("https://", copy.certificateFile()).empty());
+    }
+    SECTION("a server without its files does not start")
+    {
+        settings.keyFile = "/nonexistent/key.pem";
+        RpcServer second(settings, [](const std::string &) { return RpcPage{}; });
+        REQUIRE_FALSE(second.start());
+    }
+}
--- a/Tests/Services/Fleet/TestFleetService.cpp
+++ b/Tests/Services/Fleet/TestFleetService.cpp
@@ -50,7 +50,7 @@
 struct Operator
 {
     Operator(const FleetProcess &process, const std::string &secret)
-        : client("http://127.0.0.1:" + std::to_string(process.operatorPort()) + "/", 40000),
+        : client({"http://127.0.0.1:" + std::to_string(process.operatorPort()) + "/", 40000, {}}),
           token(secret)
     {
     }
@@ -204,6 +204,8 @@
     REQUIRE(errorOf(valid) == ErrorCode::InvalidJson);
     REQUIRE(errorOf(valid + R"(, "unknown": 1})") == ErrorCode::SchemaViolation);
     REQUIRE(errorOf(valid + R"(, "plan_period_ms": 5000})") == ErrorCode::SchemaViolation);
+    REQUIRE(errorOf(valid + R"(, "operator_tls": {"certificate": "c.pem"}})")
+            == ErrorCode::SchemaViolation);
     REQUIRE(errorOf(valid + R"(, "peers": ["nowhere"]})") == ErrorCode::InvalidValue);
     std::remove(path);
 }
--- a/Utilities/Control/ControlClient.cpp
+++ b/Utilities/Control/ControlClient.cpp
@@ -13,7 +13,9 @@
 Json::Value ControlClient::callAt(const std::string &address, const std::string &method,
                                   const Json::Value &parameters) const
 {
-    RpcClient client("http://" + address + "/", m_options.timeoutSeconds * millisecondsPerSecond);
+    const std::string scheme = m_options.authorityFile.empty() ? "http://" : "https://";
+    RpcClient client({scheme + address + "/", m_options.timeoutSeconds * millisecondsPerSecond,
+                      m_options.authorityFile});
     return client.call(method, parameters);
 }
 
--- a/Utilities/Control/ControlOptions.h
+++ b/Utilities/Control/ControlOptions.h
@@ -11,6 +11,7 @@
 {
     std::vector<std::string> addresses; ///< "ip:port"; tried in turn
     std::string token;
+    std::string authorityFile; ///< PEM certificates that sign those of the servers; empty: no TLS
     long timeoutSeconds = 40;
     bool json = false;
 };
