LibHttp, Entry: Move transfers to several transport threads

One dispatcher thread ran the request kernel and the libcurl multi handle. BackendTransport now runs one BackendClient on each of several threads. The dispatcher keeps the kernel and exchanges transfers and answers with them in batches: only the first entry of a list wakes the other side. Arrivals from the parser threads are batched in the same way.

The connections of each backend server are divided over the threads in fixed parts, because idle connections count towards the limit and stay in the libcurl handle of their thread. The kernel thread picks the thread with the fewest open transfers of that server; a request that finds every part in use waits for any of them. When a limit is lowered, idle connections are closed at once.

--- a/Libraries/LibHttp/BackendClient.cpp
+++ b/Libraries/LibHttp/BackendClient.cpp
@@ -31,6 +31,13 @@
     curl_multi_setopt(m_multi.handle(), CURLMOPT_MAX_HOST_CONNECTIONS, connections);
 }
 
+void BackendClient::closeConnections()
+{
+    for (const auto &transfer : m_transfers)
+        curl_easy_setopt(transfer->handle(), CURLOPT_FORBID_REUSE, 1L);
+    m_multi.shutDownIdle();
+}
+
 void BackendClient::start(BackendRequest request, Callback callback)
 {
     if (m_idle.empty()) {
--- a/Libraries/LibHttp/CurlMulti.cpp
+++ b/Libraries/LibHttp/CurlMulti.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/CurlMulti.h>
 
 #include <asio/post.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -58,6 +59,14 @@
     curl_multi_remove_handle(m_multi, easy);
 }
 
+void CurlMulti::shutDownIdle()
+{
+    for (const auto &[socket, watch] : m_watches) {
+        if (!watch->wantRead && !watch->wantWrite)
+            shutdown(socket, SHUT_RDWR);
+    }
+}
+
 int CurlMulti::onSocket(CURL *, curl_socket_t socket, int what, void *self, void *)
 {
     static_cast<CurlMulti *>(self)->watchSocket(socket, what);
--- a/Libraries/LibHttp/include/LibHttp/BackendClient.h
+++ b/Libraries/LibHttp/include/LibHttp/BackendClient.h
@@ -60,6 +60,9 @@
 
     void setMaximumConnectionsPerServer(long connections);
 
+    /// Closes idle connections now and those in use when their transfer ends.
+    void closeConnections();
+
     std::size_t openTransfers() const { return m_open; }
 
 private:
--- a/Libraries/LibHttp/include/LibHttp/CurlMulti.h
+++ b/Libraries/LibHttp/include/LibHttp/CurlMulti.h
@@ -29,6 +29,9 @@
     /// Prepares \a easy for this driver and starts it. Returns false when libcurl refused it.
     bool add(CURL *easy);
     void remove(CURL *easy);
+    /// Ends the connections that no transfer uses, as the peer sees it. libcurl has no call to
+    /// close them; it discards them when it finds them closed.
+    void shutDownIdle();
 
 private:
     struct Watch;
--- a/Meta/measure-overhead.sh
+++ b/Meta/measure-overhead.sh
@@ -6,6 +6,7 @@
 
 readonly build_directory="${PERIDOT_BUILD_DIRECTORY:-Build/release}"
 readonly server_threads="${PERIDOT_SERVER_THREADS:-2}"
+readonly transport_threads="${PERIDOT_TRANSPORT_THREADS:-2}"
 work="$(mktemp -d)"
 processes=()
 
@@ -45,7 +46,7 @@
 {"instance_prefix": "e1", "data_centre": "kochi", "operator_token": "measurement",
  "callers": {"address": "127.0.0.1", "port": $entry},
  "administration": {"address": "127.0.0.1", "port": $administration},
- "threads": $server_threads,
+ "threads": $server_threads, "transport_threads": $transport_threads,
  "limits": {"connections": 5000},
  "bootstrap": {
    "services": [{"name": "overhead"}],
--- a/Services/Entry/Dispatcher.cpp
+++ b/Services/Entry/Dispatcher.cpp
@@ -17,7 +17,8 @@
 Dispatcher::Dispatcher(DispatcherSettings settings, EntryMetrics &metrics, RequestLog &log)
     : m_settings(std::move(settings)), m_metrics(metrics), m_log(log),
       m_work(asio::make_work_guard(m_context)), m_tickTimer(m_context), m_claimTimer(m_context),
-      m_client(std::make_unique<BackendClient>(m_context, m_settings.client))
+      m_transport(std::make_unique<BackendTransport>(m_context, m_settings.transport,
+                                                     [this] { carryOutActions(); }))
 {
 }
 
@@ -53,7 +54,7 @@
     if (m_thread.joinable())
         m_thread.join();
     m_claims.reset();
-    m_client.reset();
+    m_transport.reset();
 }
 
 void Dispatcher::post(std::function<void()> function)
@@ -65,17 +66,33 @@
                                 std::shared_ptr<HttpResponder> responder)
 {
     m_openCount.fetch_add(1, std::memory_order_relaxed);
-    asio::post(m_context, [this, request = std::move(request), message = std::move(message),
-                           responder = std::move(responder)]() mutable {
-        const RequestToken token = request.description.token;
-        OpenRequest &open = m_requests[token];
-        open.description = std::move(request.description);
-        open.gate = std::move(request.gate);
-        open.message = std::make_shared<const RequestMessage>(std::move(message));
-        open.responder = std::move(responder);
+    // Only the request that finds the list empty wakes the dispatcher.
+    bool wake = false;
+    {
+        const std::lock_guard lock(m_arrivalMutex);
+        wake = m_arrivals.empty();
+        m_arrivals.push_back({std::move(request), std::move(message), std::move(responder)});
+    }
+    if (wake)
+        asio::post(m_context, [this] { takeArrivals(); });
+}
+
+void Dispatcher::takeArrivals()
+{
+    {
+        const std::lock_guard lock(m_arrivalMutex);
+        m_arrivalBatch.swap(m_arrivals);
+    }
+    for (auto &arrival : m_arrivalBatch) {
+        OpenRequest &open = m_requests[arrival.request.description.token];
+        open.description = std::move(arrival.request.description);
+        open.gate = std::move(arrival.request.gate);
+        open.message = std::make_shared<const RequestMessage>(std::move(arrival.message));
+        open.responder = std::move(arrival.responder);
         m_kernel->requestArrived(m_settings.clock(), open.description);
-        carryOutActions();
-    });
+    }
+    m_arrivalBatch.clear();
+    carryOutActions();
 }
 
 void Dispatcher::requestCancelled(RequestToken token)
@@ -95,7 +112,7 @@
         m_servers.clear();
         for (const auto &server : table->backendServers)
             m_servers.emplace(server.name, server);
-        updateConnectionLimit();
+        updateConnectionLimits();
         m_kernel->routingTableChanged(m_settings.clock(), table);
         carryOutActions();
     });
@@ -105,7 +122,7 @@
 {
     post([this, members = std::move(members)] {
         m_members = std::max<std::size_t>(members.instances.size(), 1);
-        updateConnectionLimit();
+        updateConnectionLimits();
         m_claims->setProcesses(m_settings.clock(), m_members);
         m_kernel->membersChanged(m_settings.clock(), members);
         carryOutActions();
@@ -153,15 +170,16 @@
     });
 }
 
-// The limit of a backend server holds over all entry processes. libcurl has one limit for all
-// servers, so the smallest applies.
-void Dispatcher::updateConnectionLimit()
+// The limit of a backend server holds over all entry processes.
+void Dispatcher::updateConnectionLimits()
 {
-    unsigned smallest = 0;
-    for (const auto &[name, server] : m_servers)
-        smallest = smallest == 0 ? server.connections : std::min(smallest, server.connections);
-    const long part = static_cast<long>(smallest / m_members);
-    m_client->setMaximumConnectionsPerServer(std::max(part, 1L));
+    std::vector<ConnectionLimit> limits;
+    limits.reserve(m_servers.size());
+    for (const auto &[name, server] : m_servers) {
+        const auto part = static_cast<unsigned>(server.connections / m_members);
+        limits.push_back({server.address, server.port, std::max(part, 1U)});
+    }
+    m_transport->setConnectionLimits(limits);
 }
 
 const BackendServerRoute *Dispatcher::findServer(const std::string &name) const
@@ -208,6 +226,7 @@
         // was paused in between and may act on an outdated configuration.
         post([this, action] {
             attemptFinished(action.token, action.attempt, action.backendServer, {});
+            carryOutActions();
         });
         return;
     }
@@ -221,8 +240,8 @@
     request.requestId = open.description.requestId;
     request.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline
                                                                             - m_settings.clock());
-    m_client->start(std::move(request), [this, token = action.token, attempt = action.attempt,
-                                         name = action.backendServer](BackendAnswer answer) {
+    m_transport->start(std::move(request), [this, token = action.token, attempt = action.attempt,
+                                            name = action.backendServer](BackendAnswer answer) {
         attemptFinished(token, attempt, name, std::move(answer));
     });
 }
@@ -258,7 +277,6 @@
         }
     }
     m_kernel->attemptFinished(now, attempt, status, recorded);
-    carryOutActions();
 }
 
 void Dispatcher::carryOut(ReadClaim &action)
--- a/Services/Entry/Dispatcher.h
+++ b/Services/Entry/Dispatcher.h
@@ -5,14 +5,16 @@
 #include "RequestLog.h"
 #include "RequestValidator.h"
 #include <Kernel/Request/RequestKernel.h>
-#include <LibHttp/BackendClient.h>
+#include <LibHttp/BackendTransport.h>
 #include <LibHttp/HttpServer.h>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace Peridot {
 
@@ -22,14 +24,15 @@
 struct DispatcherSettings
 {
     RequestKernelSettings kernel;
-    BackendClientSettings client;
+    BackendTransportSettings transport;
     Clock clock;
     PeerSender sendPeerMessage; ///< called on the dispatcher thread
     std::function<bool()> mayServe; ///< asked before each attempt; empty: always
 };
 
-/// Owns the request kernel and the backend client, and runs both on one thread. Feeds events to the
-/// kernel and carries out its actions. The public functions may be called from any thread.
+/// Owns the request kernel and runs it on one thread; the threads of the transport talk to the
+/// backend servers. Feeds events to the kernel and carries out its actions. The public functions
+/// may be called from any thread.
 class Dispatcher
 {
 public:
@@ -42,7 +45,7 @@
     Dispatcher &operator=(const Dispatcher &) = delete;
 
     void start();
-    /// Joins the thread. Requests that are still open get no answer.
+    /// Joins the threads. Requests that are still open get no answer.
     void stop();
 
     void requestArrived(ValidRequest request, RequestMessage message,
@@ -61,6 +64,13 @@
     std::size_t openRequests() const { return m_openCount.load(std::memory_order_relaxed); }
 
 private:
+    struct Arrival
+    {
+        ValidRequest request;
+        RequestMessage message;
+        std::shared_ptr<HttpResponder> responder;
+    };
+
     struct OpenRequest
     {
         RequestDescription description;
@@ -77,17 +87,19 @@
     Dispatcher(DispatcherSettings settings, EntryMetrics &metrics, RequestLog &log);
 
     void post(std::function<void()> function);
+    void takeArrivals();
     void carryOutActions();
     void carryOut(StartAttempt &action);
     void carryOut(ReadClaim &action);
     void carryOut(CommitClaim &action);
     void carryOut(AnswerRequest &action);
     void carryOut(SendPeerMessage &action);
+    /// Leaves the actions of the kernel to the caller, which ends a batch with carryOutActions().
     void attemptFinished(RequestToken token, std::uint64_t attempt, const std::string &server,
                          BackendAnswer answer);
     ResponseMessage responseOf(OpenRequest &request, const AnswerRequest &action) const;
     const BackendServerRoute *findServer(const std::string &name) const;
-    void updateConnectionLimit();
+    void updateConnectionLimits();
     void scheduleClaims();
     void scheduleTick();
     void tick();
@@ -102,12 +114,15 @@
     std::optional<TimePoint> m_claimTimerEnd;
     std::unique_ptr<RequestKernel> m_kernel;
     std::unique_ptr<ClaimStore> m_claims;
-    std::unique_ptr<BackendClient> m_client;
+    std::unique_ptr<BackendTransport> m_transport;
     std::shared_ptr<const RoutingTable> m_table;
     std::unordered_map<std::string, BackendServerRoute> m_servers;
     std::size_t m_members = 1;
     std::unordered_map<RequestToken, OpenRequest> m_requests;
     std::atomic<std::size_t> m_openCount{0};
+    std::mutex m_arrivalMutex;
+    std::vector<Arrival> m_arrivals; ///< guarded by m_arrivalMutex
+    std::vector<Arrival> m_arrivalBatch;
     std::function<void()> m_onIdle;
     bool m_stopping = false;
     std::thread m_thread;
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -58,9 +58,10 @@
     dispatcher.kernel.routingPolicy = m_settings.routingPolicy;
     dispatcher.kernel.queueLimit = m_settings.queueLimit;
     dispatcher.kernel.seed = std::hash<std::string>{}(m_instance);
-    dispatcher.client.maximumAnswerBytes = m_settings.maximumAnswerBytes;
-    dispatcher.client.connectTimeout = m_settings.connectTimeout;
-    dispatcher.client.idleConnectionLimit = m_settings.idleConnectionLimit;
+    dispatcher.transport.client.maximumAnswerBytes = m_settings.maximumAnswerBytes;
+    dispatcher.transport.client.connectTimeout = m_settings.connectTimeout;
+    dispatcher.transport.client.idleConnectionLimit = m_settings.idleConnectionLimit;
+    dispatcher.transport.threads = static_cast<unsigned>(m_settings.transportThreads);
     dispatcher.clock = m_parts.clock;
     dispatcher.sendPeerMessage = m_parts.sendPeerMessage;
     dispatcher.mayServe = m_parts.mayServe;
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -77,6 +77,7 @@
     settings.storeUrl = value["store_url"].asString();
     settings.operatorToken = value["operator_token"].asString();
     readSize(value, "threads", settings.serverThreads);
+    readSize(value, "transport_threads", settings.transportThreads);
     readLimits(value["limits"], settings);
     const Json::Value &policies = value["policies"];
     settings.admissionPolicy = policies.get("admission", settings.admissionPolicy).asString();
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -40,6 +40,7 @@
     std::string storeUrl; ///< empty: no store, non-idempotent requests are refused
     std::string operatorToken;
     std::size_t serverThreads = 2;
+    std::size_t transportThreads = 2; ///< each with connections to backend servers of its own
     std::size_t maximumConnections = 2000;
     std::size_t queueLimit = 2000; ///< waiting requests of one service
     std::chrono::milliseconds readTimeout{10000};
--- a/Services/Entry/EntrySettingsSchema.h
+++ b/Services/Entry/EntrySettingsSchema.h
@@ -40,6 +40,7 @@
     "store_url": {"type": "string", "pattern": "^http://"},
     "operator_token": {"type": "string", "minLength": 8},
     "threads": {"type": "integer", "minimum": 1, "maximum": 64},
+    "transport_threads": {"type": "integer", "minimum": 1, "maximum": 64},
     "log_level": {"enum": ["debug", "info", "warning", "error"]},
     "limits": {
       "type": "object",
--- a/Tests/Services/Entry/TestEntrySettings.cpp
+++ b/Tests/Services/Entry/TestEntrySettings.cpp
@@ -26,6 +26,8 @@
     {"unknown key", "{" + common + R"(, "thread": 2})", ErrorCode::SchemaViolation, ""},
     {"port out of range", "{" + common + R"(, "peers": {"address": "127.0.0.1", "port": 70000}})",
      ErrorCode::SchemaViolation, "port"},
+    {"zero transport threads", "{" + common + R"(, "transport_threads": 0})",
+     ErrorCode::SchemaViolation, "transport_threads"},
     {"zero threads", "{" + common + R"(, "threads": 0})", ErrorCode::SchemaViolation, "threads"},
     {"unknown service of a backend server",
      "{" + common + R"(, "bootstrap": {"services": [{"name": "a"}], "backend_servers":
