Kernel: Count free slots of a backend server in constant time

Taking and releasing a slot counted the free slots of the whole backend server again. Only the slot that changed is counted now. Slots that change by the passing of time have timers, and changes of owners still count the whole server.

--- a/Kernel/Request/SlotExchange.cpp
+++ b/Kernel/Request/SlotExchange.cpp
@@ -39,8 +39,9 @@
     m_idleOwnSlots -= entry.freeOwned;
     entry.free = 0;
     entry.freeOwned = 0;
-    for (const Slot &slot : entry.slots) {
-        if (!isFree(now, slot))
+    for (Slot &slot : entry.slots) {
+        slot.countedFree = isFree(now, slot);
+        if (!slot.countedFree)
             continue;
         ++entry.free;
         if (slot.owner == m_self)
@@ -50,6 +51,21 @@
     m_hooks.freeSlotsChanged(server);
 }
 
+void SlotExchange::recountSlot(TimePoint now, ServerIndex server, Slot &slot)
+{
+    const bool free = isFree(now, slot);
+    if (free != slot.countedFree) {
+        Server &entry = m_servers[server];
+        entry.free += free ? 1 : -1;
+        if (slot.owner == m_self) {
+            entry.freeOwned += free ? 1 : -1;
+            m_idleOwnSlots += free ? 1 : -1;
+        }
+        slot.countedFree = free;
+    }
+    m_hooks.freeSlotsChanged(server);
+}
+
 void SlotExchange::recountAll(TimePoint now)
 {
     for (ServerIndex server = 0; server < m_servers.size(); ++server)
@@ -92,12 +108,14 @@
         if (slot.owner == m_self)
             break;
     }
-    if (chosen) {
-        Slot &slot = entry.slots[*chosen];
-        slot.inUse = true;
-        slot.lastUsed = now;
+    if (!chosen) {
+        recount(now, server);
+        return std::nullopt;
     }
-    recount(now, server);
+    Slot &slot = entry.slots[*chosen];
+    slot.inUse = true;
+    slot.lastUsed = now;
+    recountSlot(now, server, slot);
     return chosen;
 }
 
@@ -108,7 +126,7 @@
     slot.lastUsed = now;
     if (slot.owner != m_self && slot.owner != noPeer && !isReported(now, slot))
         m_peers[slot.owner].stateDue = true;
-    recount(now, server);
+    recountSlot(now, server, slot);
 }
 
 void SlotExchange::setServer(TimePoint now, ServerIndex index, const std::string &name,
--- a/Kernel/include/Kernel/Request/SlotExchange.h
+++ b/Kernel/include/Kernel/Request/SlotExchange.h
@@ -124,6 +124,9 @@
     void assignOwners(TimePoint now, ServerIndex index);
     void leaveView(TimePoint now, SlotReference reference);
     void recount(TimePoint now, ServerIndex server);
+    /// Recount after a change of one slot, in constant time. Changes by the passing of time have a
+    /// timer of their own, and changes of owners recount the whole server.
+    void recountSlot(TimePoint now, ServerIndex server, Slot &slot);
     void recountAll(TimePoint now);
     void startTimer(TimePoint time, SlotReference reference);
     void stateReceived(TimePoint now, PeerIndex index, const SlotMessage &message);
--- a/Kernel/include/Kernel/Request/SlotTable.h
+++ b/Kernel/include/Kernel/Request/SlotTable.h
@@ -22,6 +22,7 @@
     PeerIndex heldBy = noPeer; ///< own slot: the peer that may run an attempt on it
     bool inUse = false; ///< by an attempt of this process
     bool gained = false; ///< own slot that a peer may still use under an earlier view
+    bool countedFree = false; ///< included in the number of free slots of its server
     bool borrowed = false; ///< slot of a peer that this process may use
     TimePoint heldUntil; ///< latest end of an attempt of heldBy
     TimePoint blockedUntil; ///< latest end of an attempt of a process that left the view
