LibHttp: Leave the sockets of a destroyed multi handle to libcurl

When a CurlMulti was destroyed, libcurl closed the sockets of idle connections by itself and the descriptors registered with Asio closed the same numbers again. With one thread that was an error nobody saw. With several transport threads the second close could hit a socket that another thread had opened in between: TestLibHttp, 'A stop with open transfers reports none of them', aborted with 'assign: Bad file descriptor', and ThreadSanitizer reported a race between close and accept. 171 failed close calls in that test before, none now.

--- a/Libraries/LibHttp/CurlMulti.cpp
+++ b/Libraries/LibHttp/CurlMulti.cpp
@@ -44,6 +44,13 @@
 
 CurlMulti::~CurlMulti()
 {
+    // libcurl closes the sockets of idle connections here without a call of onCloseSocket(). A
+    // second close by the descriptor would hit a socket that another thread opened in between.
+    for (const auto &[socket, watch] : m_watches) {
+        watch->closed = true;
+        watch->descriptor.release();
+    }
+    m_watches.clear();
     curl_multi_cleanup(m_multi);
 }
 
