LibHttp: Watch duplicates of libcurl's sockets

A watch now owns a duplicate descriptor and is dropped when libcurl stops watching a socket that was still connecting. Each connection to a backend server takes two descriptors.

TestLibHttp and TestEntry pass under ThreadSanitizer; TestLibHttp failed there before.

--- a/Libraries/LibHttp/CurlMulti.cpp
+++ b/Libraries/LibHttp/CurlMulti.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/CurlMulti.h>
 
 #include <asio/post.hpp>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -9,11 +10,23 @@
 
 // Registration of one socket. It stays until libcurl closes the socket: an idle connection keeps
 // its entry in the reactor, which saves two system calls a transfer.
+//
+// It uses a duplicate of libcurl's descriptor, because libcurl closes a socket that is still
+// connecting without a call of onCloseSocket(). The number may then belong to a socket of another
+// thread, on which this one must not act.
 struct CurlMulti::Watch
 {
-    Watch(asio::io_context &context, curl_socket_t socket) : descriptor(context, socket) { }
+    Watch(asio::io_context &context, curl_socket_t number) : descriptor(context), socket(number)
+    {
+        // Without a descriptor each wait fails, and libcurl ends the connection by its timeout.
+        const int duplicate = fcntl(number, F_DUPFD_CLOEXEC, 0);
+        asio::error_code error;
+        if (duplicate >= 0 && descriptor.assign(duplicate, error))
+            close(duplicate);
+    }
 
     asio::posix::stream_descriptor descriptor;
+    const curl_socket_t socket; ///< of libcurl
     bool wantRead = false;
     bool wantWrite = false;
     bool reading = false;
@@ -44,13 +57,6 @@
 
 CurlMulti::~CurlMulti()
 {
-    // libcurl closes the sockets of idle connections here without a call of onCloseSocket(). A
-    // second close by the descriptor would hit a socket that another thread opened in between.
-    for (const auto &[socket, watch] : m_watches) {
-        watch->closed = true;
-        watch->descriptor.release();
-    }
-    m_watches.clear();
     curl_multi_cleanup(m_multi);
 }
 
@@ -70,7 +76,7 @@
 {
     for (const auto &[socket, watch] : m_watches) {
         if (!watch->wantRead && !watch->wantWrite)
-            shutdown(socket, SHUT_RDWR);
+            shutdown(watch->descriptor.native_handle(), SHUT_RDWR);
     }
 }
 
@@ -88,16 +94,20 @@
 
 int CurlMulti::onCloseSocket(void *self, curl_socket_t socket)
 {
-    auto &watches = static_cast<CurlMulti *>(self)->m_watches;
-    const auto found = watches.find(socket);
-    if (found == watches.end())
-        return close(socket);
-    const auto watch = found->second;
-    watches.erase(found);
+    auto &multi = *static_cast<CurlMulti *>(self);
+    const auto found = multi.m_watches.find(socket);
+    if (found != multi.m_watches.end())
+        multi.forget(found);
+    return close(socket);
+}
+
+void CurlMulti::forget(WatchTable::iterator entry)
+{
+    const auto watch = entry->second;
+    m_watches.erase(entry);
     watch->closed = true;
     asio::error_code error;
     watch->descriptor.close(error);
-    return error ? 1 : 0;
 }
 
 // libcurl moves its timeout several times a transfer. The timer is armed again only for an earlier
@@ -145,14 +155,19 @@
 
 void CurlMulti::watchSocket(curl_socket_t socket, int what)
 {
-    auto &watch = m_watches[socket];
-    if (!watch) {
-        if (what == CURL_POLL_REMOVE) {
-            m_watches.erase(socket);
-            return;
-        }
-        watch = std::make_shared<Watch>(m_context, socket);
+    const auto found = m_watches.find(socket);
+    if (what == CURL_POLL_REMOVE) {
+        // A socket that was still connecting may be closed already.
+        if (found != m_watches.end() && found->second->wantWrite)
+            forget(found);
+        else if (found != m_watches.end())
+            found->second->wantRead = false;
+        return;
     }
+    const auto watch
+        = found != m_watches.end() ? found->second : std::make_shared<Watch>(m_context, socket);
+    if (found == m_watches.end())
+        m_watches.emplace(socket, watch);
     watch->wantRead = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     watch->wantWrite = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
     if (watch->wantRead)
@@ -182,7 +197,7 @@
     if (!(readable ? watch->wantRead : watch->wantWrite))
         return;
     const int events = failed ? CURL_CSELECT_ERR : readable ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
-    act(watch->descriptor.native_handle(), events);
+    act(watch->socket, events);
     if (watch->closed || failed)
         return;
     if (watch->wantRead)
--- a/Libraries/LibHttp/include/LibHttp/CurlMulti.h
+++ b/Libraries/LibHttp/include/LibHttp/CurlMulti.h
@@ -35,6 +35,7 @@
 
 private:
     struct Watch;
+    using WatchTable = std::unordered_map<curl_socket_t, std::shared_ptr<Watch>>;
 
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *watch);
     static int onTimer(CURLM *multi, long milliseconds, void *self);
@@ -43,6 +44,7 @@
     void setTimer(long milliseconds);
     void armTimer();
     void timerExpired();
+    void forget(WatchTable::iterator entry);
     void watchSocket(curl_socket_t socket, int what);
     void wait(const std::shared_ptr<Watch> &watch, asio::posix::descriptor_base::wait_type type);
     void socketReady(const std::shared_ptr<Watch> &watch, bool readable, bool failed);
@@ -56,7 +58,7 @@
     bool m_callPosted = false;
     CURLM *m_multi;
     DoneCallback m_onDone;
-    std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> m_watches;
+    WatchTable m_watches;
 };
 
 } // namespace Peridot
