--- a/Tests/Services/Entry/TestEntrySettings.cpp
+++ b/Tests/Services/Entry/TestEntrySettings.cpp
@@ -34,6 +34,8 @@
     {"certificate for datagrams", "{" + common + R"(, "peers": {"address": "127.0.0.1", "port": 1,
                           "tls": {"certificate": "c.pem", "key": "k.pem"}}})",
      ErrorCode::SchemaViolation, "peers"},
+    {"zero transport threads", "{" + common + R"(, "transport_threads": 0})",
+     ErrorCode::SchemaViolation, "transport_threads"},
     {"zero threads", "{" + common + R"(, "threads": 0})", ErrorCode::SchemaViolation, "threads"},
     {"unknown service of a backend server",
      "{" + common + R"(, "bootstrap": {"services": [{"name": "a"}], "backend_servers":
