LibHttp, Entry: Ask for the permission to serve before the first byte

The dispatcher asked whether the process may serve when it decided to start an attempt. Between that and the first byte lie the hand-over to a transport thread and up to a second of connecting. A process that was paused there past its lease sent requests by an older configuration. The client now asks again in the callback of libcurl before the request is sent; a refusal is not-sent, because no byte left.

--- a/Libraries/LibHttp/BackendTransfer.cpp
+++ b/Libraries/LibHttp/BackendTransfer.cpp
@@ -123,6 +123,9 @@
 int BackendTransfer::onBeforeRequest(void *self, char *, char *, int, int)
 {
     auto &transfer = *static_cast<BackendTransfer *>(self);
+    const auto &maySend = transfer.m_settings.maySend;
+    if (transfer.m_sends == 0 && maySend && !maySend())
+        return CURL_PREREQFUNC_ABORT;
     ++transfer.m_sends;
     return transfer.m_sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
--- a/Libraries/LibHttp/include/LibHttp/BackendClient.h
+++ b/Libraries/LibHttp/include/LibHttp/BackendClient.h
@@ -22,6 +22,9 @@
     /// Idle connections older than this are not used again. It must be shorter than the idle
     /// timeout of the backend servers, or non-idempotent requests meet closing connections.
     std::chrono::seconds idleConnectionLimit{5};
+    /// Asked right before the first byte of a request is sent; false ends the attempt as NotSent.
+    /// Empty: always. Called on the thread of the client.
+    std::function<bool()> maySend;
 };
 
 struct BackendRequest
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -62,6 +62,8 @@
     dispatcher.transport.client.connectTimeout = m_settings.connectTimeout;
     dispatcher.transport.client.idleConnectionLimit = m_settings.idleConnectionLimit;
     dispatcher.transport.threads = static_cast<unsigned>(m_settings.transportThreads);
+    // The process may be paused between the decision to send and the first byte.
+    dispatcher.transport.client.maySend = m_parts.mayServe;
     dispatcher.clock = m_parts.clock;
     dispatcher.sendPeerMessage = m_parts.sendPeerMessage;
     dispatcher.mayServe = m_parts.mayServe;
--- a/Tests/LibHttp/TestBackendClient.cpp
+++ b/Tests/LibHttp/TestBackendClient.cpp
@@ -55,6 +55,23 @@
         const auto answer = fixture.run(std::move(request));
         REQUIRE(answer.status == AttemptStatus::NotSent);
     }
+    SECTION("a process that lost its permission before the first byte does not send")
+    {
+        BackendClientSettings settings;
+        bool permitted = true;
+        settings.maySend = [&] {
+            return permitted;
+        };
+        BackendFixture fixture(settings);
+        REQUIRE(fixture.run(fixture.request("POST")).status == AttemptStatus::Answered);
+        permitted = false;
+        // The first goes over the open connection and the second over a new one.
+        REQUIRE(fixture.run(fixture.request("POST", {}, "id-2")).status == AttemptStatus::NotSent);
+        REQUIRE(fixture.run(fixture.request("POST", {}, "id-3")).status == AttemptStatus::NotSent);
+        REQUIRE(fixture.counts()["runs"].size() == 1);
+        permitted = true;
+        REQUIRE(fixture.run(fixture.request("POST", {}, "id-2")).status == AttemptStatus::Answered);
+    }
     SECTION("an answer above the limit is never passed on in part")
     {
         BackendClientSettings settings;
