Kernel/Fleet: Give up superfluous tasks of a job that shrinks

Cause: the supervisor released the superfluous task as pending, the placer placed it again in the same pass, and from then on the job counted as shrinking, because its last task held a host, so that it never adopted its specification. The placer now ignores tasks beyond the declared number, and a job counts as shrinking only while its last task is stopping. Ruled out: a lost transaction; the rows show the placement in the transaction of the release.

--- a/Kernel/Fleet/JobPlacer.cpp
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -118,7 +118,8 @@
     auto verdict = judge(*record, *specification);
     if (verdict.reason != PendingReason::None)
         return report(name, verdict);
-    const auto count = record->tasks.size();
+    // A superfluous task that has stopped stays pending until the tasks after it have stopped too.
+    const auto count = std::min<std::size_t>(record->tasks.size(), specification->tasks);
     for (unsigned index = 0; index < count; ++index) {
         const auto &task = m_step.job(name)->tasks[index];
         if (task.phase != TaskPhase::Pending)
--- a/Kernel/Fleet/JobSupervisor.cpp
+++ b/Kernel/Fleet/JobSupervisor.cpp
@@ -85,7 +85,7 @@
     // While superfluous tasks are still stopping there is nothing new to adopt.
     const bool shrinking = record.specificationDigest.empty()
                            && record.tasks.size() > specification->tasks
-                           && holdsHost(record.tasks.back());
+                           && record.tasks.back().phase == TaskPhase::Stopping;
     const bool changed = specificationDigest(*specification) != record.specificationDigest;
     if (record.state == JobState::Cancelling || (changed && !shrinking))
         adopt(name, *specification);
--- a/Tests/Kernel/Fleet/FleetChecker.cpp
+++ b/Tests/Kernel/Fleet/FleetChecker.cpp
@@ -1,6 +1,7 @@
 #include "FleetChecker.h"
 
 #include <LibBase/Json.h>
+#include <algorithm>
 
 namespace Peridot {
 
@@ -13,6 +14,9 @@
 // Three seconds until routing knows, and the deadline of the services in the fixture.
 constexpr Duration serverDrainTime = std::chrono::seconds(13);
 
+// Sums of fractions, in cores and GB.
+constexpr double quotaRounding = 1e-6;
+
 bool isPlannedAbsence(const std::string &state)
 {
     return state == "draining" || state == "drained" || state == "rebooting";
@@ -41,6 +45,12 @@
         m_budgets[pool.name] = pool.availabilityBudget;
     for (const auto &server : manifest.backendServers)
         m_serving[server.host] = true;
+    for (const auto &team : manifest.teams)
+        m_quotas[team.name] = team.quota;
+    for (const auto &job : manifest.jobs)
+        m_taskSizes[job.name] = job.taskSize;
+    m_allowedReboots
+        = std::max(m_allowedReboots, static_cast<unsigned>(manifest.maintenance.generation));
     m_hostCount = manifest.hosts.size();
 }
 
@@ -89,6 +99,8 @@
         violation = checkDrainTimes(hosts, now);
     if (violation.empty())
         violation = checkNewPlacements(hosts);
+    if (violation.empty())
+        violation = checkQuotas();
     m_formerPools = pools;
     return violation;
 }
@@ -204,13 +216,37 @@
     return {};
 }
 
+std::string FleetChecker::checkQuotas()
+{
+    std::map<std::string, Resources> held;
+    for (const auto &[job, row] : rows("job/")) {
+        auto &team = held[(*row)["team"].asString()];
+        const auto &size = m_taskSizes[job];
+        for (const auto &task : (*row)["tasks"]) {
+            if (task["host"].asString().empty())
+                continue;
+            team.processors += size.processors;
+            team.memoryGigabytes += size.memoryGigabytes;
+            team.accelerators += size.accelerators;
+        }
+    }
+    for (const auto &[team, sum] : held) {
+        const auto &quota = m_quotas[team];
+        if (sum.processors > quota.processors + quotaRounding
+            || sum.memoryGigabytes > quota.memoryGigabytes + quotaRounding
+            || sum.accelerators > quota.accelerators)
+            return "the tasks of team " + team + " hold more than its quota";
+    }
+    return {};
+}
+
 std::string FleetChecker::checkWorkers()
 {
     std::map<std::string, std::string> executing;
     for (const auto &[name, worker] : m_fleet.workers) {
         if (worker.cutTasks() > 0)
             return "worker " + name + " rebooted with tasks executing";
-        if (worker.commandedReboots() > 1)
+        if (worker.commandedReboots() > m_allowedReboots)
             return "worker " + name + " was rebooted twice for one wave";
         for (const auto &task : worker.executingTasks()) {
             const auto [other, inserted] = executing.emplace(task, name);
--- a/Tests/Kernel/Fleet/FleetChecker.h
+++ b/Tests/Kernel/Fleet/FleetChecker.h
@@ -26,9 +26,13 @@
     std::string checkNewPermits(const Rows &hosts, const Rows &pools, TimePoint now) const;
     std::string checkDrainTimes(const Rows &hosts, TimePoint now);
     std::string checkNewPlacements(const Rows &hosts);
+    std::string checkQuotas();
     std::string checkWorkers();
 
     std::map<std::string, unsigned> m_budgets;
+    std::map<std::string, Resources> m_quotas;
+    std::map<std::string, Resources> m_taskSizes; ///< declared, by job
+    unsigned m_allowedReboots = 1; ///< of one host: one for each generation
     std::map<std::string, bool> m_serving;
     std::size_t m_hostCount = 0;
     bool m_admitted = false;
--- a/Utilities/FleetFake/FleetDriver.cpp
+++ b/Utilities/FleetFake/FleetDriver.cpp
@@ -73,17 +73,28 @@
 {
     m_leases.clear();
     readRows(now);
-    for (const auto &pool : m_view.poolNames()) {
-        const auto name = poolLeaseName(pool);
-        const auto key = rowKey(leasePrefix, name);
-        const auto former = m_table.read(key).value;
-        const std::uint64_t epoch = former.empty() ? 1 : std::stoull(former) + 1;
-        const auto version = m_table.put(key, std::to_string(epoch));
-        m_leases[name] = {name, epoch, version, TimePoint::max()};
-    }
+    for (const auto &pool : m_view.poolNames())
+        acquireLease(pool);
     readRows(now);
 }
 
+void FleetDriver::acquireLease(const std::string &pool)
+{
+    const auto name = poolLeaseName(pool);
+    const auto key = rowKey(leasePrefix, name);
+    const auto former = m_table.read(key).value;
+    const std::uint64_t epoch = former.empty() ? 1 : std::stoull(former) + 1;
+    const auto version = m_table.put(key, std::to_string(epoch));
+    m_leases[name] = {name, epoch, version, TimePoint::max()};
+}
+
+void FleetDriver::dropLostLeases()
+{
+    std::erase_if(m_leases, [&](const auto &entry) {
+        return m_table.read(rowKey(leasePrefix, entry.first)).version != entry.second.rowVersion;
+    });
+}
+
 void FleetDriver::readRows(TimePoint now)
 {
     std::map<std::string, Row> present;
--- a/Utilities/FleetFake/include/FleetFake/FleetDriver.h
+++ b/Utilities/FleetFake/include/FleetFake/FleetDriver.h
@@ -40,6 +40,10 @@
     /// Takes the leases of all pools of the manifest over from whoever holds them and reads all
     /// rows.
     void acquireLeases(TimePoint now);
+    /// Takes the lease of one pool over; the caller reads all rows before it plans.
+    void acquireLease(const std::string &pool);
+    /// Gives up the leases that another process has taken over since.
+    void dropLostLeases();
     void readRows(TimePoint now);
     void readReports(TimePoint now);
     /// Plans with one reconciler after the other.
