Kernel/Fleet: Blame workers only for tasks that run elsewhere

Random schedule: one broken host with room failed an urgent task six times, which was recorded as the failure of the job for good.

Cause: a task recorded only the host of its last failure, so that a broken worker and a bad job looked the same. A task now records the different hosts on which it failed and avoids all of them while another fits. A job is held responsible after six failures on at least two hosts. The failure of a job counts against a worker only when its task has since run elsewhere for 5 s or finished, or failed repeatedly on this host and nowhere else. Several broken workers are still found, because their tasks leave them.

The row field failed_host is replaced by failed_hosts, which is optional.

--- a/Kernel/Fleet/FleetView.cpp
+++ b/Kernel/Fleet/FleetView.cpp
@@ -296,8 +296,8 @@
         if (host.tasks.empty())
             host.reserved = {};
     }
-    if (!task.failedHost.empty()) {
-        auto &failures = m_hosts[task.failedHost].failures;
+    if (!task.failedHosts.empty()) {
+        auto &failures = m_hosts[task.failedHosts.back()].failures;
         if (add)
             failures[record.name] = std::max(failures[record.name], task.failedAt);
         else
--- a/Kernel/Fleet/HostSteps.cpp
+++ b/Kernel/Fleet/HostSteps.cpp
@@ -11,6 +11,10 @@
 // the jobs is held responsible. A worker on probation needs one failure.
 constexpr std::size_t failedJobsForQuarantine = 3;
 
+// A task that failed on a worker and has run elsewhere for this long was not to blame itself. A job
+// that fails everywhere never reaches it, so that its failures do not count against workers.
+constexpr Duration runThatClearsJob = std::chrono::seconds(5);
+
 // Failures older than this say nothing about the worker.
 constexpr Duration failureMemory = std::chrono::minutes(10);
 
@@ -101,11 +105,32 @@
     ledger.unavailable.try_emplace(name, Unavailability{reason, m_now});
 }
 
-bool HostSteps::failsEveryTask(const FleetView::Host &host) const
+bool HostSteps::isToBlame(const std::string &name, const FleetView::Host &host,
+                          const std::string &job) const
+{
+    const auto *entry = m_view.job(job);
+    if (!entry || !entry->record)
+        return false;
+    const auto &tasks = entry->record->tasks;
+    return std::any_of(tasks.begin(), tasks.end(), [&](const TaskRecord &task) {
+        if (task.failedHosts.empty() || task.failedHosts.back() != name
+            || task.failedAt <= host.record->since)
+            return false;
+        const bool runsElsewhere = task.phase == TaskPhase::Finished
+                                   || (task.phase == TaskPhase::Placed && task.host != name
+                                       && m_now - task.since >= runThatClearsJob);
+        const bool failsOnlyHere = task.failedHosts.size() == 1 && task.failures > 1;
+        return runsElsewhere || failsOnlyHere;
+    });
+}
+
+bool HostSteps::failsEveryTask(const std::string &name, const FleetView::Host &host) const
 {
     const auto since = std::max(host.record->since, m_now - failureMemory);
-    const auto recent = std::count_if(host.failures.begin(), host.failures.end(),
-                                      [&](const auto &entry) { return entry.second > since; });
+    const auto recent
+        = std::count_if(host.failures.begin(), host.failures.end(), [&](const auto &entry) {
+              return entry.second > since && isToBlame(name, host, entry.first);
+          });
     const std::size_t limit = host.record->quarantines > 0 ? 1 : failedJobsForQuarantine;
     if (static_cast<std::size_t>(recent) < limit)
         return false;
@@ -137,7 +162,7 @@
 {
     if (m_health.isLost(host))
         return markUnavailable(name, HostState::Failed, UnavailabilityReason::Failed);
-    if (failsEveryTask(host)) {
+    if (failsEveryTask(name, host)) {
         markUnavailable(name, HostState::Quarantined, UnavailabilityReason::Quarantined);
         auto &record = m_step.changeHost(name);
         const auto doublings = std::min(record.quarantines, longestQuarantineDoublings);
--- a/Kernel/Fleet/HostSteps.h
+++ b/Kernel/Fleet/HostSteps.h
@@ -34,7 +34,10 @@
     void advanceQuarantined(const std::string &name, const FleetView::Host &host);
     void markUnavailable(const std::string &name, HostState state, UnavailabilityReason reason);
     void reboot(const std::string &name, const FleetView::Host &host);
-    bool failsEveryTask(const FleetView::Host &host) const;
+    bool failsEveryTask(const std::string &name, const FleetView::Host &host) const;
+    /// True when the failure of \a job speaks against the worker and not against the job.
+    bool isToBlame(const std::string &name, const FleetView::Host &host,
+                   const std::string &job) const;
     bool provedItself(const FleetView::Host &host) const;
 
     const FleetView &m_view;
--- a/Kernel/Fleet/JobPlacer.cpp
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -155,7 +155,7 @@
     PlacementRequest request;
     request.size = size;
     request.urgency = record.urgency;
-    request.avoidedHost = task.failedHost;
+    request.avoidedHosts = task.failedHosts;
     for (const auto &other : record.tasks) {
         const auto *host = holdsHost(other) ? m_view.host(other.host) : nullptr;
         if (!host || !host->record)
--- a/Kernel/Fleet/JobRecord.cpp
+++ b/Kernel/Fleet/JobRecord.cpp
@@ -19,7 +19,8 @@
     task.leaseEnd = reader.time("lease_end");
     task.size = reader.resources("size");
     task.failures = static_cast<unsigned>(reader.number("failures"));
-    task.failedHost = reader.text("failed_host");
+    for (const auto &host : reader.array("failed_hosts"))
+        task.failedHosts.push_back(host.isString() ? host.asString() : std::string());
     task.failedAt = reader.time("failed_at");
     task.retryAt = reader.time("retry_at");
     parent.include(reader);
@@ -36,7 +37,9 @@
     value["lease_end"] = encodeTime(task.leaseEnd);
     value["size"] = encodeResources(task.size);
     value["failures"] = task.failures;
-    value["failed_host"] = task.failedHost;
+    auto &failedHosts = value["failed_hosts"] = Json::Value(Json::arrayValue);
+    for (const auto &host : task.failedHosts)
+        failedHosts.append(host);
     value["failed_at"] = encodeTime(task.failedAt);
     value["retry_at"] = encodeTime(task.retryAt);
     return value;
--- a/Kernel/Fleet/JobSupervisor.cpp
+++ b/Kernel/Fleet/JobSupervisor.cpp
@@ -9,10 +9,14 @@
 
 namespace {
 
-// Failures of one task, on hosts that placement varies, after which the job and not the workers is
-// held responsible.
+// Failures of one task, on different hosts, after which the job and not the workers is held
+// responsible. Failures on one host alone may be the fault of a worker that fails everything and
+// that is the only one with room.
 constexpr unsigned failuresBeforeVerdict = 6;
 
+// A task avoids this many hosts on which it failed, and then starts anew with the list.
+constexpr std::size_t rememberedFailedHosts = 8;
+
 // A task that ran for this long before it failed starts to count anew.
 constexpr Duration failureMemory = std::chrono::minutes(10);
 
@@ -106,6 +110,7 @@
         if (task.phase == TaskPhase::Failed)
             task.phase = TaskPhase::Pending;
         task.failures = 0;
+        task.failedHosts.clear();
         task.retryAt = {};
     }
     // An epoch never exceeds the revision of the table at its placement. Starting at the latest
@@ -191,10 +196,14 @@
     auto &record = m_step.changeJob(name);
     auto &changed = record.tasks[index];
     changed.failures = ranLong ? 1 : changed.failures + 1;
-    changed.failedHost = host;
+    auto &failedHosts = changed.failedHosts;
+    if (ranLong || failedHosts.size() >= rememberedFailedHosts)
+        failedHosts.clear();
+    std::erase(failedHosts, host);
+    failedHosts.push_back(host);
     changed.failedAt = m_now;
     changed.retryAt = m_now + retryDelay(changed.failures);
-    if (changed.failures >= failuresBeforeVerdict) {
+    if (changed.failures >= failuresBeforeVerdict && failedHosts.size() > 1) {
         changed.phase = TaskPhase::Failed;
         record.reason = PendingReason::RepeatedFailures;
         record.detail = taskName(name, index) + " failed last on " + host;
--- a/Kernel/Fleet/PlacementPolicies.cpp
+++ b/Kernel/Fleet/PlacementPolicies.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Fleet/PlacementPolicy.h>
 
+#include <algorithm>
 #include <tuple>
 
 namespace Peridot {
@@ -91,14 +92,11 @@
         const auto &record = *candidate.host->record;
         const bool wastesAccelerators
             = request.size.accelerators == 0 && candidate.free.accelerators > 0;
-        Rank rank{candidate.name == request.avoidedHost,
-                  candidate.borrowed,
-                  candidate.dueForMaintenance,
-                  0,
-                  0,
-                  0,
-                  wastesAccelerators,
-                  leftover(request.size, candidate)};
+        const auto &avoided = request.avoidedHosts;
+        const bool isAvoided
+            = std::find(avoided.begin(), avoided.end(), candidate.name) != avoided.end();
+        Rank rank{isAvoided, candidate.borrowed, candidate.dueForMaintenance,      0, 0,
+                  0,         wastesAccelerators, leftover(request.size, candidate)};
         if (!request.jobTasksByHost.empty()) {
             std::get<3>(rank) = countOf(request.jobTasksByHost, candidate.name);
             std::get<4>(rank)
--- a/Kernel/include/Kernel/Fleet/JobRecord.h
+++ b/Kernel/include/Kernel/Fleet/JobRecord.h
@@ -75,7 +75,7 @@
     TimePoint leaseEnd; ///< the worker stops the task by then unless the row was renewed
     Resources size; ///< reserved on the host
     unsigned failures = 0;
-    std::string failedHost; ///< host of the last failure
+    std::vector<std::string> failedHosts; ///< different hosts, the one of the last failure last
     TimePoint failedAt;
     TimePoint retryAt;
 };
--- a/Kernel/include/Kernel/Fleet/PlacementPolicy.h
+++ b/Kernel/include/Kernel/Fleet/PlacementPolicy.h
@@ -22,7 +22,7 @@
 {
     Resources size;
     Urgency urgency = Urgency::Normal;
-    std::string avoidedHost; ///< where the task failed last; used only when nothing else fits
+    std::vector<std::string> avoidedHosts; ///< where the task failed; used when nothing else fits
     std::map<std::string, unsigned> jobTasksByHost;
     std::map<std::string, unsigned> jobTasksByRack; ///< key: data centre and rack
     std::map<std::string, unsigned> jobTasksByDataCentre;
--- a/Tests/Kernel/Fleet/FleetTrial.cpp
+++ b/Tests/Kernel/Fleet/FleetTrial.cpp
@@ -10,8 +10,8 @@
 
 constexpr auto startTime = TimePoint(std::chrono::hours(1000));
 
-// Lease of a pool. A process that is frozen for longer loses its pools at once, which leaves it more
-// former plans to commit than a real lease would.
+// Lease of a pool. A process that is frozen for longer loses its pools at once, which leaves it
+// more former plans to commit than a real lease would.
 constexpr Duration poolLease = std::chrono::seconds(10);
 
 constexpr WorkerTiming workerTiming{std::chrono::milliseconds(100), std::chrono::milliseconds(400),
--- a/Tests/Kernel/Fleet/TestFleetSchedules.cpp
+++ b/Tests/Kernel/Fleet/TestFleetSchedules.cpp
@@ -88,8 +88,7 @@
     };
 }
 
-void FleetSchedule::operate(
-    const std::function<Result<Transaction>(const OperatorCommand &)> &plan)
+void FleetSchedule::operate(const std::function<Result<Transaction>(const OperatorCommand &)> &plan)
 {
     const OperatorCommand command{"operator", "operator", "test", m_trial.now()};
     valueOrElse(
