Kernel/Fleet: Relieve hosts that learned usage overcommits

Jobs that declare a tenth of their memory were packed on one host: after learning, 82 GB were reserved on a host of 32 GB, and 38 GB when reports showed nothing for the first minute. Cause: learning corrected the size of a task where it ran, and nothing compared the sum with the capacity. Tasks now leave such a host by a checkpoint, the least urgent and largest first, until the rest fits. A task that is larger than any host stays.

What is unlearned is stated in the test: until three samples, 30 s of the run of a task, the declared size is reserved.

--- a/Kernel/Fleet/JobSupervisor.cpp
+++ b/Kernel/Fleet/JobSupervisor.cpp
@@ -4,6 +4,7 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/FleetTiming.h>
 #include <algorithm>
+#include <tuple>
 
 namespace Peridot {
 
@@ -31,6 +32,9 @@
 // A reservation is corrected when the estimate differs by more than this factor.
 constexpr double relevantDifference = 1.2;
 
+// Reservations are sums of fractions; this much, in GB, is rounding.
+constexpr double roundingAllowance = 1e-6;
+
 // A renewed lease is sent for this long, because reports do not show the end of a lease.
 constexpr Duration renewalRepetition = std::chrono::seconds(10);
 
@@ -268,6 +272,41 @@
         m_step.changeJob(name).tasks[index].leaseEnd = m_now + taskLease;
     if (seen.report)
         learn(name, index, task, seen);
+    if (!m_step.isFull() && exceedsMemory({name, index}, *seen.host)) {
+        auto &changed = m_step.changeJob(name).tasks[index];
+        changed.phase = TaskPhase::Checkpointing;
+        changed.since = m_now;
+    }
+}
+
+bool JobSupervisor::exceedsMemory(const TaskKey &key, const FleetView::Host &host) const
+{
+    if (!host.specification)
+        return false;
+    const double capacity = host.specification->capacity.memoryGigabytes;
+    double excess = host.reserved.memoryGigabytes - capacity;
+    if (excess <= roundingAllowance)
+        return false;
+    std::vector<std::tuple<Urgency, double, TaskKey>> staying;
+    for (const auto &other : host.tasks) {
+        const auto &record = *m_view.job(other.first)->record;
+        const auto &task = record.tasks[other.second];
+        if (task.phase == TaskPhase::Checkpointing || task.phase == TaskPhase::Stopping)
+            excess -= task.size.memoryGigabytes;
+        else if (task.size.memoryGigabytes <= capacity)
+            staying.emplace_back(record.urgency, task.size.memoryGigabytes, other);
+    }
+    // The least urgent leave first, and the largest of these, so that few do. Holders of different
+    // pools come to the same order.
+    std::sort(staying.rbegin(), staying.rend());
+    for (const auto &[urgency, size, other] : staying) {
+        if (excess <= roundingAllowance)
+            return false;
+        if (other == key)
+            return true;
+        excess -= size;
+    }
+    return false;
 }
 
 void JobSupervisor::learn(const std::string &name, unsigned index, const TaskRecord &task,
--- a/Kernel/Fleet/JobSupervisor.h
+++ b/Kernel/Fleet/JobSupervisor.h
@@ -34,6 +34,11 @@
                    const Observation &seen);
     void keepRunning(const std::string &name, unsigned index, const TaskRecord &task,
                      const Observation &seen);
+    using TaskKey = std::pair<std::string, unsigned>;
+
+    /// True when the host is committed beyond its memory by what its tasks were seen to use, and
+    /// this task is one of those that leave it. A task that is larger than the host stays.
+    bool exceedsMemory(const TaskKey &key, const FleetView::Host &host) const;
     void learn(const std::string &name, unsigned index, const TaskRecord &task,
                const Observation &seen);
     Observation observe(const std::string &task, const TaskRecord &record) const;
--- a/Tests/Kernel/Fleet/TestFleetWork.cpp
+++ b/Tests/Kernel/Fleet/TestFleetWork.cpp
@@ -354,3 +354,70 @@
     CHECK(placements <= 12);
     CHECK_THAT(trial.violation(), Catch::Equals(""));
 }
+
+TEST_CASE("Declared sizes that are far off are replaced by learned ones")
+{
+    // Until three samples of a job are taken, 30 s of the run of a task, its declared size is
+    // reserved, so that a host may be used beyond its memory for that time.
+    auto manifest = onePool();
+    Resources usage;
+    Duration lag{};
+    SECTION("ten times too large: the capacity is used")
+    {
+        usage = {0.2, 0.8, 0};
+        addJobs(manifest, "work", 6, 4, {2, 8, 0}, Urgency::Deferrable);
+    }
+    SECTION("ten times too small: no host stays committed beyond its memory")
+    {
+        usage = {0.2, 5, 0};
+        addJobs(manifest, "work", 12, 1, {0.1, 0.5, 0}, Urgency::Deferrable);
+        manifest.jobs.push_back(makeJob("urgent", "a", 2, {0.1, 0.5, 0}, Urgency::Urgent));
+    }
+    SECTION("reports show nothing at first")
+    {
+        usage = {0.2, 5, 0};
+        lag = 60s;
+        addJobs(manifest, "work", 12, 1, {0.5, 5, 0}, Urgency::Deferrable);
+        manifest.jobs.push_back(makeJob("urgent", "a", 2, {0.5, 5, 0}, Urgency::Urgent));
+    }
+    auto reportsEnd = TimePoint::max();
+    FleetTrial trial(manifest, 1, [&](FleetDriver &driver) {
+        driver.changeReports = [&](std::vector<HostReport> &reports) {
+            for (auto &report : reports) {
+                for (auto &task : report.tasks)
+                    task.usage = report.lastSeen < reportsEnd ? Resources() : task.usage;
+            }
+        };
+    });
+    reportsEnd = trial.now() + lag;
+    trial.fleet().behaviourOf = [&](const std::string &) {
+        TaskBehaviour behaviour;
+        behaviour.usage = usage;
+        return behaviour;
+    };
+    trial.run(lag + 50s);
+    REQUIRE(trial.runUntil([&] { return trial.allWorkRuns(); }, 5min));
+    trial.run(50s);
+    REQUIRE(trial.allWorkRuns());
+    std::map<std::string, double> memory;
+    for (const auto &specification : manifest.jobs) {
+        const auto job = trial.job(specification.name);
+        CHECK(job.learned.memoryGigabytes == usage.memoryGigabytes);
+        for (const auto &task : job.tasks) {
+            CHECK(task.size.memoryGigabytes >= usage.memoryGigabytes);
+            CHECK(task.size.memoryGigabytes <= usage.memoryGigabytes * 1.5);
+            memory[task.host] += task.size.memoryGigabytes;
+        }
+    }
+    for (const auto &[host, sum] : memory) {
+        INFO(host);
+        CHECK(sum <= hostSize.memoryGigabytes);
+    }
+    // The most urgent tasks stay where they were.
+    if (trial.hasJobRow("urgent"))
+        CHECK(trial.job("urgent").tasks[0].epoch == trial.job("urgent").tasks[1].epoch);
+    const auto settled = trial.job("work-0").tasks[0].epoch;
+    trial.run(10min);
+    CHECK(trial.job("work-0").tasks[0].epoch == settled);
+    CHECK_THAT(trial.violation(), Catch::Equals(""));
+}
