Kernel/Fleet: Share the quota of a team between pools

Two pools with finite jobs of one team: after four jobs of pool b finished, none of pool a had started. Cause: the holder of b ends tasks and places the next ones in one transaction, so that a never sees quota that is free. A job that waits for the quota now yields to a task of another pool that fits into what is left and is more urgent, or as urgent while its pool holds less. Nobody yields to a task that does not fit, so that no quota stays unused. The quota itself was never exceeded.

--- a/Kernel/Fleet/JobPlacer.cpp
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -27,7 +27,7 @@
                      PlacementStep &step, const PlacementPolicy &policy)
     : m_view(view), m_scope(scope), m_now(now), m_step(step), m_policy(policy),
       m_health(view, *scope.pool, now), m_buffer(view, scope, policy.sharesBuffer()),
-      m_roomMaker(view, scope, now, step, policy.throttles())
+      m_roomMaker(view, scope, now, step, policy.throttles()), m_quotaShare(view, scope, step)
 {
     collectCandidates();
 }
@@ -175,6 +175,11 @@
     const auto &quota = m_view.team(record.team)->specification->quota;
     if (!fits(plus(m_step.heldByTeam(record.team), specification.taskSize), quota))
         return PendingReason::QuotaExceeded;
+    // Only jobs that wait for the quota already are asked to yield, because the question reads
+    // every job.
+    if (m_view.job(name)->record && m_view.job(name)->record->reason == PendingReason::QuotaExceeded
+        && m_quotaShare.yields(record, quota))
+        return PendingReason::QuotaExceeded;
     auto size = estimatedSize(specification.taskSize, record.learned);
     if (!fitsSomeHost(size))
         size = specification.taskSize;
--- a/Kernel/Fleet/JobPlacer.h
+++ b/Kernel/Fleet/JobPlacer.h
@@ -2,6 +2,7 @@
 
 #include "PoolBuffer.h"
 #include "PoolHealth.h"
+#include "QuotaShare.h"
 #include "RoomMaker.h"
 
 namespace Peridot {
@@ -49,6 +50,7 @@
     PoolHealth m_health;
     PoolBuffer m_buffer;
     RoomMaker m_roomMaker;
+    QuotaShare m_quotaShare;
     std::vector<HostCandidate> m_candidates;
     std::vector<Resources> m_capacities; ///< different capacities of own and spare hosts
     std::vector<Resources> m_refusedSizes; ///< sizes that found no room for the current urgency
--- a/Tests/Kernel/Fleet/TestFleetWork.cpp
+++ b/Tests/Kernel/Fleet/TestFleetWork.cpp
@@ -421,3 +421,32 @@
     CHECK(trial.job("work-0").tasks[0].epoch == settled);
     CHECK_THAT(trial.violation(), Catch::Equals(""));
 }
+
+TEST_CASE("Two pools that place at the same moment share a quota and both make progress")
+{
+    FixtureOptions options;
+    options.hosts = 12;
+    auto manifest = makeManifest(options);
+    manifest.teams[0].quota = {6, 100, 0};
+    addJobs(manifest, "batch", 8, 3, smallSize);
+    FleetTrial trial(manifest, 2);
+    trial.fleet().behaviourOf = [](const std::string &) {
+        TaskBehaviour behaviour;
+        behaviour.runTime = 5s;
+        return behaviour;
+    };
+    const auto finishedIn = [&](const std::string &pool) {
+        std::size_t finished = 0;
+        for (const auto &specification : manifest.jobs) {
+            if (specification.pool == pool && trial.hasJobRow(specification.name))
+                finished += trial.job(specification.name).state == JobState::Finished ? 1 : 0;
+        }
+        return finished;
+    };
+    // The quota admits six of 24 tasks at a time, for about 6 s.
+    REQUIRE(trial.runUntil([&] { return finishedIn("a") + finishedIn("b") >= 4; }, 1min));
+    CHECK(finishedIn("a") > 0);
+    CHECK(finishedIn("b") > 0);
+    CHECK(trial.runUntil([&] { return finishedIn("a") + finishedIn("b") == 8; }, 5min));
+    CHECK_THAT(trial.violation(), Catch::Equals(""));
+}
