Kernel/Fleet: Refuse row numbers and names that do not fit

Counts above 32 bits were cut to their low bits, so that a budget of 2^32 was read as 0, and a list entry that is no text was read as an empty host name. The new table of malformed rows showed both. RowReader has count() and texts() now, which report the path. Round trips of random rows of all six kinds and damaged text found nothing else.

--- a/Kernel/Fleet/HostRecord.cpp
+++ b/Kernel/Fleet/HostRecord.cpp
@@ -20,7 +20,7 @@
     record.generation = reader.number("generation");
     record.rebootFrom = reader.number("reboot_from");
     record.targetGeneration = reader.number("target_generation");
-    record.quarantines = static_cast<unsigned>(reader.number("quarantines"));
+    record.quarantines = reader.count("quarantines");
     record.probeAt = reader.time("probe_at");
     BOOST_LEAF_CHECK(reader.finish());
     return record;
--- a/Kernel/Fleet/JobRecord.cpp
+++ b/Kernel/Fleet/JobRecord.cpp
@@ -18,9 +18,8 @@
     task.since = reader.time("since");
     task.leaseEnd = reader.time("lease_end");
     task.size = reader.resources("size");
-    task.failures = static_cast<unsigned>(reader.number("failures"));
-    for (const auto &host : reader.array("failed_hosts"))
-        task.failedHosts.push_back(host.isString() ? host.asString() : std::string());
+    task.failures = reader.count("failures");
+    task.failedHosts = reader.texts("failed_hosts");
     task.failedAt = reader.time("failed_at");
     task.retryAt = reader.time("retry_at");
     parent.include(reader);
@@ -67,7 +66,7 @@
     RowReader learned(reader.object("learned"), "learned");
     record.learned.processors = learned.real("processors");
     record.learned.memoryGigabytes = learned.real("memory_gb");
-    record.learned.samples = static_cast<unsigned>(learned.number("samples"));
+    record.learned.samples = learned.count("samples");
     reader.include(learned);
     BOOST_LEAF_CHECK(reader.finish());
     return record;
--- a/Kernel/Fleet/PoolRecord.cpp
+++ b/Kernel/Fleet/PoolRecord.cpp
@@ -64,14 +64,14 @@
     RowReader reader(value);
     PoolRecord record;
     record.name = reader.text("name");
-    record.budget = static_cast<unsigned>(reader.number("budget"));
+    record.budget = reader.count("budget");
     record.configurationVersion = reader.number("configuration_version");
     record.fencingEpoch = reader.number("fencing_epoch");
     record.wave = parseWave(reader, reader.object("wave"));
     parsePermits(reader, record);
     parseUnavailable(reader, record);
-    for (const auto &host : reader.array("arrivals"))
-        record.arrivals.insert(host.isString() ? host.asString() : std::string());
+    for (auto &host : reader.texts("arrivals"))
+        record.arrivals.insert(std::move(host));
     BOOST_LEAF_CHECK(reader.finish());
     return record;
 }
--- a/Kernel/Fleet/RowReader.cpp
+++ b/Kernel/Fleet/RowReader.cpp
@@ -1,5 +1,8 @@
 #include "RowReader.h"
 
+#include <fmt/format.h>
+#include <limits>
+
 namespace Peridot {
 
 namespace {
@@ -54,6 +57,15 @@
     return value.asUInt64();
 }
 
+unsigned RowReader::count(const char *name)
+{
+    const auto value = number(name);
+    if (value <= std::numeric_limits<unsigned>::max())
+        return static_cast<unsigned>(value);
+    fail(ErrorCode::InvalidValue, name);
+    return 0;
+}
+
 double RowReader::real(const char *name)
 {
     const auto &value = member(name);
@@ -80,7 +92,7 @@
     Resources result;
     result.processors = nested.real("processors");
     result.memoryGigabytes = nested.real("memory_gb");
-    result.accelerators = static_cast<unsigned>(nested.number("accelerators"));
+    result.accelerators = nested.count("accelerators");
     include(nested);
     return result;
 }
@@ -109,6 +121,17 @@
     return value;
 }
 
+std::vector<std::string> RowReader::texts(const char *name)
+{
+    std::vector<std::string> result;
+    for (const auto &value : array(name)) {
+        if (!value.isString())
+            fail(ErrorCode::InvalidValue, fmt::format("{}/{}", name, result.size()));
+        result.push_back(value.isString() ? value.asString() : std::string());
+    }
+    return result;
+}
+
 void RowReader::include(const RowReader &nested)
 {
     if (!m_error)
--- a/Kernel/Fleet/RowReader.h
+++ b/Kernel/Fleet/RowReader.h
@@ -4,6 +4,7 @@
 #include <LibBase/EnumTable.h>
 #include <LibBase/Json.h>
 #include <optional>
+#include <vector>
 
 namespace Peridot {
 
@@ -16,6 +17,8 @@
 
     std::string text(const char *member);
     std::uint64_t number(const char *member);
+    /// As number(), for values of 32 bits.
+    unsigned count(const char *member);
     double real(const char *member);
     TimePoint time(const char *member);
     Resources resources(const char *member);
@@ -23,6 +26,8 @@
     const Json::Value &object(const char *member);
     /// Array member, or an empty array when it is missing.
     const Json::Value &array(const char *member);
+    /// Strings of an array member; none when it is missing.
+    std::vector<std::string> texts(const char *member);
     std::string pathOf(const std::string &member) const;
     /// Adopts the failure of a reader of a nested object.
     void include(const RowReader &nested);
