--- a/Tests/Kernel/Fleet/TestFleetWork.cpp
+++ b/Tests/Kernel/Fleet/TestFleetWork.cpp
@@ -1,6 +1,7 @@
 #include "FleetTrial.h"
 
 #include <FleetFake/FleetFixture.h>
+#include <Kernel/Fleet/Explain.h>
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/OperatorPlans.h>
 #include <algorithm>
@@ -225,6 +226,7 @@
         trial.run(10s);
         REQUIRE(trial.job("work").state == entry.state);
         CHECK(trial.job("work").reason == entry.reason);
+        CHECK(explainJob(trial.view(), "work").value().reason == entry.reason);
         // Renewals of leases and samples of usage are the only writes, and only where a task runs.
         const auto revision = trial.table().revision();
         trial.run(1min);
