--- a/Kernel/Fleet/JobRecord.cpp
+++ b/Kernel/Fleet/JobRecord.cpp
@@ -18,8 +18,8 @@
     task.since = reader.time("since");
     task.leaseEnd = reader.time("lease_end");
     task.size = reader.resources("size");
-    task.failures = static_cast<unsigned>(reader.number("failures"));
-    task.failedHost = reader.text("failed_host");
+    task.failures = reader.count("failures");
+    task.failedHosts = reader.texts("failed_hosts");
     task.failedAt = reader.time("failed_at");
     task.retryAt = reader.time("retry_at");
     parent.include(reader);
@@ -36,7 +36,9 @@
     value["lease_end"] = encodeTime(task.leaseEnd);
     value["size"] = encodeResources(task.size);
     value["failures"] = task.failures;
-    value["failed_host"] = task.failedHost;
+    auto &failedHosts = value["failed_hosts"] = Json::Value(Json::arrayValue);
+    for (const auto &host : task.failedHosts)
+        failedHosts.append(host);
     value["failed_at"] = encodeTime(task.failedAt);
     value["retry_at"] = encodeTime(task.retryAt);
     return value;
@@ -64,7 +66,7 @@
     RowReader learned(reader.object("learned"), "learned");
     record.learned.processors = learned.real("processors");
     record.learned.memoryGigabytes = learned.real("memory_gb");
-    record.learned.samples = static_cast<unsigned>(learned.number("samples"));
+    record.learned.samples = learned.count("samples");
     reader.include(learned);
     BOOST_LEAF_CHECK(reader.finish());
     return record;
--- a/Kernel/Fleet/JobSupervisor.cpp
+++ b/Kernel/Fleet/JobSupervisor.cpp
@@ -4,15 +4,20 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/FleetTiming.h>
 #include <algorithm>
+#include <tuple>
 
 namespace Peridot {
 
 namespace {
 
-// Failures of one task, on hosts that placement varies, after which the job and not the workers is
-// held responsible.
+// Failures of one task, on different hosts, after which the job and not the workers is held
+// responsible. Failures on one host alone may be the fault of a worker that fails everything and
+// that is the only one with room.
 constexpr unsigned failuresBeforeVerdict = 6;
 
+// A task avoids this many hosts on which it failed, and then starts anew with the list.
+constexpr std::size_t rememberedFailedHosts = 8;
+
 // A task that ran for this long before it failed starts to count anew.
 constexpr Duration failureMemory = std::chrono::minutes(10);
 
@@ -27,6 +32,9 @@
 // A reservation is corrected when the estimate differs by more than this factor.
 constexpr double relevantDifference = 1.2;
 
+// Reservations are sums of fractions; this much, in GB, is rounding.
+constexpr double roundingAllowance = 1e-6;
+
 // A renewed lease is sent for this long, because reports do not show the end of a lease.
 constexpr Duration renewalRepetition = std::chrono::seconds(10);
 
@@ -85,7 +93,7 @@
     // While superfluous tasks are still stopping there is nothing new to adopt.
     const bool shrinking = record.specificationDigest.empty()
                            && record.tasks.size() > specification->tasks
-                           && holdsHost(record.tasks.back());
+                           && record.tasks.back().phase == TaskPhase::Stopping;
     const bool changed = specificationDigest(*specification) != record.specificationDigest;
     if (record.state == JobState::Cancelling || (changed && !shrinking))
         adopt(name, *specification);
@@ -106,6 +114,7 @@
         if (task.phase == TaskPhase::Failed)
             task.phase = TaskPhase::Pending;
         task.failures = 0;
+        task.failedHosts.clear();
         task.retryAt = {};
     }
     // An epoch never exceeds the revision of the table at its placement. Starting at the latest
@@ -191,10 +200,14 @@
     auto &record = m_step.changeJob(name);
     auto &changed = record.tasks[index];
     changed.failures = ranLong ? 1 : changed.failures + 1;
-    changed.failedHost = host;
+    auto &failedHosts = changed.failedHosts;
+    if (ranLong || failedHosts.size() >= rememberedFailedHosts)
+        failedHosts.clear();
+    std::erase(failedHosts, host);
+    failedHosts.push_back(host);
     changed.failedAt = m_now;
     changed.retryAt = m_now + retryDelay(changed.failures);
-    if (changed.failures >= failuresBeforeVerdict) {
+    if (changed.failures >= failuresBeforeVerdict && failedHosts.size() > 1) {
         changed.phase = TaskPhase::Failed;
         record.reason = PendingReason::RepeatedFailures;
         record.detail = taskName(name, index) + " failed last on " + host;
@@ -259,6 +272,41 @@
         m_step.changeJob(name).tasks[index].leaseEnd = m_now + taskLease;
     if (seen.report)
         learn(name, index, task, seen);
+    if (!m_step.isFull() && exceedsMemory({name, index}, *seen.host)) {
+        auto &changed = m_step.changeJob(name).tasks[index];
+        changed.phase = TaskPhase::Checkpointing;
+        changed.since = m_now;
+    }
+}
+
+bool JobSupervisor::exceedsMemory(const TaskKey &key, const FleetView::Host &host) const
+{
+    if (!host.specification)
+        return false;
+    const double capacity = host.specification->capacity.memoryGigabytes;
+    double excess = host.reserved.memoryGigabytes - capacity;
+    if (excess <= roundingAllowance)
+        return false;
+    std::vector<std::tuple<Urgency, double, TaskKey>> staying;
+    for (const auto &other : host.tasks) {
+        const auto &record = *m_view.job(other.first)->record;
+        const auto &task = record.tasks[other.second];
+        if (task.phase == TaskPhase::Checkpointing || task.phase == TaskPhase::Stopping)
+            excess -= task.size.memoryGigabytes;
+        else if (task.size.memoryGigabytes <= capacity)
+            staying.emplace_back(record.urgency, task.size.memoryGigabytes, other);
+    }
+    // The least urgent leave first, and the largest of these, so that few do. Holders of different
+    // pools come to the same order.
+    std::sort(staying.rbegin(), staying.rend());
+    for (const auto &[urgency, size, other] : staying) {
+        if (excess <= roundingAllowance)
+            return false;
+        if (other == key)
+            return true;
+        excess -= size;
+    }
+    return false;
 }
 
 void JobSupervisor::learn(const std::string &name, unsigned index, const TaskRecord &task,
