Kernel, Entry: Record the attempt number of a refused repeat

A copy of a non-idempotent request could lie unread in the socket of a frozen entry process while a later copy was answered not-run elsewhere. The row carried no attempt number.

The claim row now carries Peridot-Attempt. A released row admits only a copy with a higher number; the others get outcome unknown with reason superseded. A repeat that is refused before its claim is answered as not run after a row released at its number is committed, and as unknown when that write fails, is lost, takes more than 250 ms or exceeds 25 refusals at a time. Copies without a number are never told not-run after a release, because nothing orders them. Bad headers, unlisted services and ids from the future are refused as unknown for repeats, since other processes may have accepted an earlier copy; a slow sender keeps status 503.

Ruled out: refusing every repeat as unknown, and closing an id for good.

Also tests between two entry processes that a repeat sent during the execution is in progress and that the request runs once.

--- a/Kernel/Request/ClaimLedger.cpp
+++ b/Kernel/Request/ClaimLedger.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-ClaimLedger::ClaimLedger(std::string instance, std::uint64_t seed, Hooks hooks)
-    : m_instance(std::move(instance)), m_hooks(std::move(hooks)), m_breaker(seed),
-      m_random(seed + 1)
+ClaimLedger::ClaimLedger(std::string instance, std::uint64_t seed, ClaimDefects defects,
+                         Hooks hooks)
+    : m_instance(std::move(instance)), m_defects(defects), m_hooks(std::move(hooks)),
+      m_breaker(seed), m_random(seed + 1)
 {
 }
 
@@ -34,8 +35,12 @@
     if (found == m_byKey.end())
         return std::nullopt;
     const Claim &claim = m_claims.at(found->second);
-    if (claim.fingerprint != fingerprint)
-        return RepeatAnswer{Outcome::NotRun, RefusalReason::FingerprintMismatch, nullptr};
+    if (claim.fingerprint != fingerprint) {
+        // Only a row keeps an unread copy with the other content from running elsewhere.
+        const bool written = claim.phase == Phase::Held || claim.phase == Phase::Recording;
+        return RepeatAnswer{written ? Outcome::NotRun : Outcome::Unknown,
+                            RefusalReason::FingerprintMismatch, nullptr};
+    }
     if (claim.phase == Phase::Recording && claim.record.state == ClaimState::Done)
         return RepeatAnswer{Outcome::Answer, RefusalReason::None, claim.record.answer};
     if (claim.phase == Phase::Recording)
@@ -56,17 +61,31 @@
     m_hour = std::max(m_hour, hour);
 }
 
+void ClaimLedger::addRecord(TimePoint now)
+{
+    countRecord(now);
+    ++m_records;
+    ++m_recordsByHour[static_cast<std::size_t>(m_hour) % m_recordsByHour.size()];
+}
+
 bool ClaimLedger::hasRoom(TimePoint now)
 {
     countRecord(now);
     return m_records < recordLimit && m_claims.size() < openLimit;
 }
 
-void ClaimLedger::open(RequestToken token, const std::string &key, const std::string &fingerprint)
+bool ClaimLedger::mayRecordRefusal(TimePoint now)
+{
+    return m_refusals < refusalLimit && !m_breaker.open() && hasRoom(now);
+}
+
+void ClaimLedger::open(RequestToken token, const std::string &key, const std::string &fingerprint,
+                       std::uint64_t callerAttempt)
 {
     Claim &claim = m_claims[token];
     claim.key = key;
     claim.fingerprint = fingerprint;
+    claim.callerAttempt = callerAttempt;
     m_byKey[key] = token;
 }
 
@@ -75,6 +94,7 @@
     const auto found = m_claims.find(token);
     m_byKey.erase(found->second.key);
     m_background -= found->second.background ? 1 : 0;
+    m_refusals -= found->second.phase == Phase::Refusing ? 1 : 0;
     if (found->second.retryAt)
         m_retries.erase({*found->second.retryAt, token});
     m_claims.erase(found);
@@ -99,6 +119,7 @@
     claim.record.holder = m_instance;
     claim.record.operation = claim.operation;
     claim.record.fingerprint = claim.fingerprint;
+    claim.record.callerAttempt = claim.callerAttempt;
     claim.record.time = now;
     // While the breaker is open only its probe reaches the store.
     if (claim.background && m_breaker.open())
@@ -139,17 +160,26 @@
 void ClaimLedger::claim(TimePoint now, RequestToken token)
 {
     Claim &claim = *find(token);
-    countRecord(now);
-    ++m_records;
-    ++m_recordsByHour[static_cast<std::size_t>(m_hour) % m_recordsByHour.size()];
+    addRecord(now);
     claim.phase = Phase::Claiming;
     write(now, token, claim, ClaimState::Claimed);
 }
 
+void ClaimLedger::recordRefusal(TimePoint now, RequestToken token)
+{
+    Claim &claim = *find(token);
+    addRecord(now);
+    ++m_refusals;
+    claim.phase = Phase::Refusing;
+    write(now, token, claim, ClaimState::Released);
+}
+
 void ClaimLedger::abandon(TimePoint now, RequestToken token)
 {
     Claim &claim = *find(token);
-    if (claim.phase == Phase::Idle || claim.phase == Phase::LookingUp) {
+    // A refusal that is written after all only keeps copies from running, which is safe.
+    if (claim.phase == Phase::Idle || claim.phase == Phase::LookingUp
+        || claim.phase == Phase::Refusing) {
         close(token);
         return;
     }
@@ -225,7 +255,10 @@
     }
     if (claim.phase == Phase::Releasing)
         reportReleased(now, token, claim);
+    const bool refused = claim.phase == Phase::Refusing;
     close(token);
+    if (refused)
+        m_hooks.refusalRecorded(now, token);
 }
 
 void ClaimLedger::claimCommitted(TimePoint now, RequestToken token, const CommitResult &result)
@@ -267,6 +300,16 @@
         endClaimFailure(now, token, claim);
         return;
     }
+    if (claim.phase == Phase::Refusing) {
+        close(token);
+        if (m_defects.ignoreLostRefusal)
+            m_hooks.refusalRecorded(now, token);
+        else
+            m_hooks.storeFailed(now, token);
+        return;
+    }
+    // The row stays claimed by this process until the release is written, so that no copy can
+    // claim it: the request is certainly not run.
     if (claim.phase == Phase::Releasing)
         reportReleased(now, token, claim);
     retryLater(now, token, claim);
@@ -304,8 +347,9 @@
         return {Outcome::Answer, RefusalReason::None, record->answer};
     case ClaimState::Unknown:
         return {Outcome::Unknown, record->reason, nullptr};
-    case ClaimState::Claimed:
     case ClaimState::Released:
+        return {Outcome::Unknown, RefusalReason::Superseded, nullptr};
+    case ClaimState::Claimed:
         break;
     }
     // A row claimed by this process without an open claim was given up at the end of a stop.
@@ -314,6 +358,13 @@
     return {Outcome::Unknown, RefusalReason::HolderLost, nullptr};
 }
 
+bool ClaimLedger::mayFollow(const ClaimRecord &record, const Claim &claim) const
+{
+    return record.state == ClaimState::Released && record.fingerprint == claim.fingerprint
+           && (mayFollowRelease(record.callerAttempt, claim.callerAttempt)
+               || m_defects.ignoreCallerAttempt);
+}
+
 void ClaimLedger::readBack(TimePoint now, RequestToken token, Claim &claim, const Row &row)
 {
     std::optional<ClaimRecord> record;
@@ -324,7 +375,8 @@
                 return std::optional<ClaimRecord>(std::move(decoded));
             },
             [](const Error &) { return std::optional<ClaimRecord>(); });
-    if (claim.phase == Phase::LookingUp || claim.phase == Phase::Claiming)
+    if (claim.phase == Phase::LookingUp || claim.phase == Phase::Claiming
+        || claim.phase == Phase::Refusing)
         readBackClaim(now, token, claim, row, record);
     else
         readBackWrite(now, token, claim, row, record);
@@ -333,34 +385,28 @@
 void ClaimLedger::readBackClaim(TimePoint now, RequestToken token, Claim &claim, const Row &row,
                                 const std::optional<ClaimRecord> &record)
 {
-    const bool claiming = claim.phase == Phase::Claiming;
-    if (claiming && record && record->operation == claim.operation) {
+    const bool lookingUp = claim.phase == Phase::LookingUp;
+    if (!lookingUp && record && record->operation == claim.operation) {
         claim.version = row.version;
         written(now, token, claim);
         return;
     }
-    const bool released = record && record->state == ClaimState::Released
-                          && record->fingerprint == claim.fingerprint;
-    if (row.version != absentVersion && (claiming || !released)) {
-        // A row that was released since this copy was looked up, or declared to be the first,
-        // belongs to a later copy, whose caller may have been told that the request was not run.
-        const RepeatAnswer answer
-            = released ? RepeatAnswer{Outcome::InProgress, RefusalReason::AlreadyRunning, nullptr}
-                       : interpret(record, claim.fingerprint);
+    if (row.version != absentVersion && !(record && mayFollow(*record, claim))) {
+        const RepeatAnswer answer = interpret(record, claim.fingerprint);
         const bool report = !claim.abandoned;
         close(token);
         if (report)
             m_hooks.repeated(now, token, answer);
         return;
     }
-    if (!claiming) {
+    if (lookingUp) {
         claim.version = row.version;
         claim.phase = Phase::Idle;
         m_hooks.mayClaim(now, token);
         return;
     }
     if (claim.abandoned || ++claim.rounds > roundLimit) {
-        endClaimFailure(now, token, claim);
+        storeFailed(now, token, claim);
         return;
     }
     // The same operation id is used again: when the earlier commit still takes effect, this one
--- a/Kernel/Request/ClaimRecord.cpp
+++ b/Kernel/Request/ClaimRecord.cpp
@@ -86,6 +86,7 @@
     object["holder"] = record.holder;
     object["operation"] = record.operation;
     object["fingerprint"] = record.fingerprint;
+    object["attempt"] = Json::UInt64(record.callerAttempt);
     object["time_ms"] = Json::Int64(toUnixMilliseconds(record.time));
     object["reason"] = std::string(refusalReasonNames.nameOf(record.reason));
     if (record.answer)
@@ -112,6 +113,10 @@
     BOOST_LEAF_ASSIGN(record.holder, readText(object, "holder"));
     BOOST_LEAF_ASSIGN(record.operation, readText(object, "operation"));
     BOOST_LEAF_ASSIGN(record.fingerprint, readText(object, "fingerprint"));
+    // Rows of earlier builds carry no number.
+    if (object.isMember("attempt") && !object["attempt"].isUInt64())
+        return makeError(ErrorCode::ProtocolViolation, "attempt");
+    record.callerAttempt = object["attempt"].asUInt64();
     if (!object["time_ms"].isInt64())
         return makeError(ErrorCode::ProtocolViolation, "time_ms");
     record.time = fromUnixMilliseconds(object["time_ms"].asInt64());
--- a/Kernel/Request/RequestArrival.cpp
+++ b/Kernel/Request/RequestArrival.cpp
@@ -14,16 +14,13 @@
 /// A store call of a request that takes longer counts as failed.
 constexpr Duration storeCallLimit = std::chrono::seconds(1);
 
-/// Reasons that follow from the request itself, so that no copy of it can have run.
+/// Reasons that follow from the request itself, so that no copy of it can have run. An unknown
+/// service or an id from the future is none: the table or clock of another entry process may
+/// differ.
 bool holdsForEveryCopy(RefusalReason reason)
 {
     switch (reason) {
-    case RefusalReason::BadRequest:
     case RefusalReason::MissingRequestId:
-    case RefusalReason::InvalidRequestId:
-    case RefusalReason::UnknownService:
-    case RefusalReason::BodyTooLarge:
-    case RefusalReason::FingerprintMismatch:
         return true;
     default:
         return false;
@@ -50,22 +47,26 @@
         const auto repeat
             = m_claims.findOpen(claimKey(request.service, request.requestId), request.fingerprint);
         if (repeat) {
-            RequestState state;
+            RequestState &state = m_requests[request.token];
             state.token = request.token;
             state.service = service;
-            m_requests.emplace(request.token, state);
+            state.callerAttempt = request.callerAttempt;
             claimRepeated(now, request.token, *repeat);
             finishEvent(now);
             return;
         }
     }
-    auto reason = request.idempotent ? std::nullopt : checkClaimable(now);
-    if (!reason)
-        reason = checkQueue(now, request, service);
-    if (reason)
-        refuseArrival(now, request, service, *reason);
-    else
-        admit(now, request, service);
+    const auto unclaimable = request.idempotent ? std::nullopt : checkClaimable(now);
+    if (unclaimable) {
+        refuseArrival(now, request, service, *unclaimable);
+    } else if (const auto reason = checkQueue(now, request, service)) {
+        if (request.callerAttempt > 1 && !request.idempotent)
+            refuse(now, addRequest(request, service), *reason);
+        else
+            refuseArrival(now, request, service, *reason);
+    } else {
+        admit(now, addRequest(request, service));
+    }
     finishEvent(now);
 }
 
@@ -155,26 +156,30 @@
     return std::nullopt;
 }
 
-void RequestDispatcher::admit(TimePoint now, const RequestDescription &description,
-                              ServiceIndex service)
+RequestState &RequestDispatcher::addRequest(const RequestDescription &description,
+                                            ServiceIndex service)
 {
     RequestState &request = m_requests[description.token];
     request.token = description.token;
     request.idempotent = description.idempotent;
-    request.declaredFirstAttempt = description.declaredFirstAttempt;
+    request.callerAttempt = description.callerAttempt;
     request.service = service;
     request.deadline = description.deadline;
     request.node.token = description.token;
     request.node.service = service;
     request.node.urgency = description.urgency;
     request.node.sequence = ++m_lastSequence;
-    if (request.idempotent) {
-        enqueue(now, request, false);
-        return;
-    }
+    if (request.idempotent)
+        return request;
+    request.created = *requestIdTime(description.requestId);
     m_claims.open(request.token, claimKey(description.service, description.requestId),
-                  description.fingerprint);
-    if (request.declaredFirstAttempt) {
+                  description.fingerprint, description.callerAttempt);
+    return request;
+}
+
+void RequestDispatcher::admit(TimePoint now, RequestState &request)
+{
+    if (request.idempotent || request.callerAttempt == 1) {
         enqueue(now, request, false);
         return;
     }
@@ -190,7 +195,7 @@
     // A copy of an undeclared request may have run through another entry process.
     const bool certain
         = description.idempotent || holdsForEveryCopy(reason)
-          || (description.declaredFirstAttempt && reason != RefusalReason::RecordExpired);
+          || (description.callerAttempt == 1 && reason != RefusalReason::RecordExpired);
     AnswerRequest action;
     action.token = description.token;
     action.outcome = certain ? Outcome::NotRun : Outcome::Unknown;
--- a/Kernel/Request/RequestDispatcher.cpp
+++ b/Kernel/Request/RequestDispatcher.cpp
@@ -33,7 +33,7 @@
                                      std::unique_ptr<RoutingPolicy> routing)
     : m_settings(settings), m_admission(std::move(admission)),
       m_pool(settings.instance, std::move(routing), settings.seed),
-      m_claims(settings.instance, settings.seed + 1, claimHooks()),
+      m_claims(settings.instance, settings.seed + 1, settings.defects, claimHooks()),
       m_attemptLimit(leastAttemptLimit)
 {
     m_pool.waitingRequests = [this](ServiceIndex service) {
@@ -195,6 +195,10 @@
             refuse(now, request, reason);
         return;
     }
+    if (request.phase == Phase::Refusing) {
+        refuse(now, request, request.reason);
+        return;
+    }
     if (!late)
         m_claims.breaker().failed(now);
     freeSlot(now, request, AttemptVerdict::None);
@@ -255,6 +259,7 @@
     slots["unconfirmed_peers"] = Json::UInt64(m_pool.exchange().unconfirmedPeers());
     Json::Value &claims = state["claims"];
     claims["open"] = Json::UInt64(m_claims.size());
+    claims["refusals_in_progress"] = Json::UInt64(m_claims.refusals());
     claims["background"] = Json::UInt64(m_claims.background());
     claims["anomalies"] = Json::UInt64(m_claims.anomalies());
     claims["unrecorded"] = Json::UInt64(m_claims.unrecorded());
--- a/Kernel/Request/RequestDispatcher.h
+++ b/Kernel/Request/RequestDispatcher.h
@@ -65,7 +65,8 @@
     Duration expectedWait(TimePoint now, ServiceIndex service, Urgency urgency) const;
     bool makeRoom(TimePoint now, ServiceIndex service, Urgency urgency);
     RefusalReason overloadReason(ServiceIndex service, RefusalReason otherwise) const;
-    void admit(TimePoint now, const RequestDescription &request, ServiceIndex service);
+    RequestState &addRequest(const RequestDescription &description, ServiceIndex service);
+    void admit(TimePoint now, RequestState &request);
 
     // Life of a request
     void enqueue(TimePoint now, RequestState &request, bool front);
@@ -86,6 +87,9 @@
     void attemptUnknown(TimePoint now, RequestState &request, RefusalReason reason);
     void releaseClaim(TimePoint now, RequestState &request, RefusalReason reason);
     void refuse(TimePoint now, RequestState &request, RefusalReason reason);
+    bool isNotRun(TimePoint now, const RequestState &request) const;
+    bool mayRecordRefusal(TimePoint now, const RequestState &request, RefusalReason reason);
+    void recordRefusal(TimePoint now, RequestState &request, RefusalReason reason);
     void answer(TimePoint now, RequestState &request, AnswerRequest action);
     void refuseArrival(TimePoint now, const RequestDescription &request,
                        std::optional<ServiceIndex> service, RefusalReason reason);
--- a/Kernel/Request/RequestExecution.cpp
+++ b/Kernel/Request/RequestExecution.cpp
@@ -10,6 +10,8 @@
 constexpr unsigned attemptCountLimit = 4;
 /// A claim that is not written after this time counts as failed.
 constexpr Duration claimTimeLimit = std::chrono::seconds(1);
+/// A refusal that is not recorded after this time is answered with outcome unknown.
+constexpr Duration refusalTimeLimit = std::chrono::milliseconds(250);
 constexpr int firstServerError = 500;
 /// An attempt that timed out speaks against its server when it ran for this many typical times.
 constexpr int slowAttemptFactor = 4;
@@ -302,19 +304,55 @@
 
 void RequestDispatcher::refuse(TimePoint now, RequestState &request, RefusalReason reason)
 {
+    if (mayRecordRefusal(now, request, reason)) {
+        recordRefusal(now, request, reason);
+        return;
+    }
     const bool claimIsOpen = request.phase == Phase::LookingUp || request.phase == Phase::Queued
-                             || request.phase == Phase::Claiming;
-    if (!request.idempotent && claimIsOpen)
+                             || request.phase == Phase::Claiming
+                             || request.phase == Phase::Refusing;
+    if (!request.idempotent && claimIsOpen && !request.refusalRecorded)
         m_claims.abandon(now, request.token);
-    const bool certain = !request.mayHaveRun
-                         && (request.idempotent || request.declaredFirstAttempt || request.claimed);
     AnswerRequest action;
-    action.outcome = certain ? Outcome::NotRun : Outcome::Unknown;
+    action.outcome = isNotRun(now, request) ? Outcome::NotRun : Outcome::Unknown;
     action.reason = request.mayHaveRun ? request.reason : reason;
     action.retryAfter = retryAfter(now, request.service, action.reason);
     answer(now, request, std::move(action));
 }
 
+/// Whether no copy of the request up to this one can have run or can run later.
+bool RequestDispatcher::isNotRun(TimePoint now, const RequestState &request) const
+{
+    if (request.mayHaveRun)
+        return false;
+    if (request.idempotent || request.callerAttempt == 1)
+        return true;
+    // Copies without a number have no order: an unread one could still run after the release.
+    if (request.callerAttempt == 0)
+        return false;
+    // The row of an expired id may have been deleted and written again since.
+    const bool recorded = request.claimed || request.refusalRecorded;
+    return (recorded && now <= request.created + ClaimLedger::retention)
+           || m_settings.defects.refuseUnrecorded;
+}
+
+bool RequestDispatcher::mayRecordRefusal(TimePoint now, const RequestState &request,
+                                         RefusalReason reason)
+{
+    return request.phase == Phase::Queued && !request.idempotent && !request.claimed
+           && request.callerAttempt > 1 && !request.cancelled
+           && reason != RefusalReason::StoreUnavailable && leaseIsLive(now)
+           && !m_settings.defects.refuseUnrecorded && m_claims.mayRecordRefusal(now);
+}
+
+void RequestDispatcher::recordRefusal(TimePoint now, RequestState &request, RefusalReason reason)
+{
+    request.phase = Phase::Refusing;
+    request.reason = reason;
+    setTimer(request, now + refusalTimeLimit);
+    m_claims.recordRefusal(now, request.token);
+}
+
 void RequestDispatcher::answer(TimePoint, RequestState &request, AnswerRequest action)
 {
     clearTimer(request);
@@ -378,6 +416,11 @@
         if (RequestState *request = find(token))
             refuse(now, *request, request->reason);
     };
+    hooks.refusalRecorded = [this](TimePoint now, RequestToken token) {
+        RequestState &request = *find(token);
+        request.refusalRecorded = true;
+        refuse(now, request, request.reason);
+    };
     hooks.isMember = [this](const std::string &instance) {
         return m_members.contains(instance);
     };
@@ -401,9 +444,10 @@
 {
     RequestState &request = *find(token);
     freeSlot(now, request, AttemptVerdict::None);
+    const bool refusing = request.phase == Phase::Refusing;
     // The ledger ends the claim itself.
     request.phase = Phase::Releasing;
-    refuse(now, request, RefusalReason::StoreUnavailable);
+    refuse(now, request, refusing ? request.reason : RefusalReason::StoreUnavailable);
 }
 
 void RequestDispatcher::claimRead(TimePoint now, RequestToken token, ReadStatus status,
--- a/Kernel/Request/RequestState.h
+++ b/Kernel/Request/RequestState.h
@@ -16,13 +16,16 @@
         Claiming, ///< has a slot; its claim is written
         Running, ///< an attempt is in flight
         Releasing, ///< did not run; its claim is released
+        Refusing, ///< was not claimed; its refusal is recorded
     };
 
     Phase phase = Phase::Queued;
     RequestToken token = 0;
     bool idempotent = false;
-    bool declaredFirstAttempt = false;
+    std::uint64_t callerAttempt = 0;
     bool claimed = false; ///< its claim row is written by this process
+    bool refusalRecorded = false; ///< no copy up to this one can run any more
+    TimePoint created; ///< by its id; not idempotent
     bool mayHaveRun = false; ///< an earlier attempt has an unknown result
     bool cancelled = false;
     bool claiming = false; ///< counts as a claim in progress
--- a/Kernel/include/Kernel/Request/ClaimLedger.h
+++ b/Kernel/include/Kernel/Request/ClaimLedger.h
@@ -35,6 +35,9 @@
     static constexpr std::uint64_t recordLimit = 10'000'000;
     /// Claims whose outcome or release is not yet written, and lookups in progress.
     static constexpr std::size_t openLimit = 20'000;
+    /// Refusals being recorded. They share the groups of the claims, and a quarter of the rows of
+    /// one transaction leaves the rest to claims when a flood of repeats is refused.
+    static constexpr std::size_t refusalLimit = 25;
     static constexpr Duration retention = std::chrono::hours(24);
     static constexpr Duration futureLimit = std::chrono::minutes(5);
 
@@ -51,10 +54,13 @@
         std::function<void(TimePoint, RequestToken)> storeFailed;
         /// The release of the row has ended, written or not.
         std::function<void(TimePoint, RequestToken)> released;
+        /// A row that keeps this and all earlier copies from running is written. The claim is
+        /// closed.
+        std::function<void(TimePoint, RequestToken)> refusalRecorded;
         std::function<bool(const std::string &)> isMember;
     };
 
-    ClaimLedger(std::string instance, std::uint64_t seed, Hooks hooks);
+    ClaimLedger(std::string instance, std::uint64_t seed, ClaimDefects defects, Hooks hooks);
 
     /// What an open claim of this process says to a repeat, or nothing when there is none.
     std::optional<RepeatAnswer> findOpen(const std::string &key,
@@ -64,11 +70,16 @@
     const StoreBreaker &breaker() const { return m_breaker; }
 
     /// Opens the claim of a request.
-    void open(RequestToken token, const std::string &key, const std::string &fingerprint);
+    void open(RequestToken token, const std::string &key, const std::string &fingerprint,
+              std::uint64_t callerAttempt);
     /// Reads the row first; ends with mayClaim, repeated or storeFailed.
     void lookUp(RequestToken token);
     /// Writes the claim; ends with claimed, repeated or storeFailed.
     void claim(TimePoint now, RequestToken token);
+    bool mayRecordRefusal(TimePoint now);
+    /// Writes the row of a request that was not claimed as released; ends with refusalRecorded,
+    /// repeated or storeFailed.
+    void recordRefusal(TimePoint now, RequestToken token);
     /// Closes a claim that was not written, or releases it in the background when it may have been.
     void abandon(TimePoint now, RequestToken token);
     void recordAnswer(TimePoint now, RequestToken token,
@@ -85,17 +96,19 @@
 
     /// Claims that the kernel's requests no longer refer to.
     std::size_t background() const { return m_background; }
+    std::size_t refusals() const { return m_refusals; }
     std::size_t size() const { return m_claims.size(); }
     std::uint64_t anomalies() const { return m_anomalies; }
     std::uint64_t unrecorded() const { return m_unrecorded; }
 
 private:
-    enum class Phase { Idle, LookingUp, Claiming, Held, Recording, Releasing };
+    enum class Phase { Idle, LookingUp, Claiming, Held, Recording, Releasing, Refusing };
 
     struct Claim
     {
         std::string key;
         std::string fingerprint;
+        std::uint64_t callerAttempt = 0;
         Phase phase = Phase::Idle;
         bool callPending = false; ///< a read or commit has not been reported yet
         bool abandoned = false; ///< the request was answered while the claim was in doubt
@@ -131,9 +144,12 @@
     void endClaimFailure(TimePoint now, RequestToken token, Claim &claim);
     RepeatAnswer interpret(const std::optional<ClaimRecord> &record,
                            const std::string &fingerprint) const;
+    bool mayFollow(const ClaimRecord &record, const Claim &claim) const;
+    void addRecord(TimePoint now);
     void countRecord(TimePoint now);
 
     const std::string m_instance;
+    const ClaimDefects m_defects;
     Hooks m_hooks;
     StoreBreaker m_breaker;
     RandomSource m_random;
@@ -142,6 +158,7 @@
     std::set<std::pair<TimePoint, RequestToken>> m_retries;
     std::uint64_t m_operations = 0;
     std::size_t m_background = 0;
+    std::size_t m_refusals = 0;
     std::uint64_t m_anomalies = 0;
     std::uint64_t m_unrecorded = 0;
     std::optional<TimePoint> m_stopDeadline;
--- a/Kernel/include/Kernel/Request/RequestKernel.h
+++ b/Kernel/include/Kernel/Request/RequestKernel.h
@@ -62,6 +62,14 @@
 using RequestAction
     = std::variant<StartAttempt, ReadClaim, CommitClaim, AnswerRequest, SendPeerMessage>;
 
+/// Deliberately broken variants, set by tests only, to prove that the schedules detect them.
+struct ClaimDefects
+{
+    bool ignoreCallerAttempt = false; ///< any copy may claim a released row
+    bool refuseUnrecorded = false; ///< a repeat is refused as not run without a row that says so
+    bool ignoreLostRefusal = false; ///< a refusal counts as recorded when its commit failed
+};
+
 struct RequestKernelSettings
 {
     std::string instance; ///< name of this entry process, unique for each start
@@ -69,6 +77,7 @@
     std::string routingPolicy = "lent-slots";
     std::size_t queueLimit = 2000; ///< waiting requests of one service
     std::uint64_t seed = 1;
+    ClaimDefects defects;
 };
 
 /// Entry processes with a live lease, in name order, including this one.
--- a/Kernel/include/Kernel/Request/RequestTypes.h
+++ b/Kernel/include/Kernel/Request/RequestTypes.h
@@ -58,6 +58,7 @@
     FingerprintMismatch,
     AlreadyRunning,
     HolderLost,
+    Superseded,
 };
 
 constexpr auto refusalReasonNames = makeEnumTable<RefusalReason>({
@@ -84,6 +85,7 @@
     {RefusalReason::FingerprintMismatch, "fingerprint-mismatch"},
     {RefusalReason::AlreadyRunning, "already-running"},
     {RefusalReason::HolderLost, "holder-lost"},
+    {RefusalReason::Superseded, "superseded"},
 });
 
 /// Names one request inside one entry process, from its arrival to its answer. Never reused.
@@ -96,7 +98,8 @@
     std::string service;
     std::string requestId; ///< UUIDv7; empty when the caller sent none
     bool idempotent = false; ///< by its HTTP method
-    bool declaredFirstAttempt = false; ///< Peridot-Attempt: 1
+    /// Peridot-Attempt: 1 for the first send of the id, then higher; 0 when the caller sent none.
+    std::uint64_t callerAttempt = 0;
     Urgency urgency = Urgency::Normal;
     TimePoint arrival;
     TimePoint deadline;
--- a/Services/Entry/Refusal.cpp
+++ b/Services/Entry/Refusal.cpp
@@ -29,6 +29,12 @@
 int statusOfUnknown(RefusalReason reason)
 {
     switch (reason) {
+    case RefusalReason::BadRequest:
+    case RefusalReason::InvalidRequestId:
+    case RefusalReason::FingerprintMismatch:
+        return 400;
+    case RefusalReason::UnknownService:
+        return 404;
     case RefusalReason::BackendTimeout:
     case RefusalReason::DeadlineExceeded:
         return 504;
@@ -74,7 +80,8 @@
     if (!refusal.field.empty())
         body["field"] = refusal.field;
     ResponseMessage response;
-    response.status = statusOf(refusal.outcome, refusal.reason);
+    response.status
+        = refusal.status != 0 ? refusal.status : statusOf(refusal.outcome, refusal.reason);
     response.headers = {{"Content-Type", "application/json"},
                         {"Peridot-Outcome", body["outcome"].asString()},
                         {"Retry-After", retryAfterSeconds(refusal.retryAfter)}};
@@ -112,6 +119,8 @@
         // The request was not read whole; a copy of it may have run through another connection.
         refusal.outcome = Outcome::Unknown;
         refusal.field = "message";
+        // A slow network is no fault of the input.
+        refusal.status = 503;
         break;
     case InputFault::UpgradeRequested:
         refusal.field = "Upgrade";
--- a/Services/Entry/Refusal.h
+++ b/Services/Entry/Refusal.h
@@ -18,6 +18,7 @@
     std::string requestId;
     Duration retryAfter{0};
     bool closeConnection = false;
+    int status = 0; ///< instead of statusOf(); 0: none
 };
 
 /// Status code of a refusal, by outcome and reason.
--- a/Services/Entry/RequestValidator.cpp
+++ b/Services/Entry/RequestValidator.cpp
@@ -37,6 +37,16 @@
     return refusal;
 }
 
+// Refusal of a fault that other copies of the request need not have: a header, or the routing table
+// of this process. An earlier copy may have run.
+Refusal badCopy(const RequestMessage &request, RefusalReason reason, std::string field,
+                const std::string &detail)
+{
+    Refusal refusal = badInput(reason, std::move(field), detail);
+    refusal.outcome = isCertainlyFirstCopy(request) ? Outcome::NotRun : Outcome::Unknown;
+    return refusal;
+}
+
 std::string_view serviceOf(std::string_view target)
 {
     const std::string_view path = target.substr(0, target.find_first_of("?#"));
@@ -89,23 +99,24 @@
     if (const std::string *text = findHeader(request.headers, "Peridot-Urgency")) {
         const auto urgency = urgencyNames.valueOf(*text);
         if (!urgency)
-            return badInput(RefusalReason::BadRequest, "Peridot-Urgency",
-                            "not urgent, normal or deferrable");
+            return badCopy(request, RefusalReason::BadRequest, "Peridot-Urgency",
+                           "not urgent, normal or deferrable");
         description.urgency = *urgency;
     }
     if (const std::string *text = findHeader(request.headers, "Peridot-Deadline-Ms")) {
         const auto milliseconds = parseNumber(*text);
         if (!milliseconds || *milliseconds == 0
             || *milliseconds > static_cast<std::uint64_t>(maximumDeadline.count()))
-            return badInput(RefusalReason::BadRequest, "Peridot-Deadline-Ms",
-                            "not a number from 1 to " + std::to_string(maximumDeadline.count()));
+            return badCopy(request, RefusalReason::BadRequest, "Peridot-Deadline-Ms",
+                           "not a number from 1 to " + std::to_string(maximumDeadline.count()));
         description.deadline = description.arrival + std::chrono::milliseconds(*milliseconds);
     }
     if (const std::string *text = findHeader(request.headers, "Peridot-Attempt")) {
         const auto attempt = parseNumber(*text);
         if (!attempt || *attempt == 0)
-            return badInput(RefusalReason::BadRequest, "Peridot-Attempt", "not a positive number");
-        description.declaredFirstAttempt = *attempt == 1;
+            return badCopy(request, RefusalReason::BadRequest, "Peridot-Attempt",
+                           "not a positive number");
+        description.callerAttempt = *attempt;
     }
     return std::nullopt;
 }
@@ -115,7 +126,9 @@
 bool isCertainlyFirstCopy(const RequestMessage &request)
 {
     const std::string *attempt = findHeader(request.headers, "Peridot-Attempt");
-    return contains(idempotentMethods, request.method) || (attempt != nullptr && *attempt == "1");
+    return contains(idempotentMethods, request.method)
+           || (attempt != nullptr && *attempt == "1"
+               && countHeaders(request.headers, "Peridot-Attempt") == 1);
 }
 
 std::variant<ValidRequest, Refusal> validateRequest(const RequestMessage &request,
@@ -125,7 +138,8 @@
     // Two different values would leave it to chance which one the answer is for.
     for (const auto name : singleHeaders) {
         if (countHeaders(request.headers, name) > 1)
-            return badInput(RefusalReason::BadRequest, std::string(name), "sent more than once");
+            return badCopy(request, RefusalReason::BadRequest, std::string(name),
+                           "sent more than once");
     }
     const bool idempotent = contains(idempotentMethods, request.method);
     if (!idempotent && !contains(nonIdempotentMethods, request.method))
@@ -133,8 +147,8 @@
     const std::string_view name = serviceOf(request.target);
     const auto service = snapshot.services.find(name);
     if (service == snapshot.services.end())
-        return badInput(RefusalReason::UnknownService, "target",
-                        "the first path segment names no service");
+        return badCopy(request, RefusalReason::UnknownService, "target",
+                       "the first path segment names no service");
     ValidRequest valid;
     RequestDescription &description = valid.description;
     description.token = request.serial;
--- a/Tests/Kernel/Request/KernelDriver.h
+++ b/Tests/Kernel/Request/KernelDriver.h
@@ -86,7 +86,7 @@
         request.token = ++m_lastToken;
         request.service = service;
         request.idempotent = idempotent;
-        request.declaredFirstAttempt = true;
+        request.callerAttempt = 1;
         request.arrival = now;
         request.deadline = now + std::chrono::seconds(10);
         request.fingerprint = "f0";
--- a/Tests/Kernel/Request/TestClaimSchedules.cpp
+++ b/Tests/Kernel/Request/TestClaimSchedules.cpp
@@ -124,7 +124,7 @@
             return;
         Sent &sent = m_sent[id];
         sent.request.token = ++m_lastToken;
-        sent.request.declaredFirstAttempt = sent.copies++ == 0;
+        sent.request.callerAttempt = ++sent.copies;
         sent.request.deadline = m_now + 8s;
         sent.pending = true;
         sent.toldNotRun = false;
--- a/Tests/Kernel/Request/TestRequestLoad.cpp
+++ b/Tests/Kernel/Request/TestRequestLoad.cpp
@@ -169,7 +169,7 @@
     CHECK(entry.answers[late].reason == RefusalReason::Stopping);
     CHECK(entry.answers[late].outcome == Outcome::NotRun);
     auto repeat = entry.describe("treasury", false);
-    repeat.declaredFirstAttempt = false;
+    repeat.callerAttempt = 2;
     CHECK(entry.answers[entry.arrive(repeat)].outcome == Outcome::Unknown);
     entry.finish();
     entry.finish();
--- a/Tests/Services/Entry/TestRepeats.cpp
+++ b/Tests/Services/Entry/TestRepeats.cpp
@@ -70,6 +70,79 @@
     }
 }
 
+// Guards against a second run through another entry process while the first copy is executing.
+TEST_CASE("A repeat sent to another entry process during the execution is in progress")
+{
+    EntrySettings settings = EntryFixture::defaults();
+    settings.routingPolicy = "two-choices";
+    EntryFixture fixture(1, settings);
+    settings.bootstrap = fixture.table;
+    const auto other = fixture.startEntry(settings);
+    const EntryMembers members{2, {fixture.entry->instance(), other->instance()}};
+    fixture.entry->hooks().onMembersChanged(members);
+    other->hooks().onMembersChanged(members);
+    fixture.backends[0]->state().setServiceTime(std::chrono::seconds(3));
+
+    const std::string id = EntryFixture::newId();
+    const auto message = EntryFixture::request("POST", id);
+    const auto first = fixture.connect(fixture.entry->callerPort());
+    std::optional<Reply> reply;
+    first->exchange(ClientConnection::format(message), false, std::chrono::seconds(60),
+                    [&](Exchange exchange) {
+                        reply = Reply{exchange.end, std::move(exchange.response)};
+                    });
+    while (fixture.runs(id) == 0)
+        fixture.context.run_one_for(std::chrono::milliseconds(5));
+    const auto ask = [&](const char *attempt) {
+        RequestMessage copy = message;
+        EntryFixture::setHeader(copy, "Peridot-Attempt", attempt);
+        return fixture.send(fixture.connect(other->callerPort()), ClientConnection::format(copy));
+    };
+    for (const char *attempt : {"2", "1"}) {
+        const Reply repeated = ask(attempt);
+        REQUIRE(repeated.outcome() == "in-progress");
+        REQUIRE(repeated.reason() == "already-running");
+        REQUIRE(repeated.response.status == 409);
+    }
+    while (!reply)
+        fixture.context.run_one();
+    REQUIRE(reply->outcome() == "answer");
+    // The outcome is recorded after the answer.
+    Reply last = ask("3");
+    while (last.outcome() == "in-progress")
+        last = ask("3");
+    REQUIRE(last.outcome() == "answer");
+    REQUIRE(last.response.body == reply->response.body);
+    REQUIRE(fixture.runs(id) == 1);
+}
+
+TEST_CASE("A copy below a refused one is superseded at another entry process")
+{
+    EntryFixture fixture;
+    EntrySettings settings = EntryFixture::defaults();
+    settings.bootstrap = fixture.table;
+    const auto other = fixture.startEntry(settings);
+    const std::string id = EntryFixture::newId();
+    const auto copy = [&](const char *attempt) {
+        auto message = EntryFixture::request("POST", id);
+        EntryFixture::setHeader(message, "Peridot-Attempt", attempt);
+        return message;
+    };
+    fixture.backends[0]->state().setFault(Fault::Refuse, 1000);
+    REQUIRE(fixture.send(copy("3")).outcome() == "not-run");
+    fixture.backends[0]->state().setFault(Fault::None, 0);
+    const auto ask = [&](const char *attempt) {
+        return fixture.send(fixture.connect(other->callerPort()),
+                            ClientConnection::format(copy(attempt)));
+    };
+    const Reply late = ask("2");
+    REQUIRE(late.outcome() == "unknown");
+    REQUIRE(late.reason() == "superseded");
+    REQUIRE(fixture.runs(id) == 0);
+    REQUIRE(ask("4").outcome() == "answer");
+    REQUIRE(fixture.runs(id) == 1);
+}
+
 TEST_CASE("While the store is down")
 {
     EntryFixture fixture;
--- a/Utilities/Measure/RequestSimulation.cpp
+++ b/Utilities/Measure/RequestSimulation.cpp
@@ -226,7 +226,7 @@
     request.token = ++m_lastToken;
     request.service = load.name;
     request.idempotent = random.unit() >= m_settings.nonIdempotentPart;
-    request.declaredFirstAttempt = true;
+    request.callerAttempt = 1;
     if (!request.idempotent)
         request.requestId = requestId(m_now, request.token);
     const bool flood = load.floodRate > 0 && isMeasured(m_now);
