Kernel: Leave each service half of its servers when all of them fail

At most half of all backend servers were ejected, but a service may have a few of them only. When each server of such a service failed, all were ejected, and the service had none until a backoff of up to 30 s had passed. The limit now holds for each service.

The new test failed with 4 of 4 servers ejected instead of 2. Where all servers execute all services, nothing changes.

--- a/Kernel/Request/BackendServerPool.cpp
+++ b/Kernel/Request/BackendServerPool.cpp
@@ -95,20 +95,37 @@
 
 void BackendServerPool::countWorkingServers()
 {
-    m_working = 0;
-    m_ejected = 0;
     for (ServiceState &service : m_services)
-        service.workingServers = 0;
+        service.workingServers = service.ejectedServers = 0;
     for (const Server &server : m_servers) {
         if (!server.mayWork())
             continue;
-        ++m_working;
-        m_ejected += server.accrual.state() != AccrualState::Available ? 1 : 0;
         for (const ServiceIndex service : server.services)
             ++m_services[service].workingServers;
+        if (server.accrual.state() != AccrualState::Available)
+            countEjection(server, 1);
     }
 }
 
+void BackendServerPool::countEjection(const Server &server, int change)
+{
+    if (!server.mayWork())
+        return;
+    for (const ServiceIndex service : server.services)
+        m_services[service].ejectedServers += static_cast<unsigned>(change);
+}
+
+/// At most half of the servers of each service are ejected, so that failures which concern all of
+/// them don't leave the service without any.
+bool BackendServerPool::mayEject(const Server &server) const
+{
+    return std::all_of(server.services.begin(), server.services.end(),
+                       [this](ServiceIndex service) {
+                           return 2 * (m_services[service].ejectedServers + 1)
+                                  <= m_services[service].workingServers;
+                       });
+}
+
 void BackendServerPool::membersChanged(TimePoint now, const EntryMembers &members)
 {
     m_members = std::max<std::size_t>(1, members.instances.size());
@@ -278,13 +295,13 @@
 void BackendServerPool::judge(TimePoint now, const SlotReservation &reservation,
                               AttemptVerdict verdict)
 {
+    const Server &server = m_servers[reservation.server];
     FailureAccrual &accrual = m_servers[reservation.server].accrual;
-    const bool counted = m_servers[reservation.server].mayWork();
     const Duration elapsed = now - reservation.startedAt;
     if (reservation.probe) {
         accrual.probeFinished(now, verdict == AttemptVerdict::Success, m_random);
         if (accrual.state() == AccrualState::Available)
-            m_ejected -= counted ? 1 : 0;
+            countEjection(server, -1);
         else
             m_backoffs.push({accrual.backoffEnd(), reservation.server});
         return;
@@ -300,11 +317,9 @@
     } else if (verdict == AttemptVerdict::Failure) {
         eject = accrual.failed();
     }
-    // At most half of the servers are ejected, so that failures which concern all of them don't
-    // leave the service without any.
-    if (eject && 2 * (m_ejected + 1) <= m_working) {
+    if (eject && mayEject(server)) {
         accrual.eject(now, m_random);
-        m_ejected += counted ? 1 : 0;
+        countEjection(server, 1);
         m_backoffs.push({accrual.backoffEnd(), reservation.server});
     }
 }
--- a/Kernel/include/Kernel/Request/BackendServerPool.h
+++ b/Kernel/include/Kernel/Request/BackendServerPool.h
@@ -107,6 +107,7 @@
     {
         std::vector<ServerIndex> freeServers;
         unsigned workingServers = 0;
+        unsigned ejectedServers = 0; ///< among the working ones
         Duration latency{0};
     };
 
@@ -115,6 +116,8 @@
     void setFree(ServerIndex index, bool free);
     void update(ServerIndex index);
     void countWorkingServers();
+    void countEjection(const Server &server, int change);
+    bool mayEject(const Server &server) const;
     unsigned connectionLimit(const Server &server) const;
     bool hasFreeSlot(const Server &server, ServerIndex index) const;
     double loadOf(ServerIndex index) const;
@@ -133,8 +136,6 @@
     std::vector<ServiceState> m_services;
     std::set<ServerIndex> m_probeReady;
     std::size_t m_freeServerCount = 0;
-    std::size_t m_ejected = 0;
-    std::size_t m_working = 0;
     std::size_t m_members = 1;
     std::priority_queue<HeldBack, std::vector<HeldBack>, std::greater<>> m_heldBack;
     std::priority_queue<Backoff, std::vector<Backoff>, std::greater<>> m_backoffs;
--- a/Tests/Kernel/Request/TestRequestLoad.cpp
+++ b/Tests/Kernel/Request/TestRequestLoad.cpp
@@ -155,6 +155,30 @@
     }
 }
 
+// Guards against a service that has no server left for up to 30 s after all of its servers failed,
+// because the servers of other services were counted.
+TEST_CASE("At most half of the servers of one service are ejected")
+{
+    MemoryTable table;
+    KernelDriver entry(table, "entry-a");
+    const auto routes = makeTable(12, 2, {"treasury", "intake"});
+    for (unsigned index = 0; index < 12; ++index)
+        routes->backendServers[index].services = {index < 4 ? "treasury" : "intake"};
+    entry.ready(routes, {"entry-a"});
+    for (int count = 0; count < 200; ++count) {
+        entry.arrive(entry.describe("treasury", true));
+        while (!entry.attempts.empty())
+            entry.finish(AttemptStatus::ConnectionLost);
+        entry.advance(5ms);
+    }
+    int ejected = 0;
+    for (int index = 0; index < 12; ++index) {
+        const auto state = stateOf(entry)["backend_servers"][fmt::format("backend-{}", index)];
+        ejected += state["ejected"].asBool() ? 1 : 0;
+    }
+    CHECK(ejected == 2);
+}
+
 TEST_CASE("A graceful stop cuts nothing and takes nothing new")
 {
     MemoryTable table;
