Kernel/Fleet: Count the buffer in slots that a task can use

PoolBuffer summed the free resources of all hosts. Usage learning shrinks running tasks from 4.0 to 3.8 cores, so that every host had 1.6 free cores that fit no task; the sum of these slivers admitted new tasks, which took whole hosts of the common buffer.

The room is now counted in slots of the largest task that may claim the buffer, a host at a time. An empty host counts with its whole capacity, because it replaces any host of its size: with mixed sizes, whole slots alone admitted small tasks to the remainder of each buffer host (seen in a trace while the size learnt first was 1.2 times the declared one). Normal tasks that use no slot of the host that the policy chose are placed beside an exhausted buffer.

Tasks on borrowed hosts and displaced tasks without a host are deducted from the room of their own pool, because their former hosts still count as room there.

The buffer is built when the first pending task needs it: most passes have none.

--- a/Kernel/Fleet/JobPlacer.cpp
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -26,12 +26,18 @@
 JobPlacer::JobPlacer(const FleetView &view, const PoolScope &scope, TimePoint now,
                      PlacementStep &step, const PlacementPolicy &policy)
     : m_view(view), m_scope(scope), m_now(now), m_step(step), m_policy(policy),
-      m_health(view, *scope.pool, now), m_buffer(view, scope, policy.sharesBuffer()),
-      m_roomMaker(view, scope, now, step, policy.throttles())
+      m_health(view, *scope.pool, now), m_roomMaker(view, scope, now, step, policy.throttles())
 {
     collectCandidates();
 }
 
+PoolBuffer &JobPlacer::buffer()
+{
+    if (!m_buffer)
+        m_buffer.emplace(m_view, m_scope, m_policy.sharesBuffer());
+    return *m_buffer;
+}
+
 void JobPlacer::collectCandidates()
 {
     addCandidates(*m_scope.pool, false);
@@ -67,15 +73,16 @@
                        [&](const Resources &capacity) { return fits(size, capacity); });
 }
 
-bool JobPlacer::isHopeless(const Resources &size) const
+bool JobPlacer::isAtLeastOneOf(const std::vector<Resources> &sizes, const Resources &size)
 {
-    return std::any_of(m_refusedSizes.begin(), m_refusedSizes.end(),
+    return std::any_of(sizes.begin(), sizes.end(),
                        [&](const Resources &refused) { return fits(refused, size); });
 }
 
 void JobPlacer::place(const std::vector<std::string> &jobs)
 {
     m_refusedSizes.clear();
+    m_reservedSizes.clear();
     // Displaced tasks go first: the buffer that new tasks leave free is meant for them.
     auto ordered = jobs;
     std::stable_partition(ordered.begin(), ordered.end(), [&](const std::string &name) {
@@ -177,57 +184,62 @@
     auto size = estimatedSize(specification.taskSize, record.learned);
     if (!fitsSomeHost(size))
         size = specification.taskSize;
-    if (isHopeless(size)) {
-        if (wasPlacedBefore(task))
-            m_buffer.take(size);
+    const bool displaced = wasPlacedBefore(task);
+    if (isAtLeastOneOf(m_refusedSizes, size)) {
+        if (displaced)
+            buffer().claim(size);
         return PendingReason::NoCapacity;
     }
 
     const auto request = requestFor(record, size, task);
-    bool bufferHeldBack = false;
-    if (const auto candidate = findHost(request, task, bufferHeldBack)) {
+    const bool besideBuffer = !mayUseBuffer(record.urgency, displaced) && !buffer().hasRoom();
+    const auto candidate = besideBuffer ? findBesideBuffer(request) : findHost(request, displaced);
+    if (candidate) {
         m_step.place(name, index, m_candidates[*candidate].name, size, m_now);
-        take(*candidate, size);
+        take(*candidate, request);
         return PendingReason::None;
     }
-    if (bufferHeldBack)
+    if (besideBuffer) {
+        m_reservedSizes.push_back(size);
         return PendingReason::BufferReserved;
+    }
     if (record.urgency != Urgency::Deferrable) {
         const auto room = m_roomMaker.makeRoom(size, record.urgency, m_candidates);
         if (room.result == RoomMaker::Result::Throttled) {
             m_step.place(name, index, m_candidates[room.candidate].name, size, m_now);
-            take(room.candidate, size);
+            take(room.candidate, request);
             return PendingReason::None;
         }
         if (room.result == RoomMaker::Result::Waiting)
             return PendingReason::MakingRoom;
     }
-    if (wasPlacedBefore(task))
-        m_buffer.take(size);
+    if (displaced)
+        buffer().claim(size);
     m_refusedSizes.push_back(size);
     return PendingReason::NoCapacity;
 }
 
-std::optional<std::size_t> JobPlacer::findHost(const PlacementRequest &request,
-                                               const TaskRecord &task, bool &bufferHeldBack)
+bool JobPlacer::mayUseBuffer(Urgency urgency, bool displaced)
 {
     // The buffer is for displaced and urgent tasks. Deferrable tasks may use that of their own
     // pool, because they give it back at once, but not the common one.
-    const bool displaced = wasPlacedBefore(task);
-    const bool mayUseBuffer
-        = displaced || request.urgency == Urgency::Urgent
-          || (request.urgency == Urgency::Deferrable && !m_buffer.poolIsSpare());
-    if (!mayUseBuffer && !m_buffer.admits(request.size)) {
-        bufferHeldBack = true;
-        return std::nullopt;
-    }
+    return displaced || urgency == Urgency::Urgent
+           || (urgency == Urgency::Deferrable && !buffer().poolIsSpare());
+}
+
+bool JobPlacer::mayBorrow(Urgency urgency, bool displaced) const
+{
+    return urgency == Urgency::Urgent
+           || (urgency == Urgency::Normal && (displaced || m_ownHostsUnavailable));
+}
+
+std::optional<std::size_t> JobPlacer::findHost(const PlacementRequest &request,
+                                               bool displaced) const
+{
     const auto choice = m_policy.choose(request, m_candidates);
     if (!choice)
         return std::nullopt;
-    const bool mayBorrow
-        = request.urgency == Urgency::Urgent
-          || (request.urgency == Urgency::Normal && (displaced || m_ownHostsUnavailable));
-    if (m_candidates[*choice].borrowed && !mayBorrow) {
+    if (m_candidates[*choice].borrowed && !mayBorrow(request.urgency, displaced)) {
         // Policies that do not rank borrowed hosts last may have passed over an own one.
         std::vector<HostCandidate> own;
         std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(own),
@@ -239,14 +251,36 @@
     return choice;
 }
 
-void JobPlacer::take(std::size_t candidate, const Resources &size)
+std::optional<std::size_t> JobPlacer::findBesideBuffer(const PlacementRequest &request)
+{
+    if (isAtLeastOneOf(m_reservedSizes, request.size))
+        return std::nullopt;
+    std::vector<HostCandidate> permitted;
+    std::vector<std::size_t> indexes;
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        const auto &candidate = m_candidates[index];
+        const bool admitted = candidate.borrowed ? mayBorrow(request.urgency, false)
+                                                       && buffer().admitsLoan(request.size)
+                                                 : buffer().admits(*candidate.host, request.size);
+        if (admitted && fits(request.size, candidate.free)) {
+            permitted.push_back(candidate);
+            indexes.push_back(index);
+        }
+    }
+    const auto choice = m_policy.choose(request, permitted);
+    return choice ? std::optional(indexes[*choice]) : std::nullopt;
+}
+
+void JobPlacer::take(std::size_t candidate, const PlacementRequest &request)
 {
     auto &chosen = m_candidates[candidate];
-    chosen.free = minus(chosen.free, size);
+    chosen.free = minus(chosen.free, request.size);
     if (chosen.host->record->quarantines > 0)
         chosen.free = {};
-    if (!chosen.borrowed)
-        m_buffer.take(size);
+    if (chosen.borrowed)
+        buffer().claim(request.size);
+    else
+        buffer().take(*chosen.host, request.size, request.urgency);
 }
 
 void JobPlacer::restoreThrottled(const std::string &name)
--- a/Kernel/Fleet/JobPlacer.h
+++ b/Kernel/Fleet/JobPlacer.h
@@ -25,20 +25,24 @@
         std::string detail;
     };
 
+    /// Built on first use: most passes have no pending task.
+    PoolBuffer &buffer();
     void collectCandidates();
     void addCandidates(const FleetView::Pool &pool, bool borrowed);
     void placeJob(const std::string &name);
     Verdict judge(const JobRecord &record, const JobSpecification &specification);
     PendingReason placeTask(const std::string &name, unsigned index,
                             const JobSpecification &specification);
-    std::optional<std::size_t> findHost(const PlacementRequest &request, const TaskRecord &task,
-                                        bool &bufferHeldBack);
+    std::optional<std::size_t> findHost(const PlacementRequest &request, bool displaced) const;
+    std::optional<std::size_t> findBesideBuffer(const PlacementRequest &request);
+    bool mayUseBuffer(Urgency urgency, bool displaced);
+    bool mayBorrow(Urgency urgency, bool displaced) const;
     PlacementRequest requestFor(const JobRecord &record, const Resources &size,
                                 const TaskRecord &task) const;
-    void take(std::size_t candidate, const Resources &size);
+    void take(std::size_t candidate, const PlacementRequest &request);
     void report(const std::string &name, const Verdict &verdict);
     bool fitsSomeHost(const Resources &size) const;
-    bool isHopeless(const Resources &size) const;
+    static bool isAtLeastOneOf(const std::vector<Resources> &sizes, const Resources &size);
     void restoreThrottled(const std::string &name);
 
     const FleetView &m_view;
@@ -47,11 +51,12 @@
     PlacementStep &m_step;
     const PlacementPolicy &m_policy;
     PoolHealth m_health;
-    PoolBuffer m_buffer;
+    std::optional<PoolBuffer> m_buffer;
     RoomMaker m_roomMaker;
     std::vector<HostCandidate> m_candidates;
     std::vector<Resources> m_capacities; ///< different capacities of own and spare hosts
     std::vector<Resources> m_refusedSizes; ///< sizes that found no room for the current urgency
+    std::vector<Resources> m_reservedSizes; ///< the same for sizes that found only the buffer
     bool m_ownHostsUnavailable = false;
 };
 
