LibHttp, Entry: Ask for permission right before a request is sent

The dispatcher asks whether the process still holds its lease before it starts an attempt. With a transport thread the first byte leaves later, and the process may be paused in between, also while a connection opens. The permission is now asked again in CURLOPT_PREREQFUNCTION, before any byte is sent, and a transfer whose deadline ended before a transport thread took it is not started. Both end as NotSent. The test was written with the change; before, there was no such check to call.

--- a/Libraries/LibHttp/BackendTransfer.cpp
+++ b/Libraries/LibHttp/BackendTransfer.cpp
@@ -123,6 +123,8 @@
 int BackendTransfer::onBeforeRequest(void *self, char *, char *, int, int)
 {
     auto &transfer = *static_cast<BackendTransfer *>(self);
+    if (transfer.m_settings.maySend && !transfer.m_settings.maySend())
+        return CURL_PREREQFUNC_ABORT;
     ++transfer.m_sends;
     return transfer.m_sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
--- a/Libraries/LibHttp/BackendTransport.cpp
+++ b/Libraries/LibHttp/BackendTransport.cpp
@@ -65,11 +65,11 @@
     transfer->server = &server;
     transfer->request = std::move(request);
     transfer->callback = std::move(callback);
+    transfer->deadline = SteadyClock::now() + transfer->request.timeout;
     const auto thread
         = server.waiting.empty() ? server.shares.choose(m_openByThread) : std::nullopt;
     if (thread)
         return hand(transfer, *thread);
-    transfer->deadline = SteadyClock::now() + transfer->request.timeout;
     server.waiting.push_back(transfer);
     if (m_waiting++ == 0)
         armSweep();
@@ -92,8 +92,6 @@
         Transfer *transfer = server.waiting.front();
         server.waiting.pop_front();
         --m_waiting;
-        transfer->request.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
-            transfer->deadline - SteadyClock::now());
         hand(transfer, *thread);
     }
 }
--- a/Libraries/LibHttp/TransportThread.cpp
+++ b/Libraries/LibHttp/TransportThread.cpp
@@ -46,7 +46,17 @@
         const std::lock_guard lock(m_mutex);
         m_batch.swap(m_inbox);
     }
+    const auto now = std::chrono::steady_clock::now();
     for (Transfer *transfer : m_batch) {
+        // The process may have been paused since the owner handed the transfer over.
+        if (transfer->deadline <= now) {
+            transfer->answer.status = AttemptStatus::NotSent;
+            transfer->answer.detail = "the timeout ended before the request was sent";
+            m_onDone(transfer);
+            continue;
+        }
+        transfer->request.timeout
+            = std::chrono::ceil<std::chrono::milliseconds>(transfer->deadline - now);
         m_client.start(std::move(transfer->request), [this, transfer](BackendAnswer answer) {
             transfer->answer = std::move(answer);
             m_onDone(transfer);
--- a/Libraries/LibHttp/TransportThread.h
+++ b/Libraries/LibHttp/TransportThread.h
@@ -21,7 +21,7 @@
     BackendAnswer answer;
     ServerTransfers *server = nullptr;
     unsigned thread = 0;
-    std::chrono::steady_clock::time_point deadline; ///< set while it waits for a connection
+    std::chrono::steady_clock::time_point deadline;
 };
 
 /// A thread with an Asio context and a BackendClient of its own.
--- a/Libraries/LibHttp/include/LibHttp/BackendClient.h
+++ b/Libraries/LibHttp/include/LibHttp/BackendClient.h
@@ -22,6 +22,9 @@
     /// Idle connections older than this are not used again. It must be shorter than the idle
     /// timeout of the backend servers, or non-idempotent requests meet closing connections.
     std::chrono::seconds idleConnectionLimit{5};
+    /// Asked on the thread of the client right before the bytes of a request are sent. A request
+    /// that may not be sent any more ends as NotSent. Empty: always.
+    std::function<bool()> maySend;
 };
 
 struct BackendRequest
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -61,6 +61,8 @@
     dispatcher.transport.client.maximumAnswerBytes = m_settings.maximumAnswerBytes;
     dispatcher.transport.client.connectTimeout = m_settings.connectTimeout;
     dispatcher.transport.client.idleConnectionLimit = m_settings.idleConnectionLimit;
+    // Between the decision for an attempt and its first byte the process may have been paused.
+    dispatcher.transport.client.maySend = m_parts.mayServe;
     dispatcher.transport.threads = static_cast<unsigned>(m_settings.transportThreads);
     dispatcher.clock = m_parts.clock;
     dispatcher.sendPeerMessage = m_parts.sendPeerMessage;
--- a/Tests/LibHttp/TestBackendTransport.cpp
+++ b/Tests/LibHttp/TestBackendTransport.cpp
@@ -14,12 +14,13 @@
 
 struct TransportFixture
 {
-    explicit TransportFixture(unsigned threads)
+    explicit TransportFixture(unsigned threads, std::function<bool()> maySend = {})
     {
         BackendTransportSettings settings;
         settings.threads = threads;
         // Longer than any test, so that every connection beyond the limit shows in the counts.
         settings.client.idleConnectionLimit = std::chrono::seconds(600);
+        settings.client.maySend = std::move(maySend);
         transport = std::make_unique<BackendTransport>(context, settings, [this] { ++batches; });
     }
 
@@ -224,6 +225,32 @@
     REQUIRE(server.requests == 2);
 }
 
+// Guards against a request that a paused process sends after its lease or its deadline has ended.
+TEST_CASE("A request that may not be sent any more was not sent")
+{
+    HoldingServer server;
+    SECTION("because the owner forbids it while the connection opens")
+    {
+        std::atomic<unsigned> asked{0};
+        TransportFixture fixture(2, [&] {
+            ++asked;
+            return false;
+        });
+        fixture.startMany(server.port(), 8);
+        fixture.runUntilEnded(8);
+        REQUIRE(asked == 8);
+        REQUIRE(fixture.countOf(AttemptStatus::NotSent) == 8);
+    }
+    SECTION("because its timeout ended before a transport thread took it")
+    {
+        TransportFixture fixture(2);
+        fixture.start(server.port(), std::chrono::milliseconds(0));
+        fixture.runUntilEnded(1);
+        REQUIRE(fixture.countOf(AttemptStatus::NotSent) == 1);
+    }
+    REQUIRE(server.requests == 0);
+}
+
 // Guards against an outcome "not run" for a request that may run after the process has stopped.
 TEST_CASE("A stop with open transfers reports none of them")
 {
