--- a/Tests/LibHttp/BackendFixture.h
+++ b/Tests/LibHttp/BackendFixture.h
@@ -11,7 +11,7 @@
 /// Backend stand-in on a free port and a client that runs on the thread of the test.
 struct BackendFixture
 {
-    explicit BackendFixture(BackendClientSettings clientSettings = {}, unsigned slots = 8)
+    explicit BackendFixture(const BackendClientSettings &clientSettings = {}, unsigned slots = 8)
     {
         BackendSettings settings;
         settings.name = "b1";
