--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -61,9 +61,9 @@
     dispatcher.transport.client.maximumAnswerBytes = m_settings.maximumAnswerBytes;
     dispatcher.transport.client.connectTimeout = m_settings.connectTimeout;
     dispatcher.transport.client.idleConnectionLimit = m_settings.idleConnectionLimit;
-    dispatcher.transport.threads = static_cast<unsigned>(m_settings.transportThreads);
-    // The process may be paused between the decision to send and the first byte.
+    // Between the decision for an attempt and its first byte the process may have been paused.
     dispatcher.transport.client.maySend = m_parts.mayServe;
+    dispatcher.transport.threads = static_cast<unsigned>(m_settings.transportThreads);
     dispatcher.clock = m_parts.clock;
     dispatcher.sendPeerMessage = m_parts.sendPeerMessage;
     dispatcher.mayServe = m_parts.mayServe;
