Kernel/Fleet: Maintain a failed host before it returns

A host that failed during a wave and came back was meant to be maintained at once, because it counts as unavailable already. It was returned instead whenever rows still named tasks on it: these are released two passes after the host is seen again. It then needed a permit and a drain of its own, and received tasks that the drain moved again.

A failed host that is due, executes nothing and fits into the budget now waits for these rows. A host that was only unreachable and still executes tasks returns as before. The wait counts against the budget as the outage did.

--- a/Kernel/Fleet/HostSteps.cpp
+++ b/Kernel/Fleet/HostSteps.cpp
@@ -24,6 +24,12 @@
     return state == TaskState::Running || state == TaskState::Throttled;
 }
 
+bool executesTasks(const FleetView::Host &host)
+{
+    return std::any_of(host.report->tasks.begin(), host.report->tasks.end(),
+                       [](const TaskReport &task) { return isExecuting(task.state); });
+}
+
 } // namespace
 
 DrainPurpose wantedPurpose(const FleetView &view, const FleetView::Host &host,
@@ -54,9 +60,7 @@
         return DrainBlocker::Tasks;
     if (view.isInDoubt(host, now) || host.report->lastSeen < host.observed)
         return DrainBlocker::Report;
-    const auto &tasks = host.report->tasks;
-    if (std::any_of(tasks.begin(), tasks.end(),
-                    [](const TaskReport &task) { return isExecuting(task.state); }))
+    if (executesTasks(host))
         return DrainBlocker::Tasks;
     if (host.hasBackendServer && now - host.observed < routingDelay + pool->longestDeadline)
         return DrainBlocker::RequestsInFlight;
@@ -251,7 +255,11 @@
     const bool fits = ledger.permits.size() + ledger.unavailable.size() <= ledger.budget;
     const bool due = ledger.wave.state != WaveState::Paused
                      && wantedPurpose(m_view, host, ledger.wave) == DrainPurpose::Maintenance;
-    if (fits && due && drainBlocker(m_view, host, m_now) == DrainBlocker::None) {
+    if (fits && due && !executesTasks(host)) {
+        // The rows of the tasks that the host lost are released a few passes after it is seen
+        // again, or when their leases end. Until then it counts as unavailable.
+        if (drainBlocker(m_view, host, m_now) != DrainBlocker::None)
+            return;
         reboot(name, host);
         m_step.changeHost(name).purpose = DrainPurpose::Maintenance;
         auto &changed = m_step.changeLedger();
