Kernel/Fleet: Return tasks from borrowed hosts when their room is needed

After a failed rack returned, its former tasks stayed on hosts of the spare pool for good. The common buffer stayed in use, and a rack with hosts of other pools could not fail: 8 tasks of a second rack never ran again (the new test, before the change).

A pool now checkpoints one such task a pass, the least urgent first, when an own host has room for it and the spare pool needs it: its buffer is short, or tasks of its own wait for room. The task then starts at home like any displaced task. Nothing returns while an own host is unavailable or due for maintenance, because the task would move again. A task that moves anyway prefers its own pool as before; this has a test now.

One task a pass bounds what pools return too much when they see the same need.

--- a/Kernel/Fleet/JobPlacer.cpp
+++ b/Kernel/Fleet/JobPlacer.cpp
@@ -2,6 +2,7 @@
 
 #include "HostSteps.h"
 #include "JobSupervisor.h"
+#include "LoanReturn.h"
 #include "ResourceMath.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -307,4 +308,10 @@
     }
 }
 
+void JobPlacer::returnLoan()
+{
+    if (m_policy.sharesBuffer() && !m_ownHostsUnavailable)
+        LoanReturn(m_view, m_scope, m_now, m_step).returnOne(m_candidates);
+}
+
 } // namespace Peridot
--- a/Kernel/Fleet/JobPlacer.h
+++ b/Kernel/Fleet/JobPlacer.h
@@ -17,6 +17,9 @@
     /// Places the pending tasks of \a jobs, which have the same urgency, in their order.
     void place(const std::vector<std::string> &jobs);
 
+    /// Call it after all jobs were placed; see LoanReturn.
+    void returnLoan();
+
 private:
     struct Verdict
     {
--- /dev/null
+++ b/Kernel/Fleet/LoanReturn.cpp
@@ -0,0 +1,90 @@
+#include "LoanReturn.h"
+
+#include "PoolBuffer.h"
+#include <algorithm>
+
+namespace Peridot {
+
+LoanReturn::LoanReturn(const FleetView &view, const PoolScope &scope, TimePoint now,
+                       PlacementStep &step)
+    : m_view(view), m_scope(scope), m_now(now), m_step(step)
+{
+}
+
+std::optional<LoanReturn::LoanedTask> LoanReturn::loanedTask(const std::string &task) const
+{
+    const auto slash = task.rfind('/');
+    const auto name = task.substr(0, slash);
+    const auto *job = m_view.job(name);
+    const auto index = std::strtoul(task.c_str() + (slash + 1), nullptr, 10);
+    if (!job || !job->record || index >= job->record->tasks.size())
+        return std::nullopt;
+    return LoanedTask{name, static_cast<unsigned>(index), &*job->record};
+}
+
+double LoanReturn::roomNeededBy(const FleetView::Pool &spare) const
+{
+    double needed = PoolBuffer(m_view, {{}, nullptr, &spare}, true).shortage();
+    for (const auto &name : spare.jobs) {
+        const auto &record = m_view.job(name)->record;
+        if (!record || record->urgency == Urgency::Deferrable
+            || (record->reason != PendingReason::BufferReserved
+                && record->reason != PendingReason::NoCapacity))
+            continue;
+        needed += static_cast<double>(
+            std::count_if(record->tasks.begin(), record->tasks.end(),
+                          [](const TaskRecord &task) { return task.phase == TaskPhase::Pending; }));
+    }
+    for (const auto &[task, host] : spare.placement.loans) {
+        const auto loan = loanedTask(task);
+        const auto phase = loan ? loan->record->tasks[loan->index].phase : TaskPhase::Pending;
+        if (phase == TaskPhase::Checkpointing || phase == TaskPhase::Stopping)
+            needed -= 1;
+    }
+    return needed;
+}
+
+std::optional<LoanReturn::LoanedTask>
+LoanReturn::returnableTask(const FleetView::Pool &spare,
+                           const std::vector<HostCandidate> &candidates) const
+{
+    std::optional<LoanedTask> best;
+    for (const auto &[task, host] : spare.placement.loans) {
+        const auto loan = loanedTask(task);
+        if (!loan || loan->record->pool != m_scope.name
+            || loan->record->state == JobState::Cancelling
+            || (best && loan->record->urgency <= best->record->urgency))
+            continue;
+        // This step may have placed the task at home already.
+        const auto *record = m_step.job(loan->job);
+        if (!record || record->tasks[loan->index].phase != TaskPhase::Placed
+            || record->tasks[loan->index].host != host)
+            continue;
+        const auto &size = record->tasks[loan->index].size;
+        if (std::any_of(candidates.begin(), candidates.end(), [&](const HostCandidate &candidate) {
+                return !candidate.borrowed && fits(size, candidate.free);
+            }))
+            best = loan;
+    }
+    return best;
+}
+
+void LoanReturn::returnOne(const std::vector<HostCandidate> &candidates)
+{
+    const auto *spare = sparePool(m_view);
+    if (!spare || spare == m_scope.pool || spare->placement.loans.empty() || m_step.isFull())
+        return;
+    // A task that returns before the wave has passed its pool would only move again.
+    if (std::any_of(candidates.begin(), candidates.end(), [](const HostCandidate &candidate) {
+            return !candidate.borrowed && candidate.dueForMaintenance;
+        }))
+        return;
+    const auto loan = returnableTask(*spare, candidates);
+    if (!loan || roomNeededBy(*spare) <= 0)
+        return;
+    auto &task = m_step.changeJob(loan->job).tasks[loan->index];
+    task.phase = TaskPhase::Checkpointing;
+    task.since = m_now;
+}
+
+} // namespace Peridot
--- a/Kernel/Fleet/Placement.cpp
+++ b/Kernel/Fleet/Placement.cpp
@@ -53,6 +53,7 @@
         }
         placer.place(names);
     }
+    placer.returnLoan();
     if (step.hasChanges())
         plan.transactions.push_back(step.transaction());
 }
--- a/Kernel/Fleet/PoolBuffer.h
+++ b/Kernel/Fleet/PoolBuffer.h
@@ -26,6 +26,9 @@
     /// True when such a task may take a borrowed host.
     bool admitsLoan(const Resources &size) const;
 
+    /// Slots of the buffer that are in use.
+    double shortage() const { return std::max(0.0, claimedSlots() - m_room); }
+
     /// Counts a task that was placed on \a host of the pool.
     void take(const FleetView::Host &host, const Resources &size, Urgency urgency);
 
--- a/Tests/Kernel/Fleet/TestBuffer.cpp
+++ b/Tests/Kernel/Fleet/TestBuffer.cpp
@@ -1,8 +1,9 @@
 #include <FleetFake/FleetDriver.h>
 #include <FleetFake/FleetFixture.h>
-#include <Kernel/Fleet/FleetKeys.h>
+#include <Kernel/Fleet/OperatorPlans.h>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <numeric>
 
 using namespace Peridot;
 
@@ -36,12 +37,13 @@
     return options;
 }
 
-/// Fleet with more normal work than it can hold.
+/// Fleet with, by default, more normal work than it can hold.
 class FullFleet
 {
 public:
-    /// Each task has one of these shares of a host, drawn with the seed.
-    FullFleet(const FixtureOptions &options, const std::vector<double> &shares, std::uint64_t seed)
+    /// Each task has one of these shares of a host, drawn with the seed. Pools have \a tasks each.
+    FullFleet(const FixtureOptions &options, const std::vector<double> &shares, std::uint64_t seed,
+              unsigned tasks = tasksOfPool)
         : m_options(options), m_shares(shares), m_random(seed),
           m_manifest(std::make_shared<Manifest>(makeManifest(options))), m_fleet(*m_manifest),
           m_driver("test", m_table, m_fleet, FleetDriver::standardReconcilers()),
@@ -57,7 +59,7 @@
         m_driver.acquireLeases(m_now);
         run(settleTime, settleInterval);
         for (const auto &pool : m_options.pools)
-            add(pool, tasksOfPool, Urgency::Normal);
+            add(pool, tasks, Urgency::Normal);
     }
 
     void add(const std::string &pool, unsigned count, Urgency urgency)
@@ -80,6 +82,10 @@
             m_now += passInterval;
             m_fleet.advance(m_now);
             m_driver.pass(m_now);
+            for (auto &[name, worker] : m_fleet.workers) {
+                for (const auto &[task, time] : worker.takeStarted())
+                    ++m_starts[task];
+            }
         }
     }
 
@@ -100,19 +106,56 @@
     }
 
     std::vector<std::string> failRack(const std::string &rack)
+    {
+        auto tasks = tasksOfRack(rack);
+        for (const auto &host : m_manifest->hosts) {
+            if (host.rack == rack)
+                m_fleet.workers.at(host.name).fail(m_now);
+        }
+        return tasks;
+    }
+
+    std::vector<std::string> tasksOfRack(const std::string &rack) const
     {
         std::vector<std::string> tasks;
         for (const auto &host : m_manifest->hosts) {
             if (host.rack != rack)
                 continue;
-            auto &worker = m_fleet.workers.at(host.name);
-            for (const auto &task : worker.executingTasks())
-                tasks.push_back(task);
-            worker.fail(m_now);
+            const auto executing = m_fleet.workers.at(host.name).executingTasks();
+            tasks.insert(tasks.end(), executing.begin(), executing.end());
         }
         return tasks;
     }
 
+    std::set<std::string> poolsOfRack(const std::string &rack) const
+    {
+        std::set<std::string> pools;
+        for (const auto &host : m_manifest->hosts) {
+            if (host.rack == rack)
+                pools.insert(host.pool);
+        }
+        return pools;
+    }
+
+    /// Loans of the spare pool: host by task.
+    const std::map<std::string, std::string> &loans() const
+    {
+        return m_driver.view().pool("spare")->placement.loans;
+    }
+
+    void drain(const std::string &host)
+    {
+        const OperatorCommand command{"drain", "test", "test", m_now};
+        m_driver.commit(planOperatorDrain(m_driver.view(), host, command).value(), m_now);
+    }
+
+    std::size_t starts(const std::vector<std::string> &tasks) const
+    {
+        return std::accumulate(
+            tasks.begin(), tasks.end(), std::size_t(0),
+            [&](std::size_t sum, const std::string &task) { return sum + m_starts.at(task); });
+    }
+
     void recoverRack(const std::string &rack)
     {
         for (const auto &host : m_manifest->hosts) {
@@ -143,6 +186,7 @@
     TimePoint m_now;
     std::uint64_t m_version = 1;
     std::map<std::string, Resources> m_sizes;
+    std::map<std::string, std::size_t> m_starts;
 };
 
 void checkFailureOf(FullFleet &fleet, std::size_t rackIndex)
@@ -205,3 +249,66 @@
     CAPTURE(missing);
     CHECK(missing.empty());
 }
+
+TEST_CASE("Tasks on borrowed hosts", "[buffer]")
+{
+    // Guards against a common buffer that stays in use after the failed rack has returned: a rack
+    // with hosts of other pools, here of the spare pool, could then not fail.
+    SECTION("return when the spare pool needs the room")
+    {
+        FullFleet fleet(optionsOf({32, 128, 0}, 3), {1.0 / 8}, 1);
+        fleet.run(settleTime, settleInterval);
+        const auto racks = fleet.racks();
+        const auto tasks = fleet.failRack(racks[0]);
+        fleet.run(failureTime, failureInterval);
+        REQUIRE(fleet.loans().size() == tasks.size());
+        fleet.recoverRack(racks[0]);
+        const auto starts = fleet.starts(tasks);
+        fleet.run(failureTime, failureInterval);
+        CHECK(fleet.loans().empty());
+        CHECK(fleet.starts(tasks) - starts == tasks.size());
+
+        const auto second = std::find_if(racks.begin(), racks.end(), [&](const auto &rack) {
+            return fleet.poolsOfRack(rack).contains("spare")
+                   && fleet.tasksOfRack(rack).size() == tasks.size();
+        });
+        REQUIRE(second != racks.end());
+        const auto displaced = fleet.failRack(*second);
+        fleet.run(failureTime, failureInterval);
+        const auto missing = fleet.notExecuting(displaced);
+        CAPTURE(missing);
+        CHECK(missing.empty());
+    }
+
+    // The pools are full and the spare pool has no tasks: its buffer is free beside the loans.
+    // Guards against moves that restore nothing.
+    SECTION("stay while nobody needs the room")
+    {
+        constexpr unsigned tasksOfFullPool = 80;
+        FullFleet fleet(optionsOf({32, 128, 0}, 3), {1.0 / 8}, 1, 0);
+        for (const auto *pool : {"a", "b", "c", "d"})
+            fleet.add(pool, tasksOfFullPool, Urgency::Normal);
+        fleet.run(settleTime, settleInterval);
+        const auto racks = fleet.racks();
+        const auto tasks = fleet.failRack(racks[0]);
+        fleet.run(failureTime, failureInterval);
+        REQUIRE(fleet.loans().size() == tasks.size());
+        fleet.recoverRack(racks[0]);
+        const auto starts = fleet.starts(tasks);
+        fleet.run(failureTime, failureInterval);
+        CHECK(fleet.loans().size() == tasks.size());
+        CHECK(fleet.starts(tasks) == starts);
+
+        SECTION("and return home when they have to move anyway")
+        {
+            const auto host = fleet.loans().begin()->second;
+            const auto here = static_cast<std::size_t>(
+                std::count_if(fleet.loans().begin(), fleet.loans().end(),
+                              [&](const auto &loan) { return loan.second == host; }));
+            fleet.drain(host);
+            fleet.run(failureTime, failureInterval);
+            CHECK(fleet.loans().size() == tasks.size() - here);
+            CHECK(fleet.starts(tasks) == starts + here);
+        }
+    }
+}
