Kernel/Membership: Require recent evidence besides the lease

Cause: a process cut off from store and peers served every request until its lease ended.

The state Full now needs the lease and either an answered store call (read of the head, renewal of the member lease) that was sent at most 1.5 s ago and showed no higher version, or contact with a strict majority of the view. While a higher version is known, contact counts for one window more, and not at all for a process that had no evidence when it learned of the version: otherwise a process that returns from a cut serves the older version again until the new one arrives. The poll period of the head is counted from the send time, so that reads of 500 ms leave no gap. MembershipAgent publishes the new end, so that a process that was frozen and woken sees it; claims keep the end of the lease.

Ruled out: acceptance by the shorter bound. Stale reads and a majority that does not know the version yet let a process serve longer than the window, so acceptance waits for the end of the lease as before. Views of fewer than 5 members keep the rule of the lease alone, because their members need every peer for a majority.

The matrix gets the faults 'entry process is cut off' and 'fleet process is cut off', the invariant that a process which is cut off does not serve, and the broken variant serveWithoutEvidence.

--- a/Kernel/Membership/ConfigurationFollower.cpp
+++ b/Kernel/Membership/ConfigurationFollower.cpp
@@ -42,6 +42,7 @@
     if (now < m_notBefore || (now < m_nextPoll && !m_pollSoon && !behind))
         return std::nullopt;
     m_pollSoon = false;
+    m_readSentAt = now;
     ReadRows read{{configurationHeadKey, membershipViewKey}};
     if (behind)
         read.keys.push_back(configurationVersionKey(highestKnown()));
@@ -52,13 +53,15 @@
 
 void ConfigurationFollower::rowsRead(TimePoint now, const ReadResult &result)
 {
-    m_nextPoll = now + m_timing.configurationPoll;
+    // Counted from the send time, so that a slow store does not lengthen the period.
+    m_nextPoll = m_readSentAt + m_timing.configurationPoll;
     if (result.status != ReadStatus::Ok || result.rows.size() < 2) {
         m_notBefore = now + m_timing.storeRetry;
         m_nextPoll = m_notBefore;
         return;
     }
     const std::uint64_t knownBefore = highestKnown();
+    const bool stale = result.rows[0].version < m_headRowVersion;
     m_headKnown = true;
     observeHead(result.rows[0]);
     m_viewRow = result.rows[1];
@@ -70,6 +73,8 @@
             result.rows[2].key.substr(configurationVersionKey(0).size() - 1).c_str(), nullptr, 10);
         adopt(number, version.manifest);
     }
+    if (!stale && highestKnown() <= m_inForce)
+        m_currentAt = m_readSentAt;
     // The store has not shown the version that a peer stated: the read was stale.
     if (highestKnown() > m_inForce && highestKnown() == knownBefore)
         m_notBefore = now + m_timing.staleRetry;
--- a/Kernel/Membership/LeaseKeeper.cpp
+++ b/Kernel/Membership/LeaseKeeper.cpp
@@ -235,6 +235,7 @@
     m_held = HeldLease{m_settings.name, attempt.row.epoch, version,
                        attempt.sentAt + timing.leaseDuration - timing.leaseMargin};
     m_provenGuard = attempt.guard;
+    m_provenAt = attempt.sentAt;
     m_nextRenewal = attempt.sentAt + timing.leaseRenewal;
 }
 
--- a/Kernel/Membership/MembershipNode.cpp
+++ b/Kernel/Membership/MembershipNode.cpp
@@ -33,7 +33,7 @@
       m_proposer(m_settings.self.instance, m_settings.timing, m_configurationLease, m_tracker,
                  m_follower, m_settings.defects),
       m_viewKeeper(m_settings.self, m_settings.timing, m_configurationLease, m_tracker),
-      m_gate(m_settings.timing, m_member, m_tracker, m_follower),
+      m_gate(m_settings.timing, m_member, m_tracker, m_follower, m_settings.defects),
       m_leaseScan(std::make_unique<LeaseScan>(*this))
 {
 }
@@ -86,6 +86,7 @@
         m_nextNotice = now;
     }
     updateGuard(now);
+    m_gate.observe(now);
 }
 
 void MembershipNode::updateGuard(TimePoint now)
@@ -265,6 +266,11 @@
     return m_stopping ? ServingState::Isolated : m_gate.state(now);
 }
 
+std::optional<TimePoint> MembershipNode::fullUntil(TimePoint now)
+{
+    return m_stopping ? std::nullopt : m_gate.fullUntil(now);
+}
+
 std::optional<TimePoint> MembershipNode::leaseEnd(TimePoint now) const
 {
     const auto held = m_member.held(now);
--- a/Kernel/Membership/MembershipTracker.cpp
+++ b/Kernel/Membership/MembershipTracker.cpp
@@ -1,6 +1,7 @@
 #include <Kernel/Membership/MembershipTracker.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Peridot {
@@ -84,6 +85,30 @@
     return isStrictMajority(m_view, inContact(now));
 }
 
+std::int64_t MembershipTracker::majorityContact(const std::set<std::string> &instances) const
+{
+    std::vector<std::int64_t> contacts;
+    for (const auto &instance : instances) {
+        if (const auto peer = m_peers.find(instance); peer != m_peers.end())
+            contacts.push_back(peer->second.contact);
+    }
+    const std::size_t needed = instances.size() / 2 + 1;
+    if (contacts.size() < needed)
+        return 0;
+    std::sort(contacts.begin(), contacts.end(), std::greater<>());
+    return contacts[needed - 1];
+}
+
+std::optional<TimePoint> MembershipTracker::majorityContactEnd() const
+{
+    std::int64_t contact = majorityContact(m_view.instances);
+    if (!m_view.settled())
+        contact = std::min(contact, majorityContact(m_view.previous));
+    if (contact == 0)
+        return std::nullopt;
+    return TimePoint(Duration(contact)) + m_timing.contactWindow;
+}
+
 bool MembershipTracker::mayHoldLease(TimePoint now, const std::string &instance) const
 {
     if (!m_scanned)
--- a/Kernel/include/Kernel/Membership/ConfigurationFollower.h
+++ b/Kernel/include/Kernel/Membership/ConfigurationFollower.h
@@ -36,6 +36,9 @@
     /// Highest version known to exist, from the head or from peers.
     std::uint64_t highestKnown() const;
 
+    /// When the newest read was sent that showed no higher version than the one in force.
+    std::optional<TimePoint> currentAt() const { return m_currentAt; }
+
     /// Version adopted since the last call, or nothing.
     std::optional<std::uint64_t> takeAdopted();
     /// Row of the view read since the last call, or nothing.
@@ -59,6 +62,8 @@
     std::uint64_t m_heard = 0;
     std::optional<std::uint64_t> m_adopted;
     std::optional<Row> m_viewRow;
+    std::optional<TimePoint> m_currentAt;
+    TimePoint m_readSentAt;
     TimePoint m_nextPoll;
     TimePoint m_notBefore;
     bool m_pollSoon = true;
--- a/Kernel/include/Kernel/Membership/LeaseKeeper.h
+++ b/Kernel/include/Kernel/Membership/LeaseKeeper.h
@@ -61,6 +61,9 @@
     std::optional<HeldLease> held(TimePoint now) const;
     /// Guard of the write that the held lease rests on.
     const LeaseGuard &provenGuard() const { return m_provenGuard; }
+    /// When the newest write that is known to have taken effect was sent; its guard held after
+    /// that.
+    std::optional<TimePoint> provenAt() const { return m_provenAt; }
     /// Whether the row may be acquired now: absent, released or expired.
     bool isFree(TimePoint now) const;
     /// Holder by the newest row seen; empty when free.
@@ -93,6 +96,7 @@
     ValueWriter m_writer;
     LeaseGuard m_guard;
     LeaseGuard m_provenGuard;
+    std::optional<TimePoint> m_provenAt;
     LeaseRow m_row;
     Version m_rowVersion = absentVersion;
     TimePoint m_rowSeenAt;
--- a/Kernel/include/Kernel/Membership/MembershipNode.h
+++ b/Kernel/include/Kernel/Membership/MembershipNode.h
@@ -65,6 +65,8 @@
     bool stopping() const { return m_stopping; }
 
     ServingState servingState(TimePoint now);
+    /// Until when the state stays Full when nothing more arrives; nothing in other states.
+    std::optional<TimePoint> fullUntil(TimePoint now);
     /// End of the member lease by the clock of this process, or nothing.
     std::optional<TimePoint> leaseEnd(TimePoint now) const;
     std::optional<std::uint64_t> takeAdopted() { return m_follower.takeAdopted(); }
--- a/Kernel/include/Kernel/Membership/MembershipTiming.h
+++ b/Kernel/include/Kernel/Membership/MembershipTiming.h
@@ -21,6 +21,9 @@
     /// Wait between the last needed acknowledgement and acceptance: the contact window and 10%.
     Duration acceptanceDelay = std::chrono::milliseconds(1100);
     Duration configurationPoll = std::chrono::seconds(1);
+    /// A lease lets a process serve every request for this long after it sent the last store call
+    /// whose answer showed its version as the newest. The poll period and 0.5 s for a slow answer.
+    Duration evidenceWindow = std::chrono::milliseconds(1500);
     Duration memberScan = std::chrono::seconds(1);
     Duration leaseScan = std::chrono::seconds(3);
     /// A version is proposed again to the members at this period until all have it.
@@ -54,6 +57,7 @@
     bool ignoreOwnExpiry = false;
     bool adoptLowerVersions = false;
     bool acceptWithoutAcknowledgements = false;
+    bool serveWithoutEvidence = false;
 };
 
 } // namespace Peridot
--- a/Kernel/include/Kernel/Membership/MembershipTracker.h
+++ b/Kernel/include/Kernel/Membership/MembershipTracker.h
@@ -46,6 +46,9 @@
     std::set<std::string> heard(TimePoint now) const;
     /// Whether the peers in contact, without this process, are a strict majority of the view.
     bool hasMajorityContact(TimePoint now) const;
+    /// When that contact ends unless further heartbeats are echoed; nothing when no such majority
+    /// was ever in contact.
+    std::optional<TimePoint> majorityContactEnd() const;
     /// Highest configuration version and view epoch that any peer has stated.
     std::uint64_t highestVersionHeard() const { return m_highestVersion; }
     std::uint64_t highestViewEpochHeard() const { return m_highestViewEpoch; }
@@ -96,6 +99,9 @@
     };
 
     void replaceRows(TimePoint now);
+    /// The newest time since which a strict majority of \a instances has been in contact; 0 for
+    /// never. On the clock of this process, in nanoseconds.
+    std::int64_t majorityContact(const std::set<std::string> &instances) const;
 
     MemberDescription m_self;
     MembershipTiming m_timing;
--- a/Libraries/LibMembership/MembershipAgent.cpp
+++ b/Libraries/LibMembership/MembershipAgent.cpp
@@ -191,16 +191,17 @@
     }
     publishMembers(time);
     const ServingState state = m_node->servingState(time);
-    const auto leaseEnd
-        = state == ServingState::Full ? m_node->leaseEnd(time) : std::optional<TimePoint>();
-    m_fullUntil = leaseEnd ? nanoseconds(*leaseEnd) : 0;
-    const bool contact
-        = !leaseEnd && m_node->servingState(time + lookAhead) == ServingState::IdempotentOnly;
+    const auto fullUntil = m_node->fullUntil(time);
+    m_fullUntil = fullUntil ? nanoseconds(*fullUntil) : 0;
+    // Also computed while the state is Full, so that there is no gap between the two.
+    const bool contact = m_node->servingState(time + lookAhead) == ServingState::IdempotentOnly;
     m_idempotentUntil = contact ? nanoseconds(time + lookAhead) : 0;
     m_refusal = Peridot::mayServe(state) ? ServingState::Isolated : state;
     if (std::exchange(m_publishedState, state) != state)
         logEvent(LogLevel::Info, "serving-state", {{"state", servingStateNames.nameOf(state)}});
-    const TimePoint published = leaseEnd.value_or(TimePoint{});
+    // Claims rest on the lease alone; without evidence no attempt is made under them.
+    const bool leased = state != ServingState::NoConfiguration && !m_node->stopping();
+    const TimePoint published = leased ? m_node->leaseEnd(time).value_or(TimePoint{}) : TimePoint{};
     if (published != std::exchange(m_publishedLeaseEnd, published) && m_hooks.onLease)
         m_hooks.onLease(published);
 }
--- a/Tests/Kernel/Membership/MembershipInvariants.h
+++ b/Tests/Kernel/Membership/MembershipInvariants.h
@@ -12,7 +12,10 @@
 class MembershipInvariants
 {
 public:
-    explicit MembershipInvariants(Peridot::VirtualMembers &members) : m_members(members)
+    /// A process that is cut off from the store and from its peers for longer than \a cutLimit
+    /// must not serve.
+    MembershipInvariants(Peridot::VirtualMembers &members, Peridot::Duration cutLimit)
+        : m_members(members), m_cutLimit(cutLimit)
     {
         m_members.setObserver([this] { check(); });
     }
@@ -33,6 +36,7 @@
                 continue;
             checkLeases(member, holders);
             checkVersion(member);
+            checkCut(member);
         }
     }
 
@@ -63,6 +67,18 @@
                  + std::to_string(acceptedVersion()) + " was accepted");
     }
 
+    void checkCut(Peridot::VirtualMembers::Member &member)
+    {
+        const bool smallView = member.node->members().view().instances.size() < 5;
+        if (!member.storeCut || !member.peersCut || smallView) {
+            m_cutSince.erase(member.instance);
+            return;
+        }
+        const auto since = m_cutSince.emplace(member.instance, m_members.now()).first->second;
+        if (m_members.serves(member) && m_members.now() > since + m_cutLimit)
+            fail(member.instance + " is cut off and still serves");
+    }
+
     std::uint64_t acceptedVersion()
     {
         const Peridot::Row row = m_members.store().row(Peridot::configurationHeadKey);
@@ -86,6 +102,8 @@
 
     Peridot::VirtualMembers &m_members;
     std::string m_violation;
+    Peridot::Duration m_cutLimit;
+    std::map<std::string, Peridot::TimePoint> m_cutSince;
     std::uint64_t m_steps = 0;
     std::map<std::pair<std::string, std::uint64_t>, std::string> m_epochs;
     std::map<std::string, std::uint64_t> m_versions;
--- a/Tests/Kernel/Membership/MembershipScenario.h
+++ b/Tests/Kernel/Membership/MembershipScenario.h
@@ -15,7 +15,7 @@
     using Fault = std::function<Peridot::StoreFault(Members &, std::uint64_t)>;
 
     explicit MembershipScenario(Peridot::VirtualMembersSettings settings)
-        : m_members(smallGroup(settings)), m_invariants(m_members)
+        : m_members(smallGroup(settings)), m_invariants(m_members, cutLimit(smallGroup(settings)))
     {
         for (std::size_t index = 0; index < 2; ++index)
             m_members.members()[m_members.fleetIndex(index)].node->setSharedLeases({"pool-a"});
@@ -61,6 +61,12 @@
         return settings;
     }
 
+    /// The longer of the two kinds of evidence, and 2% for clocks that run at different rates.
+    static Peridot::Duration cutLimit(const Peridot::VirtualMembersSettings &settings)
+    {
+        return std::max(settings.timing.evidenceWindow, settings.timing.contactWindow) * 102 / 100;
+    }
+
     std::string verdict(const std::string &text) const
     {
         return m_invariants.violation().empty() ? text : m_invariants.violation();
--- a/Tests/Kernel/Membership/TestFaultMatrix.cpp
+++ b/Tests/Kernel/Membership/TestFaultMatrix.cpp
@@ -37,6 +37,12 @@
             return StoreFault{};
         };
     };
+    const auto cut = [](std::size_t index) {
+        return [index](MembershipScenario::Members &members) {
+            members.members()[index].storeCut = members.members()[index].peersCut = true;
+            return StoreFault{};
+        };
+    };
     return {
         {"store refuses", plain({StoreFaultKind::Refuse, 0s, 0})},
         {"answer lost before effect", plain({StoreFaultKind::LoseAnswerBeforeEffect, 0s, 0})},
@@ -57,10 +63,12 @@
         {"entry process freezes", freeze(1)},
         {"fleet process freezes", freeze(3)},
         {"other fleet process freezes", freeze(4)},
+        {"entry process is cut off", cut(0)},
+        {"fleet process is cut off", cut(3)},
     };
 }
 
-/// A frozen process wakes after its leases lapsed, a crashed one is started again.
+/// A frozen process wakes after its leases lapsed, a crashed one is started again, and cuts heal.
 void reviveLater(MembershipScenario::Members &members, TimePoint &reviveAt)
 {
     if (reviveAt == TimePoint{}) {
@@ -71,6 +79,7 @@
         return;
     for (std::size_t index = 0; index < members.members().size(); ++index) {
         members.thaw(index);
+        members.members()[index].storeCut = members.members()[index].peersCut = false;
         if (members.members()[index].crashed)
             members.restart(index);
     }
@@ -177,10 +186,15 @@
         const char *violation; ///< part of the message that the matrix must produce
     };
     const auto variant = GENERATE(
-        Variant{"renewal without a check of the row version", {true, false, false, false}, "of "},
-        Variant{"holder that ignores the end of its lease", {false, true, false, false}, "of "},
-        Variant{"follower that adopts lower versions", {false, false, true, false}, "went down"},
-        Variant{"acceptance without acknowledgements", {false, false, false, true}, "serves"});
+        Variant{"renewal without a check of the row version",
+                {.renewWithoutVersionCheck = true},
+                "of "},
+        Variant{"holder that ignores the end of its lease", {.ignoreOwnExpiry = true}, "of "},
+        Variant{"follower that adopts lower versions", {.adoptLowerVersions = true}, "went down"},
+        Variant{"acceptance without acknowledgements",
+                {.acceptWithoutAcknowledgements = true},
+                "serves version"},
+        Variant{"serving without evidence", {.serveWithoutEvidence = true}, "is cut off"});
     DYNAMIC_SECTION(variant.name)
     {
         VirtualMembersSettings settings;
--- a/Tests/LibMembership/TestMembershipAgent.cpp
+++ b/Tests/LibMembership/TestMembershipAgent.cpp
@@ -61,6 +61,9 @@
         settings.node.self = {instance, role, {}, "127.0.0.1:1", "dc"};
         settings.node.peers = std::move(peers);
         settings.peer = {"127.0.0.1:0", "key", 60000};
+        settings.clock = [this] {
+            return processNow() + Duration(skipped.load());
+        };
         MembershipHooks hooks;
         hooks.onConfiguration = [this](std::uint64_t number, const std::string &) {
             version = number;
@@ -82,6 +85,7 @@
     std::atomic<std::size_t> members{0};
     std::atomic<bool> leased{false};
     std::atomic<int> messages{0};
+    std::atomic<std::int64_t> skipped{0}; ///< nanoseconds by which the clock is ahead
     std::unique_ptr<MembershipAgent> agent;
 };
 
@@ -150,3 +154,35 @@
         REQUIRE_FALSE(late.agent->mayServe());
     }
 }
+
+TEST_CASE("A process that was frozen past its evidence sees that before it acts")
+{
+    SharedTable table;
+    Process fleet(table, "fleet-1", MemberRole::Fleet);
+    std::vector<std::unique_ptr<Process>> entries;
+    for (const char *name : {"entry-1", "entry-2", "entry-3", "entry-4"})
+        entries.push_back(std::make_unique<Process>(table, name, MemberRole::Entry));
+    REQUIRE(eventually([&] { return entries[0]->members == 4; }));
+    REQUIRE(eventually([&] {
+        fleet.agent->post([](MembershipNode &node, TimePoint) {
+            if (node.configuration().head().version == 0
+                && node.members().view().instances.size() == 5)
+                node.propose({1, "operator", "{}", 0});
+        });
+        return entries[0]->version == 1;
+    }));
+    REQUIRE(eventually([&] { return entries[0]->agent->servingState() == ServingState::Full; }));
+
+    // The thread of the agent stands still while the clock goes on, and the lease is still live.
+    std::promise<void> stopped;
+    std::promise<void> wake;
+    entries[0]->agent->post([&](MembershipNode &, TimePoint) {
+        stopped.set_value();
+        wake.get_future().wait();
+    });
+    stopped.get_future().wait();
+    entries[0]->skipped = Duration(2s).count();
+    REQUIRE_FALSE(entries[0]->agent->mayServe());
+    wake.set_value();
+    REQUIRE(eventually([&] { return entries[0]->agent->servingState() == ServingState::Full; }));
+}
