--- a/Services/Entry/EntryControl.cpp
+++ b/Services/Entry/EntryControl.cpp
@@ -63,6 +63,7 @@
     settings.node.self.instance = process.instance();
     settings.node.self.role = MemberRole::Entry;
     settings.node.self.dataCentre = m_settings.dataCentre;
+    settings.node.self.peerAddress = m_settings.membership->advertisedAddress;
     settings.node.peers = m_settings.membership->peers;
     settings.node.timing = membershipTimingFor(m_settings.membership->lease);
     settings.peer.address = endpointText(m_settings.peers, m_settings.peers.port);
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -2,6 +2,7 @@
 
 #include "EntrySettingsSchema.h"
 #include <LibBase/Settings.h>
+#include <LibPeer/PeerSocket.h>
 
 namespace Peridot {
 
@@ -52,6 +53,9 @@
     const Json::Value &section = value["membership"];
     EntryMembershipSettings membership;
     membership.peerKey = section["peer_key"].asString();
+    membership.advertisedAddress = section["advertised_address"].asString();
+    if (!membership.advertisedAddress.empty())
+        BOOST_LEAF_CHECK(parsePeerAddress(membership.advertisedAddress));
     for (const auto &peer : section["peers"])
         membership.peers.push_back(peer.asString());
     membership.lease = std::chrono::seconds(section.get("lease_s", 10).asInt64());
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -23,6 +23,7 @@
 struct EntryMembershipSettings
 {
     std::string peerKey; ///< shared by all members
+    std::string advertisedAddress; ///< "ip:port" that members send to; empty: the bound address
     std::vector<std::string> peers; ///< "ip:port" of the other members
     std::chrono::seconds lease{10};
     double writesPerSecond = 300; ///< over all processes
--- a/Services/Entry/EntrySettingsSchema.h
+++ b/Services/Entry/EntrySettingsSchema.h
@@ -31,6 +31,7 @@
       "required": ["peer_key"],
       "properties": {
         "peer_key": {"type": "string", "minLength": 8},
+        "advertised_address": {"type": "string", "minLength": 1},
         "peers": {"type": "array", "items": {"type": "string"}},
         "lease_s": {"type": "integer", "minimum": 2, "maximum": 3600},
         "writes_per_second": {"type": "number", "minimum": 1},
--- a/Services/Fleet/FleetProcess.cpp
+++ b/Services/Fleet/FleetProcess.cpp
@@ -72,6 +72,7 @@
     settings.node.self.instance = m_instance;
     settings.node.self.role = MemberRole::Fleet;
     settings.node.self.dataCentre = m_settings.dataCentre;
+    settings.node.self.peerAddress = m_settings.advertisedPeerAddress;
     settings.node.peers = m_settings.peers;
     settings.node.timing = m_settings.timing;
     settings.peer.address = m_settings.peerAddress;
--- a/Services/Fleet/FleetSettings.cpp
+++ b/Services/Fleet/FleetSettings.cpp
@@ -17,6 +17,7 @@
     "data_centre": {"type": "string", "minLength": 1},
     "store_url": {"type": "string", "pattern": "^http://"},
     "peer_address": {"type": "string", "minLength": 1},
+    "advertised_peer_address": {"type": "string", "minLength": 1},
     "peer_key": {"type": "string", "minLength": 8},
     "peers": {"type": "array", "items": {"type": "string"}},
     "operator_address": {"type": "string", "minLength": 1},
@@ -46,6 +47,9 @@
     settings.dataCentre = value["data_centre"].asString();
     settings.storeUrl = value["store_url"].asString();
     settings.peerAddress = value["peer_address"].asString();
+    settings.advertisedPeerAddress = value["advertised_peer_address"].asString();
+    if (!settings.advertisedPeerAddress.empty())
+        BOOST_LEAF_CHECK(parsePeerAddress(settings.advertisedPeerAddress));
     settings.peerKey = value["peer_key"].asString();
     for (const auto &peer : value["peers"]) {
         BOOST_LEAF_CHECK(parsePeerAddress(peer.asString()));
--- a/Services/Fleet/FleetSettings.h
+++ b/Services/Fleet/FleetSettings.h
@@ -23,6 +23,7 @@
     std::string dataCentre;
     std::string storeUrl;
     std::string peerAddress; ///< "ip:port" for datagrams
+    std::string advertisedPeerAddress; ///< "ip:port" that members send to; empty: the bound address
     std::string peerKey; ///< shared by all members
     std::vector<std::string> peers; ///< "ip:port" of the other members
     std::string operatorAddress; ///< IP address for operators' calls and pages
--- a/Tests/Services/Entry/TestEntrySettings.cpp
+++ b/Tests/Services/Entry/TestEntrySettings.cpp
@@ -27,6 +27,10 @@
     {"port out of range", "{" + common + R"(, "peers": {"address": "127.0.0.1", "port": 70000}})",
      ErrorCode::SchemaViolation, "port"},
     {"zero threads", "{" + common + R"(, "threads": 0})", ErrorCode::SchemaViolation, "threads"},
+    {"advertised address without a port", "{" + common + R"(, "store_url": "http://127.0.0.1:1",
+        "peers": {"address": "127.0.0.1", "port": 1},
+        "membership": {"peer_key": "12345678", "advertised_address": "nowhere"}})",
+     ErrorCode::InvalidValue, "nowhere"},
     {"unknown service of a backend server",
      "{" + common + R"(, "bootstrap": {"services": [{"name": "a"}], "backend_servers":
         [{"name": "b", "address": "127.0.0.1", "port": 1, "services": ["c"]}]}})",
--- a/Tests/Services/Fleet/TestFleetService.cpp
+++ b/Tests/Services/Fleet/TestFleetService.cpp
@@ -205,5 +205,9 @@
     REQUIRE(errorOf(valid + R"(, "unknown": 1})") == ErrorCode::SchemaViolation);
     REQUIRE(errorOf(valid + R"(, "plan_period_ms": 5000})") == ErrorCode::SchemaViolation);
     REQUIRE(errorOf(valid + R"(, "peers": ["nowhere"]})") == ErrorCode::InvalidValue);
+    REQUIRE(errorOf(valid + R"(, "advertised_peer_address": "nowhere"})")
+            == ErrorCode::InvalidValue);
+    REQUIRE(errorOf(valid + R"(, "advertised_peer_address": "127.0.0.1:9"})")
+            == ErrorCode::Stopping);
     std::remove(path);
 }
