--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -6,6 +6,10 @@
 
 operator_token=demo-operator-token
 
+# A script that puts relays between the processes sets these ports by process name (entry0, fleet1) in a
+# function start_links, which cluster_start calls before it writes the settings.
+declare -gA store_port_of=() advertised_port_of=()
+
 platform_control() { # JSON
     curl -sf -X POST -d "$1" "http://127.0.0.1:$platform_port/control" > /dev/null
 }
@@ -28,9 +32,10 @@
   "callers": {"address": "127.0.0.1", "port": ${entry_ports[$1]}},
   "administration": {"address": "127.0.0.1", "port": ${entry_administration[$1]}},
   "peers": {"address": "127.0.0.1", "port": ${entry_peers[$1]}},
-  "store_url": "http://127.0.0.1:$platform_port",
+  "store_url": "http://127.0.0.1:${store_port_of[entry$1]:-$platform_port}",
   "operator_token": "$operator_token",
-  "membership": {"peer_key": "demo-peer-key", "lease_s": $lease_seconds, "peers": [$peer_list]}
+  "membership": {"peer_key": "demo-peer-key", "lease_s": $lease_seconds, "peers": [$peer_list],
+                 "advertised_address": "127.0.0.1:${advertised_port_of[entry$1]:-${entry_peers[$1]}}"}
 }
 JSON
 }
@@ -40,8 +45,9 @@
 {
   "instance_prefix": "fleet-$1",
   "data_centre": "kochi",
-  "store_url": "http://127.0.0.1:$platform_port",
+  "store_url": "http://127.0.0.1:${store_port_of[fleet$1]:-$platform_port}",
   "peer_address": "127.0.0.1:${fleet_peers[$1]}",
+  "advertised_peer_address": "127.0.0.1:${advertised_port_of[fleet$1]:-${fleet_peers[$1]}}",
   "peer_key": "demo-peer-key",
   "peers": [$peer_list],
   "operator_address": "127.0.0.1",
@@ -82,7 +88,7 @@
 # Starts the platform, one backend server a host, and the entry and fleet processes, then applies the
 # generated manifest.
 cluster_start() { # DEPLOYMENT HOSTS ENTRIES FLEETS LEASE_SECONDS
-    local deployment="$1" hosts="$2" entries="$3" fleets="$4" index
+    local deployment="$1" hosts="$2" entries="$3" fleets="$4" index advertised=()
     lease_seconds="$5"
     free_port
     platform_port="$port"
@@ -102,7 +108,10 @@
         free_port; fleet_ports+=("$port"); fleet_addresses+=("127.0.0.1:$port")
         free_port; fleet_peers+=("$port")
     done
-    peer_list=$(printf '"127.0.0.1:%s",' "${entry_peers[@]}" "${fleet_peers[@]}")
+    if declare -F start_links > /dev/null; then start_links "$entries" "$fleets"; fi
+    for index in $(seq 0 $((entries - 1))); do advertised+=("${advertised_port_of[entry$index]:-${entry_peers[$index]}}"); done
+    for index in $(seq 0 $((fleets - 1))); do advertised+=("${advertised_port_of[fleet$index]:-${fleet_peers[$index]}}"); done
+    peer_list=$(printf '"127.0.0.1:%s",' "${advertised[@]}")
     peer_list="${peer_list%,}"
     for index in $(seq 0 $((fleets - 1))); do
         write_fleet_settings "$index"
--- a/StandIns/Backend/BackendConnection.cpp
+++ b/StandIns/Backend/BackendConnection.cpp
@@ -44,6 +44,7 @@
 
 void BackendConnection::handleRequest()
 {
+    m_state->recordArrival();
     const std::string *id = findHeader(m_parser.headers, "Request-Id");
     m_requestId = id != nullptr ? *id : std::string();
     const std::string *name = findHeader(m_parser.headers, "Peridot-Fault");
--- a/StandIns/Backend/BackendState.cpp
+++ b/StandIns/Backend/BackendState.cpp
@@ -67,6 +67,23 @@
     ++m_connections;
 }
 
+void BackendState::recordArrival()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const std::lock_guard lock(m_mutex);
+    ++m_arrivals;
+    m_lastArrivalMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::string BackendState::describeArrivals() const
+{
+    Json::Value value;
+    const std::lock_guard lock(m_mutex);
+    value["arrivals"] = Json::UInt64(m_arrivals);
+    value["last_arrival_ms"] = Json::Int64(m_lastArrivalMilliseconds);
+    return writeJson(value);
+}
+
 std::string BackendState::describeRuns() const
 {
     Json::Value value;
--- a/StandIns/Backend/BackendState.h
+++ b/StandIns/Backend/BackendState.h
@@ -35,10 +35,15 @@
     std::uint64_t countRun(const std::string &requestId);
 
     void countConnection();
+    /// Records the time at which a whole request arrived, refused or not.
+    void recordArrival();
 
     /// JSON text: total runs, most slots in use, refused requests, accepted
     /// connections, runs of each request id.
     std::string describeRuns() const;
+    /// JSON text: number of requests that arrived, and the time of the last one in milliseconds
+    /// since 1970.
+    std::string describeArrivals() const;
 
 private:
     BackendSettings m_settings;
@@ -49,6 +54,8 @@
     unsigned m_mostSlotsInUse = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_connections = 0;
+    std::uint64_t m_arrivals = 0;
+    std::int64_t m_lastArrivalMilliseconds = 0;
     Fault m_fault = Fault::None;
     std::uint64_t m_faultsLeft = 0;
     std::atomic<std::int64_t> m_serviceMicroseconds;
--- a/StandIns/Backend/ControlServer.cpp
+++ b/StandIns/Backend/ControlServer.cpp
@@ -39,6 +39,8 @@
 {
     if (request.method == "GET" && request.target == "/control/runs")
         return {200, {{"Content-Type", "application/json"}}, state.describeRuns()};
+    if (request.method == "GET" && request.target == "/control/arrivals")
+        return {200, {{"Content-Type", "application/json"}}, state.describeArrivals()};
     if (request.method != "POST" || request.target != "/control")
         return {404, {}, "unknown control call\n"};
     return valueOrElse(
