Utilities: Check the numbers of peridotctl and its exit statuses

Numbers are now checked with their bounds and named, with status 2, and invalid-value is status 5 for apply and diff, which send a manifest.

--- a/Utilities/Control/Main.cpp
+++ b/Utilities/Control/Main.cpp
@@ -5,9 +5,11 @@
 #include <Kernel/Fleet/Manifest.h>
 #include <LibBase/Json.h>
 #include <LibBase/Settings.h>
+#include <charconv>
 #include <chrono>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <thread>
 
@@ -60,6 +62,9 @@
   7  written, but not yet in force everywhere or of unknown outcome; ask for the status
 )";
 
+// The bound of the settings file.
+constexpr long longestTimeoutSeconds = 600;
+
 enum ExitStatus {
     ExitDone = 0,
     ExitRefused = 1,
@@ -92,6 +97,20 @@
     return value ? value.asString() : std::string();
 }
 
+/// Errors: InvalidValue when the option is no number within the bounds.
+Result<long> numberOption(const Options &options, const std::string &name, long least, long most)
+{
+    const auto text = textOption(options, name);
+    long value = 0;
+    const auto *end = text.data() + text.size();
+    const auto [position, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || position != end || value < least || value > most)
+        return makeError(ErrorCode::InvalidValue, name,
+                         text + " is no number from " + std::to_string(least) + " to "
+                             + std::to_string(most));
+    return value;
+}
+
 int printError(const RpcError &error, bool json)
 {
     if (json) {
@@ -165,8 +184,11 @@
         BOOST_LEAF_AUTO(manifest, readFile(options.at("FILE").asString()));
         parameters["manifest"] = manifest;
         parameters["wait"] = !options.at("--no-wait").asBool();
-        if (options.at("--parent"))
-            parameters["parent"] = Json::UInt64(options.at("--parent").asLong());
+        if (options.at("--parent")) {
+            BOOST_LEAF_AUTO(parent,
+                            numberOption(options, "--parent", 0, std::numeric_limits<long>::max()));
+            parameters["parent"] = Json::UInt64(parent);
+        }
     }
     if (command == "explain") {
         parameters["kind"] = chosen(options, {"job", "host"});
@@ -197,16 +219,23 @@
 int call(const ControlOptions &control, const Options &options, const std::string &command)
 {
     std::optional<Json::Value> parameters;
+    long count = 1;
     const int status = valueOrElse(
         [&]() -> Result<int> {
+            if (command == "watch") {
+                BOOST_LEAF_ASSIGN(
+                    count, numberOption(options, "--count", 0, std::numeric_limits<long>::max()));
+            }
             BOOST_LEAF_ASSIGN(parameters, parametersOf(options, command));
             return ExitDone;
         },
-        [&](const Error &error) { return printError(toRpcError(error), control.json); });
+        [&](const Error &error) {
+            printError(toRpcError(error), control.json);
+            return static_cast<int>(ExitUsage);
+        });
     if (!parameters)
         return status;
     const ControlClient client(control);
-    const long count = command == "watch" ? options.at("--count").asLong() : 1;
     for (long round = 0; count == 0 || round < count; ++round) {
         if (round > 0)
             std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -234,8 +263,10 @@
     }
     if (options.at("--token"))
         control.token = options.at("--token").asString();
-    if (options.at("--timeout"))
-        control.timeoutSeconds = options.at("--timeout").asLong();
+    if (options.at("--timeout")) {
+        BOOST_LEAF_ASSIGN(control.timeoutSeconds,
+                          numberOption(options, "--timeout", 1, longestTimeoutSeconds));
+    }
     control.json = options.at("--json").asBool();
     return control;
 }
@@ -260,7 +291,11 @@
     try {
         return call(*control, options, command);
     } catch (const RpcError &error) {
-        return printError(error, control->json);
+        const int refused = printError(error, control->json);
+        // For other commands an invalid value is, for example, a pause of a wave that is complete.
+        const bool sendsManifest = command == "apply" || command == "diff";
+        return sendsManifest && error.code == "invalid-value" ? static_cast<int>(ExitInvalid)
+                                                              : refused;
     }
 }
 
@@ -274,7 +309,6 @@
         std::cout << usageText;
         return ExitDone;
     } catch (const std::exception &) {
-        // Thrown for wrong arguments, also for a number that cannot be parsed.
         std::cerr << "peridotctl: wrong arguments; see peridotctl --help\n";
         return ExitUsage;
     }
