--- a/Tests/Utilities/Control/TestControl.cpp
+++ b/Tests/Utilities/Control/TestControl.cpp
@@ -17,11 +17,18 @@
              "capacity": {"processors": 8, "memory_gb": 16}}]
 })";
 
+RpcServerSettings loopback()
+{
+    RpcServerSettings settings;
+    settings.address = "127.0.0.1";
+    return settings;
+}
+
 /// Answers like a fleet process.
 class StubFleet
 {
 public:
-    StubFleet() : m_server({"127.0.0.1"}, [](const std::string &) { return RpcPage{404, "", ""}; })
+    StubFleet() : m_server(loopback(), [](const std::string &) { return RpcPage{404, "", ""}; })
     {
         const auto status = [](const Json::Value &) {
             Json::Value status(Json::objectValue);
