Fleet: Let a command wait for the row of a declared pool

A wave that was started right after apply was refused as not-found: the row of a new pool is written by the holder of its lease, which takes a few seconds, and the process that was called saw no row. The scripts repeated the call. A command for a pool that the manifest declares now reads the row again for at most 8 s; other names are still not-found at once.

The new section of TestFleetService failed before the change. FleetView.h said that the planner uses the accepted version; it uses the adopted one, which is never given up.

--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -68,7 +68,8 @@
         Version version = absentVersion;
     };
 
-    /// \a version is the accepted configuration version. Lower versions are ignored.
+    /// \a version is the configuration version in force in this process: adopted, and perhaps not
+    /// yet accepted, because an adopted version is never given up. Lower versions are ignored.
     void setManifest(std::shared_ptr<const Manifest> manifest, std::uint64_t version);
 
     /// Applies rows as read or as committed. A row without a value is a deletion; for an absent
--- a/Services/Fleet/FleetPlanner.cpp
+++ b/Services/Fleet/FleetPlanner.cpp
@@ -210,6 +210,11 @@
         for (const auto &write : transaction.writes)
             keys.push_back(write.key);
     }
+    refresh(keys, std::move(done));
+}
+
+void FleetPlanner::refresh(const std::vector<std::string> &keys, std::function<void()> done)
+{
     m_store.read(keys, [this, done = std::move(done)](const ReadResult &read) {
         if (read.status == ReadStatus::Ok)
             apply(read.rows);
--- a/Services/Fleet/FleetPlanner.h
+++ b/Services/Fleet/FleetPlanner.h
@@ -67,6 +67,8 @@
     /// certain. \a done runs when the view is current.
     void settle(const Transaction &transaction, const CommitResult &result,
                 std::function<void()> done);
+    /// Reads rows again; \a done runs afterwards, also when they could not be read.
+    void refresh(const std::vector<std::string> &keys, std::function<void()> done);
 
 private:
     void beginPass();
--- a/Services/Fleet/OperatorService.cpp
+++ b/Services/Fleet/OperatorService.cpp
@@ -1,9 +1,11 @@
 #include "OperatorService.h"
 
 #include "FleetStatus.h"
+#include <Kernel/Fleet/FleetKeys.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibBase/Token.h>
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <future>
@@ -17,6 +19,9 @@
 constexpr auto callLimit = std::chrono::seconds(10);
 constexpr auto retryDelay = std::chrono::milliseconds(200);
 constexpr unsigned commitAttempts = 10;
+// A pool that was just declared gets its row from the holder of its lease, which takes a few
+// seconds; a command for it waits this many retries.
+constexpr unsigned admissionAttempts = 40;
 
 [[noreturn]] void fail(const Error &error, const Json::Value &data = {})
 {
@@ -150,8 +155,16 @@
                                               failure = error;
                                               return Transaction{};
                                           });
-    if (failure)
-        return reply({{}, failure, {}});
+    if (failure) {
+        const bool willAppear
+            = failure->code == ErrorCode::NotFound && isDeclaredPool(failure->field);
+        if (!willAppear || attempt + 1 >= admissionAttempts)
+            return reply({{}, failure, {}});
+        m_planner.refresh({failure->field}, [=, this] {
+            retryCommand(command, action, subject, planner, attempt + 1, reply);
+        });
+        return;
+    }
     Json::Value done(Json::objectValue);
     done["action"] = action;
     done["subject"] = subject;
@@ -184,15 +197,31 @@
         // The rows are read again. A wish that took effect although its answer was lost is then
         // found recorded, and the plan has no writes.
         m_planner.settle(transaction, result, [=, this] {
-            auto timer = std::make_shared<asio::steady_timer>(m_context, retryDelay);
-            timer->async_wait([=, this](const asio::error_code &) {
-                static_cast<void>(timer);
-                commitCommand(command, action, subject, planner, attempt + 1, reply);
-            });
+            retryCommand(command, action, subject, planner, attempt + 1, reply);
         });
     });
 }
 
+void OperatorService::retryCommand(const OperatorCommand &command, const std::string &action,
+                                   const std::string &subject, const Planner &planner,
+                                   unsigned attempt, const ReplyCallback &reply)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, retryDelay);
+    timer->async_wait([=, this](const asio::error_code &) {
+        static_cast<void>(timer);
+        commitCommand(command, action, subject, planner, attempt, reply);
+    });
+}
+
+bool OperatorService::isDeclaredPool(const std::string &rowKeyOfPool) const
+{
+    const Manifest *manifest = m_planner.view().manifest();
+    return manifest
+           && std::any_of(manifest->pools.begin(), manifest->pools.end(), [&](const auto &pool) {
+                  return rowKey(poolPrefix, pool.name) == rowKeyOfPool;
+              });
+}
+
 Json::Value OperatorService::status()
 {
     Json::Value pools = onFleetThread([this] {
--- a/Services/Fleet/OperatorService.h
+++ b/Services/Fleet/OperatorService.h
@@ -56,6 +56,10 @@
     void commitCommand(const OperatorCommand &command, const std::string &action,
                        const std::string &subject, const Planner &planner, unsigned attempt,
                        const ReplyCallback &reply);
+    void retryCommand(const OperatorCommand &command, const std::string &action,
+                      const std::string &subject, const Planner &planner, unsigned attempt,
+                      const ReplyCallback &reply);
+    bool isDeclaredPool(const std::string &rowKeyOfPool) const;
     std::string operationId(TimePoint now);
 
     std::vector<OperatorAccess> m_operators;
--- a/Tests/Services/Fleet/TestFleetService.cpp
+++ b/Tests/Services/Fleet/TestFleetService.cpp
@@ -168,6 +168,22 @@
         REQUIRE(anna.failure("wave", named({{"pool", "intake"}, {"command", "jump"}}))
                 == "invalid-value");
     }
+    SECTION("a command for a pool that was just declared waits for its row")
+    {
+        Json::Value changed = parseJson(manifestText).value();
+        Json::Value pool(Json::objectValue);
+        pool["name"] = "late";
+        pool["availability_budget"] = 1;
+        changed["pools"].append(pool);
+        REQUIRE(
+            anna.failure("apply",
+                         named({{"manifest", writeJson(changed)}, {"parent", 1}, {"wait", false}}))
+                .empty());
+        REQUIRE(anna.eventually([&] { return anna.call("status")["pools"].size() == 2; }));
+        REQUIRE(anna.failure("wave", named({{"pool", "late"}, {"command", "start"}})).empty());
+        REQUIRE(anna.failure("wave", named({{"pool", "none"}, {"command", "start"}}))
+                == "not-found");
+    }
     SECTION("a stop releases the leases, so that another process acts at once")
     {
         REQUIRE(process.stop());
