Tests: Call a fleet process by peridotctl over TLS

The settings of peridotctl that choose TLS had no test; the client library had. Guards against a command that falls back to plain HTTP or accepts a certificate of another authority.

--- a/Tests/Utilities/Control/TestControl.cpp
+++ b/Tests/Utilities/Control/TestControl.cpp
@@ -1,5 +1,6 @@
 #include <LibBase/Json.h>
 #include <LibRpc/RpcServer.h>
+#include <TestCertificate.h>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <filesystem>
@@ -28,7 +29,10 @@
 class StubFleet
 {
 public:
-    StubFleet() : m_server(loopback(), [](const std::string &) { return RpcPage{404, "", ""}; })
+    explicit StubFleet(const RpcServerSettings &settings = loopback())
+        : m_server(settings, [](const std::string &) {
+              return RpcPage{404, "", ""};
+          })
     {
         const auto status = [](const Json::Value &) {
             Json::Value status(Json::objectValue);
@@ -196,3 +200,32 @@
     CHECK(jsonOf("--json validate /absent")["error"] == "file-unreadable");
     CHECK(jsonOf(known + "--token=right drain absent")["field"] == "host/absent");
 }
+
+TEST_CASE("peridotctl calls a fleet process over TLS")
+{
+    const TestCertificate certificate;
+    RpcServerSettings server = loopback();
+    server.certificateFile = certificate.certificateFile();
+    server.keyFile = certificate.keyFile();
+    const StubFleet fleet(server);
+    const Files files;
+    const auto statusWith = [&](const std::string &members) {
+        const auto settings
+            = files.write("tls.json", R"({"token": "right", "addresses": [")" + fleet.address()
+                                          + R"("])" + members + "}");
+        return runControl("--settings=" + settings + " status").status;
+    };
+    SECTION("when its settings name the authority of the certificate")
+    {
+        REQUIRE(statusWith(R"(, "authority": ")" + certificate.certificateFile() + '"') == 0);
+    }
+    SECTION("and refuses a certificate of another authority")
+    {
+        const TestCertificate other;
+        REQUIRE(statusWith(R"(, "authority": ")" + other.certificateFile() + '"') == 3);
+    }
+    SECTION("and gets no answer by plain HTTP")
+    {
+        REQUIRE(statusWith({}) == 3);
+    }
+}
