--- a/Kernel/Fleet/LoanReturn.cpp
+++ b/Kernel/Fleet/LoanReturn.cpp
@@ -55,7 +55,7 @@
             || loan->record->state == JobState::Cancelling
             || (best && loan->record->urgency <= best->record->urgency))
             continue;
-        // This step may have placed the task at home already.
+        // This step may have placed the task on a host of its own pool already.
         const auto *record = m_step.job(loan->job);
         if (!record || record->tasks[loan->index].phase != TaskPhase::Placed
             || record->tasks[loan->index].host != host)
