Kernel/Fleet: Find a task by its name in one place

HostSteps, PoolBuffer and LoanReturn each split the name of a task and looked up its job and index. FleetView::task() now does it. It also gives nothing for a name without a slash, for which the three read a wrong index.

--- a/Kernel/Fleet/FleetView.cpp
+++ b/Kernel/Fleet/FleetView.cpp
@@ -3,6 +3,7 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/FleetTiming.h>
 #include <algorithm>
+#include <cstdlib>
 #include <unordered_set>
 
 namespace Peridot {
@@ -60,6 +61,18 @@
     return findIn(m_teams, name);
 }
 
+std::optional<FleetView::TaskReference> FleetView::task(const std::string &name) const
+{
+    const auto slash = name.rfind('/');
+    if (slash == std::string::npos)
+        return std::nullopt;
+    const auto *job = this->job(name.substr(0, slash));
+    const auto index = std::strtoul(name.c_str() + slash + 1, nullptr, 10);
+    if (!job || !job->record || index >= job->record->tasks.size())
+        return std::nullopt;
+    return TaskReference{&*job->record, static_cast<unsigned>(index)};
+}
+
 std::vector<std::string> FleetView::poolNames() const
 {
     std::vector<std::string> names;
--- a/Kernel/Fleet/HostSteps.cpp
+++ b/Kernel/Fleet/HostSteps.cpp
@@ -147,19 +147,16 @@
 
 bool HostSteps::provedItself(const FleetView::Host &host) const
 {
-    return std::any_of(
-        host.report->tasks.begin(), host.report->tasks.end(), [&](const TaskReport &report) {
-            if (report.state == TaskState::Finished)
-                return true;
-            const auto slash = report.task.rfind('/');
-            const auto *job = m_view.job(report.task.substr(0, slash));
-            const auto index = std::strtoul(report.task.c_str() + (slash + 1), nullptr, 10);
-            if (!job || !job->record || index >= job->record->tasks.size()
-                || report.state != TaskState::Running)
-                return false;
-            const auto &task = job->record->tasks[index];
-            return task.epoch == report.epoch && m_now - task.since >= probationRun;
-        });
+    return std::any_of(host.report->tasks.begin(), host.report->tasks.end(),
+                       [&](const TaskReport &report) {
+                           if (report.state == TaskState::Finished)
+                               return true;
+                           if (report.state != TaskState::Running)
+                               return false;
+                           const auto found = m_view.task(report.task);
+                           return found && found->task().epoch == report.epoch
+                                  && m_now - found->task().since >= probationRun;
+                       });
 }
 
 void HostSteps::advanceActive(const std::string &name, const FleetView::Host &host)
--- a/Kernel/Fleet/LoanReturn.cpp
+++ b/Kernel/Fleet/LoanReturn.cpp
@@ -11,17 +11,6 @@
 {
 }
 
-std::optional<LoanReturn::LoanedTask> LoanReturn::loanedTask(const std::string &task) const
-{
-    const auto slash = task.rfind('/');
-    const auto name = task.substr(0, slash);
-    const auto *job = m_view.job(name);
-    const auto index = std::strtoul(task.c_str() + (slash + 1), nullptr, 10);
-    if (!job || !job->record || index >= job->record->tasks.size())
-        return std::nullopt;
-    return LoanedTask{name, static_cast<unsigned>(index), &*job->record};
-}
-
 double LoanReturn::roomNeededBy(const FleetView::Pool &spare) const
 {
     double needed = PoolBuffer(m_view, {{}, nullptr, &spare}, true).shortage();
@@ -36,27 +25,26 @@
                           [](const TaskRecord &task) { return task.phase == TaskPhase::Pending; }));
     }
     for (const auto &[task, host] : spare.placement.loans) {
-        const auto loan = loanedTask(task);
-        const auto phase = loan ? loan->record->tasks[loan->index].phase : TaskPhase::Pending;
+        const auto loan = m_view.task(task);
+        const auto phase = loan ? loan->task().phase : TaskPhase::Pending;
         if (phase == TaskPhase::Checkpointing || phase == TaskPhase::Stopping)
             needed -= 1;
     }
     return needed;
 }
 
-std::optional<LoanReturn::LoanedTask>
+std::optional<FleetView::TaskReference>
 LoanReturn::returnableTask(const FleetView::Pool &spare,
                            const std::vector<HostCandidate> &candidates) const
 {
-    std::optional<LoanedTask> best;
+    std::optional<FleetView::TaskReference> best;
     for (const auto &[task, host] : spare.placement.loans) {
-        const auto loan = loanedTask(task);
-        if (!loan || loan->record->pool != m_scope.name
-            || loan->record->state == JobState::Cancelling
-            || (best && loan->record->urgency <= best->record->urgency))
+        const auto loan = m_view.task(task);
+        if (!loan || loan->job->pool != m_scope.name || loan->job->state == JobState::Cancelling
+            || (best && loan->job->urgency <= best->job->urgency))
             continue;
         // This step may have placed the task on a host of its own pool already.
-        const auto *record = m_step.job(loan->job);
+        const auto *record = m_step.job(loan->job->name);
         if (!record || record->tasks[loan->index].phase != TaskPhase::Placed
             || record->tasks[loan->index].host != host)
             continue;
@@ -82,7 +70,7 @@
     const auto loan = returnableTask(*spare, candidates);
     if (!loan || roomNeededBy(*spare) <= 0)
         return;
-    auto &task = m_step.changeJob(loan->job).tasks[loan->index];
+    auto &task = m_step.changeJob(loan->job->name).tasks[loan->index];
     task.phase = TaskPhase::Checkpointing;
     task.since = m_now;
 }
--- a/Kernel/Fleet/LoanReturn.h
+++ b/Kernel/Fleet/LoanReturn.h
@@ -17,16 +17,9 @@
     void returnOne(const std::vector<HostCandidate> &candidates);
 
 private:
-    struct LoanedTask
-    {
-        std::string job;
-        unsigned index = 0;
-        const JobRecord *record = nullptr;
-    };
-
-    std::optional<LoanedTask> loanedTask(const std::string &task) const;
-    std::optional<LoanedTask> returnableTask(const FleetView::Pool &spare,
-                                             const std::vector<HostCandidate> &candidates) const;
+    std::optional<FleetView::TaskReference>
+    returnableTask(const FleetView::Pool &spare,
+                   const std::vector<HostCandidate> &candidates) const;
     double roomNeededBy(const FleetView::Pool &spare) const;
 
     const FleetView &m_view;
--- a/Kernel/Fleet/PoolBuffer.cpp
+++ b/Kernel/Fleet/PoolBuffer.cpp
@@ -173,12 +173,9 @@
 void PoolBuffer::claimLoans(const PoolScope &scope, const FleetView::Pool &spare)
 {
     for (const auto &[task, host] : spare.placement.loans) {
-        const auto slash = task.rfind('/');
-        const auto *job = m_view.job(task.substr(0, slash));
-        const auto index = std::strtoul(task.c_str() + (slash + 1), nullptr, 10);
-        if (job && job->record && job->record->pool == scope.name
-            && index < job->record->tasks.size())
-            claim(job->record->tasks[index].size);
+        const auto loan = m_view.task(task);
+        if (loan && loan->job->pool == scope.name)
+            claim(loan->task().size);
     }
 }
 
--- a/Kernel/include/Kernel/Fleet/FleetView.h
+++ b/Kernel/include/Kernel/Fleet/FleetView.h
@@ -68,6 +68,14 @@
         Version version = absentVersion;
     };
 
+    struct TaskReference
+    {
+        const JobRecord *job = nullptr;
+        unsigned index = 0;
+
+        const TaskRecord &task() const { return job->tasks[index]; }
+    };
+
     /// \a version is the configuration version in force in this process: adopted, and perhaps not
     /// yet accepted, because an adopted version is never given up. Lower versions are ignored.
     void setManifest(std::shared_ptr<const Manifest> manifest, std::uint64_t version);
@@ -104,6 +112,8 @@
     const Pool *pool(const std::string &name) const;
     const Job *job(const std::string &name) const;
     const Team *team(const std::string &name) const;
+    /// Task of a job row by the name that taskName() makes, or nothing.
+    std::optional<TaskReference> task(const std::string &name) const;
     const std::unordered_map<std::string, Host> &hosts() const { return m_hosts; }
     const std::map<std::string, Pool> &pools() const { return m_pools; }
     const std::unordered_map<std::string, Job> &jobs() const { return m_jobs; }
