StandIns: Share main(), listening and the opening of datagram sockets

The backend and link stand-ins had the same main() and the same steps to listen, and the link opened its datagram socket as PeerSocket does. They now call runStandIn(), listen() and openDatagramSocket(). The platform stand-in keeps its own main(): its exit status and its error line differ.

--- a/Libraries/LibPeer/PeerSocket.cpp
+++ b/Libraries/LibPeer/PeerSocket.cpp
@@ -31,6 +31,20 @@
     return asio::ip::udp::endpoint(address, port);
 }
 
+Result<void> openDatagramSocket(asio::ip::udp::socket &socket,
+                                const asio::ip::udp::endpoint &endpoint, const std::string &field)
+{
+    asio::error_code error;
+    socket.open(endpoint.protocol(), error);
+    if (!error)
+        socket.bind(endpoint, error);
+    if (!error)
+        socket.non_blocking(true, error);
+    if (error)
+        return makeError(ErrorCode::ConnectionFailed, field, error.message());
+    return {};
+}
+
 PeerSocket::PeerSocket(asio::io_context &context, PeerSocketSettings settings, Handler handler)
     : m_socket(context), m_settings(std::move(settings)), m_handler(std::move(handler)),
       m_buffer(m_settings.datagramLimit + 1)
@@ -40,14 +54,7 @@
 Result<void> PeerSocket::open()
 {
     BOOST_LEAF_AUTO(endpoint, parsePeerAddress(m_settings.address));
-    asio::error_code error;
-    m_socket.open(endpoint.protocol(), error);
-    if (!error)
-        m_socket.bind(endpoint, error);
-    if (!error)
-        m_socket.non_blocking(true, error);
-    if (error)
-        return makeError(ErrorCode::ConnectionFailed, m_settings.address, error.message());
+    BOOST_LEAF_CHECK(openDatagramSocket(m_socket, endpoint, m_settings.address));
     receive();
     return {};
 }
--- a/Libraries/LibPeer/include/LibPeer/PeerSocket.h
+++ b/Libraries/LibPeer/include/LibPeer/PeerSocket.h
@@ -22,6 +22,10 @@
 /// Address of a datagram. Errors: InvalidValue with the text in the field.
 Result<asio::ip::udp::endpoint> parsePeerAddress(const std::string &text);
 
+/// Binds \a socket, which then never blocks. Errors: ConnectionFailed with \a field.
+Result<void> openDatagramSocket(asio::ip::udp::socket &socket,
+                                const asio::ip::udp::endpoint &endpoint, const std::string &field);
+
 /// Authenticated datagrams between member processes. Each one starts with an HMAC-SHA256 of the
 /// message under the shared key. Runs on the thread of the context.
 class PeerSocket
--- a/StandIns/Backend/BackendServer.cpp
+++ b/StandIns/Backend/BackendServer.cpp
@@ -2,6 +2,7 @@
 
 #include "BackendConnection.h"
 #include "ControlServer.h"
+#include <StandIns/Listen.h>
 #include <asio/strand.hpp>
 
 namespace Peridot {
@@ -33,16 +34,7 @@
     const auto address = asio::ip::make_address(settings.address, error);
     if (error)
         return makeError(ErrorCode::InvalidValue, "address", error.message());
-    const asio::ip::tcp::endpoint endpoint(address, settings.port);
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return makeError(ErrorCode::ConnectionFailed, "port", error.message());
+    BOOST_LEAF_CHECK(listen(m_acceptor, {address, settings.port}, "port"));
     acceptNext();
     for (unsigned index = 0; index < settings.threads; ++index)
         m_threads.emplace_back([this] { m_context.run(); });
--- a/StandIns/Backend/Main.cpp
+++ b/StandIns/Backend/Main.cpp
@@ -1,8 +1,7 @@
 #include "BackendServer.h"
 #include <LibBase/Log.h>
+#include <StandIns/RunStandIn.h>
 #include <csignal>
-#include <docopt/docopt.h>
-#include <iostream>
 
 using namespace Peridot;
 
@@ -44,12 +43,5 @@
 
 int main(int argc, char **argv)
 {
-    auto options = docopt::docopt(usageText, {argv + 1, argv + argc}, true);
-    configureLog(LogLevel::Info);
-    std::signal(SIGPIPE, SIG_IGN);
-    return valueOrElse([&] { return run(options["--settings"].asString()); },
-                       [](const Error &error) {
-                           std::cerr << "peridot-standin-backend: " << describe(error) << '\n';
-                           return 2;
-                       });
+    return runStandIn("peridot-standin-backend", usageText, argc, argv, run);
 }
--- a/StandIns/Link/Main.cpp
+++ b/StandIns/Link/Main.cpp
@@ -1,10 +1,9 @@
 #include "Relay.h"
 
 #include <LibBase/Log.h>
+#include <StandIns/RunStandIn.h>
 #include <asio/signal_set.hpp>
 #include <csignal>
-#include <docopt/docopt.h>
-#include <iostream>
 
 using namespace Peridot;
 
@@ -45,12 +44,5 @@
 
 int main(int argc, char **argv)
 {
-    auto options = docopt::docopt(usageText, {argv + 1, argv + argc}, true);
-    configureLog(LogLevel::Info);
-    std::signal(SIGPIPE, SIG_IGN);
-    return valueOrElse([&] { return run(options["--settings"].asString()); },
-                       [](const Error &error) {
-                           std::cerr << "peridot-standin-link: " << describe(error) << '\n';
-                           return 2;
-                       });
+    return runStandIn("peridot-standin-link", usageText, argc, argv, run);
 }
--- a/StandIns/Link/TcpLink.cpp
+++ b/StandIns/Link/TcpLink.cpp
@@ -1,6 +1,7 @@
 #include "TcpLink.h"
 
 #include "RelayedConnection.h"
+#include <StandIns/Listen.h>
 #include <utility>
 
 namespace Peridot {
@@ -13,17 +14,7 @@
 Result<void> TcpLink::open(const asio::ip::address &address, const LinkDescription &link)
 {
     m_target = {address, link.targetPort};
-    const asio::ip::tcp::endpoint endpoint(address, link.port);
-    asio::error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return makeError(ErrorCode::ConnectionFailed, link.name, error.message());
+    BOOST_LEAF_CHECK(listen(m_acceptor, {address, link.port}, link.name));
     accept();
     return {};
 }
--- a/StandIns/Link/UdpLink.cpp
+++ b/StandIns/Link/UdpLink.cpp
@@ -1,5 +1,6 @@
 #include "UdpLink.h"
 
+#include <LibPeer/PeerSocket.h>
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <string>
@@ -14,15 +15,7 @@
 Result<void> UdpLink::open(const asio::ip::address &address, const LinkDescription &link)
 {
     m_target = {address, link.targetPort};
-    const asio::ip::udp::endpoint endpoint(address, link.port);
-    asio::error_code error;
-    m_socket.open(endpoint.protocol(), error);
-    if (!error)
-        m_socket.bind(endpoint, error);
-    if (!error)
-        m_socket.non_blocking(true, error);
-    if (error)
-        return makeError(ErrorCode::ConnectionFailed, link.name, error.message());
+    BOOST_LEAF_CHECK(openDatagramSocket(m_socket, {address, link.port}, link.name));
     receive();
     return {};
 }
