LibBase: Parse JSON with a reader of the caller

The reader of messages, which is kept for each thread, repeated the error handling of parseJson(). Both now use one function; their nesting limits stay.

--- a/Kernel/Request/MessageJson.cpp
+++ b/Kernel/Request/MessageJson.cpp
@@ -1,5 +1,6 @@
 #include "MessageJson.h"
 
+#include <LibBase/Json.h>
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
@@ -34,15 +35,7 @@
 Result<Json::Value> parseMessage(const std::string &text)
 {
     thread_local const std::unique_ptr<Json::CharReader> reader = makeReader();
-    Json::Value value;
-    std::string errors;
-    try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
-            return makeError(ErrorCode::InvalidJson, {}, errors);
-    } catch (const Json::Exception &exception) {
-        return makeError(ErrorCode::InvalidJson, {}, exception.what());
-    }
-    return value;
+    return parseJson(text, *reader);
 }
 
 std::string writeMessage(const Json::Value &value)
--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -34,10 +34,15 @@
     builder["strictRoot"] = false;
     builder["stackLimit"] = nestingLimit;
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    return parseJson(text, *reader);
+}
+
+Result<Json::Value> parseJson(std::string_view text, Json::CharReader &reader)
+{
     Json::Value value;
     std::string errors;
     try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+        if (!reader.parse(text.data(), text.data() + text.size(), &value, &errors))
             return makeError(ErrorCode::InvalidJson, {}, errors);
     } catch (const Json::Exception &exception) {
         return makeError(ErrorCode::InvalidJson, {}, exception.what());
--- a/Libraries/LibBase/include/LibBase/Json.h
+++ b/Libraries/LibBase/include/LibBase/Json.h
@@ -12,6 +12,9 @@
 /// Errors: InvalidJson, with the line and column in the detail.
 Result<Json::Value> parseJson(std::string_view text, bool allowComments = false);
 
+/// The same with a reader of the caller, for code that keeps one.
+Result<Json::Value> parseJson(std::string_view text, Json::CharReader &reader);
+
 /// Writes \a value on one line without insignificant white space.
 std::string writeJson(const Json::Value &value);
 
