Fleet: Count waits for a pool row apart from commits

A command carried six values through its retries and one counter for two kinds of them. After more than nine waits for the row of a new pool, the first conflict of the commit was therefore reported as an unknown outcome. The values are now one pending command with a counter for each kind. Its audit key is formed once with its operation id; two commands at the same time could read the same number before. Found by reading; no test reproduced either.

The wave test no longer repeats wave start, which waits by itself.

--- a/Services/Fleet/OperatorService.cpp
+++ b/Services/Fleet/OperatorService.cpp
@@ -123,34 +123,34 @@
     });
 }
 
-std::string OperatorService::operationId(TimePoint now)
-{
-    return m_instance + "/operator/" + std::to_string(now.time_since_epoch().count()) + '/'
-           + std::to_string(++m_operationCount);
-}
-
 Json::Value OperatorService::command(const std::string &author, const std::string &action,
                                      const Json::Value &parameters, Planner planner)
 {
-    OperatorCommand wish;
+    const auto pending = std::make_shared<PendingCommand>();
+    OperatorCommand &wish = pending->wish;
     wish.author = author;
     wish.reason = parameters.get("reason", "").asString();
     wish.now = m_planner.now();
-    wish.operationId = operationId(wish.now);
-    const std::string subject = parameters.get("host", parameters.get("pool", "")).asString();
+    const std::uint64_t number = ++m_operationCount;
+    wish.operationId = m_instance + "/operator/"
+                       + std::to_string(wish.now.time_since_epoch().count()) + '/'
+                       + std::to_string(number);
+    pending->auditKey = "audit/" + std::to_string(toUnixMilliseconds(wish.now)) + '-' + m_instance
+                        + "-o" + std::to_string(number);
+    pending->action = action;
+    pending->subject = parameters.get("host", parameters.get("pool", "")).asString();
+    pending->planner = std::move(planner);
     return await([&](const ReplyCallback &reply) {
-        asio::post(m_context, [this, wish, action, subject, planner, reply] {
-            commitCommand(wish, action, subject, planner, 0, reply);
-        });
+        pending->reply = reply;
+        asio::post(m_context, [this, pending] { commitCommand(pending); });
     });
 }
 
-void OperatorService::commitCommand(const OperatorCommand &command, const std::string &action,
-                                    const std::string &subject, const Planner &planner,
-                                    unsigned attempt, const ReplyCallback &reply)
+void OperatorService::commitCommand(const std::shared_ptr<PendingCommand> &command)
 {
+    const OperatorCommand &wish = command->wish;
     std::optional<Error> failure;
-    Transaction transaction = valueOrElse([&] { return planner(command); },
+    Transaction transaction = valueOrElse([&] { return command->planner(wish); },
                                           [&](const Error &error) {
                                               failure = error;
                                               return Transaction{};
@@ -158,59 +158,50 @@
     if (failure) {
         const bool willAppear
             = failure->code == ErrorCode::NotFound && isDeclaredPool(failure->field);
-        if (!willAppear || attempt + 1 >= admissionAttempts)
-            return reply({{}, failure, {}});
-        m_planner.refresh({failure->field}, [=, this] {
-            retryCommand(command, action, subject, planner, attempt + 1, reply);
-        });
+        if (!willAppear || ++command->admissionWaits >= admissionAttempts)
+            return command->reply({{}, failure, {}});
+        m_planner.refresh({failure->field}, [this, command] { retryCommand(command); });
         return;
     }
     Json::Value done(Json::objectValue);
-    done["action"] = action;
-    done["subject"] = subject;
+    done["action"] = command->action;
+    done["subject"] = command->subject;
     if (transaction.writes.empty())
-        return reply({done, {}, {}});
+        return command->reply({done, {}, {}});
     Json::Value audit(Json::objectValue);
-    audit["who"] = command.author;
-    audit["what"] = action;
-    audit["subject"] = subject;
-    audit["reason"] = command.reason;
+    audit["who"] = wish.author;
+    audit["what"] = command->action;
+    audit["subject"] = command->subject;
+    audit["reason"] = wish.reason;
     audit["version"] = Json::UInt64(m_planner.view().manifestVersion());
-    audit["time_ms"] = Json::Int64(toUnixMilliseconds(command.now));
-    transaction.writes.push_back({"audit/" + std::to_string(toUnixMilliseconds(command.now)) + '-'
-                                      + m_instance + "-o" + std::to_string(m_operationCount),
-                                  writeJson(audit)});
+    audit["time_ms"] = Json::Int64(toUnixMilliseconds(wish.now));
+    transaction.writes.push_back({command->auditKey, writeJson(audit)});
     m_planner.store().commit(transaction, [=, this](const CommitResult &result) {
         if (result.status == CommitStatus::Committed) {
-            m_planner.settle(transaction, result, [reply, done] { reply({done, {}, {}}); });
+            m_planner.settle(transaction, result, [command, done] {
+                command->reply({done, {}, {}});
+            });
             return;
         }
-        if (attempt + 1 >= commitAttempts) {
+        if (++command->commits >= commitAttempts) {
             const bool certain = result.status == CommitStatus::Unavailable;
-            return reply(
+            return command->reply(
                 {{},
                  Error{certain ? ErrorCode::StoreUnavailable : ErrorCode::StoreUnknownOutcome,
-                       subject,
+                       command->subject,
                        {}},
                  {}});
         }
         // The rows are read again. A wish that took effect although its answer was lost is then
         // found recorded, and the plan has no writes.
-        m_planner.settle(transaction, result, [=, this] {
-            retryCommand(command, action, subject, planner, attempt + 1, reply);
-        });
+        m_planner.settle(transaction, result, [this, command] { retryCommand(command); });
     });
 }
 
-void OperatorService::retryCommand(const OperatorCommand &command, const std::string &action,
-                                   const std::string &subject, const Planner &planner,
-                                   unsigned attempt, const ReplyCallback &reply)
+void OperatorService::retryCommand(const std::shared_ptr<PendingCommand> &command)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_context, retryDelay);
-    timer->async_wait([=, this](const asio::error_code &) {
-        static_cast<void>(timer);
-        commitCommand(command, action, subject, planner, attempt, reply);
-    });
+    timer->async_wait([this, command, timer](const asio::error_code &) { commitCommand(command); });
 }
 
 bool OperatorService::isDeclaredPool(const std::string &rowKeyOfPool) const
--- a/Services/Fleet/OperatorService.h
+++ b/Services/Fleet/OperatorService.h
@@ -51,16 +51,24 @@
     Json::Value apply(const std::string &author, const Json::Value &parameters);
     Json::Value awaitAccepted(std::uint64_t version);
     Json::Value explain(const Json::Value &parameters);
+    /// A command of an operator on its way into the store.
+    struct PendingCommand
+    {
+        OperatorCommand wish;
+        std::string action;
+        std::string subject;
+        std::string auditKey;
+        Planner planner;
+        ReplyCallback reply;
+        unsigned commits = 0; ///< tried
+        unsigned admissionWaits = 0; ///< for the row of a declared pool
+    };
+
     Json::Value command(const std::string &author, const std::string &action,
                         const Json::Value &parameters, Planner planner);
-    void commitCommand(const OperatorCommand &command, const std::string &action,
-                       const std::string &subject, const Planner &planner, unsigned attempt,
-                       const ReplyCallback &reply);
-    void retryCommand(const OperatorCommand &command, const std::string &action,
-                      const std::string &subject, const Planner &planner, unsigned attempt,
-                      const ReplyCallback &reply);
+    void commitCommand(const std::shared_ptr<PendingCommand> &command);
+    void retryCommand(const std::shared_ptr<PendingCommand> &command);
     bool isDeclaredPool(const std::string &rowKeyOfPool) const;
-    std::string operationId(TimePoint now);
 
     std::vector<OperatorAccess> m_operators;
     std::string m_instance;
--- a/Tests/EndToEnd/fleet-wave.sh
+++ b/Tests/EndToEnd/fleet-wave.sh
@@ -34,7 +34,7 @@
 process_of[load]=$!
 
 echo '== start the wave in every pool'
-for pool in intake premises renewals treasury notices; do wait_until 20 control wave start "$pool"; done
+for pool in intake premises renewals treasury notices; do control wave start "$pool"; done
 sleep 2
 echo '== kill one fleet process, freeze another past its lease, fail a host'
 kill -KILL "${process_of[fleet0]}"
