--- a/Meta/measure-overhead.sh
+++ b/Meta/measure-overhead.sh
@@ -7,36 +7,13 @@
 readonly build_directory="${PERIDOT_BUILD_DIRECTORY:-Build/release}"
 readonly server_threads="${PERIDOT_SERVER_THREADS:-2}"
 readonly transport_threads="${PERIDOT_TRANSPORT_THREADS:-2}"
-work="$(mktemp -d)"
-processes=()
+source Meta/processes.sh
+begin_run
 
-stop_all() {
-    for process in "${processes[@]}"; do
-        kill -TERM "$process" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap stop_all EXIT
-
-free_port() {
-    local port
-    while :; do
-        port=$((20000 + RANDOM % 10000))
-        (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || { echo "$port"; return; }
-    done
-}
-
-wait_for_port() {
-    for _ in $(seq 200); do
-        (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null && return
-        sleep 0.05
-    done
-    echo "nothing listens on port $1" >&2
-    return 1
-}
-
-backend="$(free_port)" control="$(free_port)" entry="$(free_port)" administration="$(free_port)"
+free_port; backend="$port"
+free_port; control="$port"
+free_port; entry="$port"
+free_port; administration="$port"
 
 cat > "$work/backend.json" <<JSON
 {"name": "b1", "address": "127.0.0.1", "port": $backend, "control_port": $control,
@@ -54,18 +31,14 @@
                         "connections": 10000, "services": ["overhead"]}]}}
 JSON
 
-"$build_directory/StandIns/Backend/peridot-standin-backend" --settings "$work/backend.json" \
-    > "$work/backend.log" 2>&1 &
-backend_process=$!
-processes+=("$backend_process")
-"$build_directory/Services/Entry/peridot-entry" --settings "$work/entry.json" \
-    > "$work/entry.log" 2>&1 &
-entry_process=$!
-processes+=("$entry_process")
+start backend "$build_directory/StandIns/Backend/peridot-standin-backend" --settings "$work/backend.json"
+start entry "$build_directory/Services/Entry/peridot-entry" --settings "$work/entry.json"
 wait_for_port "$backend"
 wait_for_port "$entry"
 
 "$build_directory/Utilities/Measure/peridot-measure" overhead \
     "entry=127.0.0.1:$entry" "backend=127.0.0.1:$backend" "control=127.0.0.1:$control" \
-    "entry_pid=$entry_process" "backend_pid=$backend_process" "$@"
+    "entry_pid=${process_of[entry]}" "backend_pid=${process_of[backend]}" "$@"
 printf 'log_lines=%s\n' "$(wc -l < "$work/entry.log")"
+stop entry
+stop backend
