--- /dev/null
+++ b/Kernel/Jobs/Job.cpp
@@ -0,0 +1,270 @@
+#include <Kernel/Jobs/Job.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+Job::Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now)
+    : seenAt(now), m_submitted(std::move(submitted))
+{
+    if (progress)
+        restore(*progress);
+}
+
+void Job::restore(const JobProgress &progress)
+{
+    m_phase = progress.phase;
+    m_finished.insert(progress.finishedOccurrences.begin(), progress.finishedOccurrences.end());
+    for (const auto &saved : progress.occurrences) {
+        Occurrence occurrence = makeOccurrence(saved.occurrence);
+        const std::size_t steps = std::min(saved.steps.size(), occurrence.steps.size());
+        for (std::size_t step = 0; step < steps; ++step) {
+            auto &tasks = occurrence.steps[step].tasks;
+            const std::size_t count = std::min(saved.steps[step].size(), tasks.size());
+            for (std::size_t index = 0; index < count; ++index) {
+                const TaskProgress &from = saved.steps[step][index];
+                Task &task = tasks[index];
+                task.run = from.run;
+                task.failedRuns = from.failedRuns;
+                task.saved = from.saved;
+                task.worker = from.worker;
+                task.activeSince = seenAt;
+                if (from.done)
+                    setPhase(occurrence.steps[step], task, TaskPhase::Done);
+                else if (!from.worker.empty())
+                    setPhase(occurrence.steps[step], task, TaskPhase::Active);
+            }
+        }
+        openSteps(occurrence);
+        m_occurrences.emplace(saved.occurrence, std::move(occurrence));
+    }
+    for (const auto &[number, occurrence] : m_occurrences)
+        m_nextOccurrence = std::max(m_nextOccurrence, number + 1);
+    if (!m_finished.empty())
+        m_nextOccurrence = std::max(m_nextOccurrence, *m_finished.rbegin() + 1);
+}
+
+bool Job::longRunning() const
+{
+    const auto &steps = m_submitted.specification.steps;
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const auto &step) { return step.longRunning; });
+}
+
+unsigned Job::occurrenceCount() const
+{
+    return std::max(1U, m_submitted.specification.occurrences);
+}
+
+TimePoint Job::dueTime(unsigned occurrence) const
+{
+    const auto &specification = m_submitted.specification;
+    if (specification.occurrences == 0)
+        return TimePoint{};
+    return specification.firstDue + specification.interval * occurrence;
+}
+
+std::optional<TimePoint> Job::nextDue() const
+{
+    if (isFinished(m_phase) || m_nextOccurrence >= occurrenceCount())
+        return std::nullopt;
+    return dueTime(m_nextOccurrence);
+}
+
+bool Job::beginDue(TimePoint now)
+{
+    bool begun = false;
+    for (auto due = nextDue(); due && *due <= now; due = nextDue()) {
+        Occurrence occurrence = makeOccurrence(m_nextOccurrence);
+        openSteps(occurrence);
+        m_occurrences.emplace(m_nextOccurrence, std::move(occurrence));
+        ++m_nextOccurrence;
+        begun = true;
+    }
+    return begun;
+}
+
+Job::Occurrence Job::makeOccurrence(unsigned number) const
+{
+    Occurrence occurrence;
+    occurrence.dueAt = dueTime(number);
+    for (const auto &step : m_submitted.specification.steps)
+        occurrence.steps.emplace_back().tasks.resize(step.count);
+    return occurrence;
+}
+
+void Job::openSteps(Occurrence &occurrence)
+{
+    const auto finished = [&](unsigned index) {
+        return occurrence.steps[index].done == occurrence.steps[index].tasks.size();
+    };
+    for (unsigned index = 0; index < occurrence.steps.size(); ++index) {
+        const auto &after = step(index).after;
+        if (!std::all_of(after.begin(), after.end(), finished))
+            continue;
+        Step &opened = occurrence.steps[index];
+        for (auto &task : opened.tasks) {
+            if (task.phase == TaskPhase::Blocked)
+                setPhase(opened, task, TaskPhase::Ready);
+        }
+    }
+}
+
+void Job::setPhase(Step &step, Task &task, TaskPhase phase)
+{
+    const auto counter = [&](TaskPhase which) -> unsigned * {
+        switch (which) {
+        case TaskPhase::Ready:
+            return &step.ready;
+        case TaskPhase::Active:
+            return &step.active;
+        case TaskPhase::Done:
+            return &step.done;
+        case TaskPhase::Blocked:
+            break;
+        }
+        return nullptr;
+    };
+    if (unsigned *left = counter(task.phase))
+        --*left;
+    if (unsigned *entered = counter(phase))
+        ++*entered;
+    task.phase = phase;
+}
+
+Job::Task *Job::task(const TaskName &name)
+{
+    const auto found = m_occurrences.find(name.occurrence);
+    if (found == m_occurrences.end() || name.step >= found->second.steps.size())
+        return nullptr;
+    auto &tasks = found->second.steps[name.step].tasks;
+    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+}
+
+std::uint64_t Job::nextGangRun(unsigned occurrence, unsigned step) const
+{
+    std::uint64_t highest = 0;
+    for (const auto &task : m_occurrences.at(occurrence).steps[step].tasks)
+        highest = std::max(highest, task.run);
+    return highest + 1;
+}
+
+void Job::activate(const TaskName &name, std::uint64_t run, const std::string &worker,
+                   TimePoint now)
+{
+    Task *active = task(name);
+    active->run = run;
+    active->worker = worker;
+    active->activeSince = now;
+    setPhase(m_occurrences.at(name.occurrence).steps[name.step], *active, TaskPhase::Active);
+    if (m_phase == JobPhase::Queued)
+        m_phase = JobPhase::Running;
+}
+
+void Job::makeReady(const TaskName &name)
+{
+    Task *ready = task(name);
+    if (ready == nullptr || ready->phase != TaskPhase::Active)
+        return;
+    ready->worker.clear();
+    setPhase(m_occurrences.at(name.occurrence).steps[name.step], *ready, TaskPhase::Ready);
+}
+
+void Job::complete(const TaskName &name)
+{
+    const auto found = m_occurrences.find(name.occurrence);
+    if (found == m_occurrences.end() || task(name) == nullptr)
+        return;
+    Step &completed = found->second.steps[name.step];
+    for (unsigned index = 0; index < completed.tasks.size(); ++index) {
+        // The end of one member of a gang stands for all of them.
+        if (index != name.index && !step(name.step).gang)
+            continue;
+        completed.tasks[index].worker.clear();
+        setPhase(completed, completed.tasks[index], TaskPhase::Done);
+    }
+    openSteps(found->second);
+    closeFinishedOccurrence(name.occurrence);
+}
+
+void Job::closeFinishedOccurrence(unsigned number)
+{
+    const auto &steps = m_occurrences.at(number).steps;
+    const bool finished = std::all_of(steps.begin(), steps.end(), [](const Step &step) {
+        return step.done == step.tasks.size();
+    });
+    if (!finished)
+        return;
+    m_finished.insert(number);
+    m_occurrences.erase(number);
+}
+
+unsigned Job::countFailure(const TaskName &name, std::uint64_t run)
+{
+    // Failures of a gang are counted at its first task, since its members share their runs.
+    TaskName counted = name;
+    if (step(name.step).gang)
+        counted.index = 0;
+    auto &failed = task(counted)->failedRuns;
+    if (std::find(failed.begin(), failed.end(), run) == failed.end())
+        failed.push_back(run);
+    return static_cast<unsigned>(failed.size());
+}
+
+void Job::finish(JobPhase phase)
+{
+    m_phase = phase;
+    m_occurrences.clear();
+}
+
+bool Job::allDone() const
+{
+    return m_occurrences.empty() && m_nextOccurrence >= occurrenceCount();
+}
+
+unsigned Job::activeOn(unsigned occurrence, unsigned step, const std::string &worker) const
+{
+    const auto &tasks = m_occurrences.at(occurrence).steps[step].tasks;
+    return static_cast<unsigned>(std::count_if(tasks.begin(), tasks.end(), [&](const Task &task) {
+        return task.phase == TaskPhase::Active && task.worker == worker;
+    }));
+}
+
+Duration Job::chainEstimate() const
+{
+    const auto &steps = m_submitted.specification.steps;
+    std::vector<Duration> ends(steps.size(), Duration{0});
+    Duration longest{0};
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        Duration begin{0};
+        for (const unsigned earlier : steps[index].after)
+            begin = std::max(begin, ends[earlier]);
+        ends[index] = begin + steps[index].estimatedRuntime;
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+JobProgress Job::progress(TimePoint now) const
+{
+    JobProgress progress;
+    progress.phase = m_phase;
+    progress.changedAt = now;
+    if (isFinished(m_phase))
+        return progress;
+    progress.finishedOccurrences.assign(m_finished.begin(), m_finished.end());
+    for (const auto &[number, occurrence] : m_occurrences) {
+        OccurrenceProgress &entry = progress.occurrences.emplace_back();
+        entry.occurrence = number;
+        for (const auto &step : occurrence.steps) {
+            auto &tasks = entry.steps.emplace_back();
+            for (const auto &task : step.tasks)
+                tasks.push_back({task.phase == TaskPhase::Done, task.failedRuns, task.saved,
+                                 task.run, task.worker});
+        }
+    }
+    return progress;
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/Jobs/JobRows.cpp
@@ -0,0 +1,366 @@
+#include <Kernel/Jobs/JobRows.h>
+
+#include <LibBase/Json.h>
+#include <cmath>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+Json::Value toJson(Duration duration)
+{
+    return Json::Value(static_cast<Json::Int64>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+}
+
+Json::Value toJson(TimePoint time)
+{
+    return Json::Value(static_cast<Json::Int64>(toUnixMilliseconds(time)));
+}
+
+Duration durationFrom(const Json::Value &value)
+{
+    return std::chrono::milliseconds(value.asInt64());
+}
+
+/// Writes the members of a record. Members with their default value are left out.
+class RecordWriter
+{
+public:
+    void member(const char *name, const std::string &value)
+    {
+        if (!value.empty())
+            m_object[name] = value;
+    }
+    void member(const char *name, bool value)
+    {
+        if (value)
+            m_object[name] = true;
+    }
+    void member(const char *name, unsigned value)
+    {
+        if (value != 0)
+            m_object[name] = value;
+    }
+    void member(const char *name, std::int64_t value)
+    {
+        if (value != 0)
+            m_object[name] = static_cast<Json::Int64>(value);
+    }
+    void member(const char *name, Duration value)
+    {
+        if (value != Duration{0})
+            m_object[name] = toJson(value);
+    }
+    void member(const char *name, TimePoint value)
+    {
+        if (value != TimePoint{})
+            m_object[name] = toJson(value);
+    }
+    void member(const char *name, const std::optional<unsigned> &value)
+    {
+        if (value)
+            m_object[name] = *value;
+    }
+    void member(const char *name, const std::vector<unsigned> &values)
+    {
+        for (const unsigned value : values)
+            m_object[name].append(value);
+    }
+    Json::Value take() { return std::move(m_object); }
+
+private:
+    Json::Value m_object{Json::objectValue};
+};
+
+/// Reads what RecordWriter wrote. A member of another type makes the record invalid.
+class RecordReader
+{
+public:
+    explicit RecordReader(const Json::Value &object) : m_object(object) { }
+
+    void member(const char *name, std::string &value)
+    {
+        if (const auto *found = find(name, Json::stringValue))
+            value = found->asString();
+    }
+    void member(const char *name, bool &value)
+    {
+        if (const auto *found = find(name, Json::booleanValue))
+            value = found->asBool();
+    }
+    void member(const char *name, unsigned &value)
+    {
+        if (const auto *found = findIntegral(name, &Json::Value::isUInt))
+            value = found->asUInt();
+    }
+    void member(const char *name, std::int64_t &value)
+    {
+        if (const auto *found = findIntegral(name, &Json::Value::isInt64))
+            value = found->asInt64();
+    }
+    void member(const char *name, std::uint64_t &value)
+    {
+        if (const auto *found = findIntegral(name, &Json::Value::isUInt64))
+            value = found->asUInt64();
+    }
+    void member(const char *name, Duration &value)
+    {
+        if (const auto *found = findIntegral(name, &Json::Value::isInt64))
+            value = durationFrom(*found);
+    }
+    void member(const char *name, TimePoint &value)
+    {
+        if (const auto *found = findIntegral(name, &Json::Value::isInt64))
+            value = fromUnixMilliseconds(found->asInt64());
+    }
+    void member(const char *name, std::optional<unsigned> &value)
+    {
+        if (const auto *found = findIntegral(name, &Json::Value::isUInt))
+            value = found->asUInt();
+    }
+    void member(const char *name, std::vector<unsigned> &values)
+    {
+        const auto *found = find(name, Json::arrayValue);
+        if (found == nullptr)
+            return;
+        for (const auto &entry : *found) {
+            if (!entry.isUInt())
+                return fail(name);
+            values.push_back(entry.asUInt());
+        }
+    }
+    void fail(const char *name)
+    {
+        if (m_invalid.empty())
+            m_invalid = name;
+    }
+    /// Member at fault, or an empty string.
+    const std::string &invalid() const { return m_invalid; }
+
+private:
+    const Json::Value *find(const char *name, Json::ValueType type)
+    {
+        const Json::Value *value = &m_object[name];
+        if (value->isNull())
+            return nullptr;
+        if (value->type() != type) {
+            fail(name);
+            return nullptr;
+        }
+        return value;
+    }
+    const Json::Value *findIntegral(const char *name, bool (Json::Value::*accepts)() const)
+    {
+        const Json::Value *value = &m_object[name];
+        if (value->isNull())
+            return nullptr;
+        if (!(value->*accepts)()) {
+            fail(name);
+            return nullptr;
+        }
+        return value;
+    }
+
+    const Json::Value &m_object;
+    std::string m_invalid;
+};
+
+template <typename Fields, typename Step>
+void describeStep(Fields &fields, Step &step)
+{
+    fields.member("count", step.count);
+    fields.member("milli_processors", step.size.milliProcessors);
+    fields.member("megabytes", step.size.megabytes);
+    fields.member("accelerators", step.size.accelerators);
+    fields.member("estimated_ms", step.estimatedRuntime);
+    fields.member("after", step.after);
+    fields.member("saves_progress", step.savesProgress);
+    fields.member("gang", step.gang);
+    fields.member("same_rack", step.sameRack);
+    fields.member("speculative", step.speculative);
+    fields.member("long_running", step.longRunning);
+    fields.member("fills", step.fills);
+    fields.member("required_label", step.requiredLabel);
+    fields.member("affinity_rack", step.affinityRack);
+    fields.member("maximum_per_worker", step.maximumPerWorker);
+    fields.member("image", step.image);
+    fields.member("latency_target_ms", step.latencyTarget);
+    fields.member("maximum_unavailable", step.maximumUnavailable);
+}
+
+template <typename Fields, typename Job, typename Stretch>
+void describeJob(Fields &fields, Job &job, Stretch &stretch)
+{
+    fields.member("id", job.id);
+    fields.member("queue", job.queue.name);
+    fields.member("pool", job.queue.pool);
+    fields.member("priority", job.queue.priority);
+    fields.member("attempts", job.queue.maximumAttempts);
+    fields.member("allowance_ms", job.queue.latencyAllowance);
+    fields.member("accepted_ms", job.acceptedAt);
+    fields.member("stretch_percent", stretch);
+    fields.member("payload", job.specification.payload);
+    fields.member("occurrences", job.specification.occurrences);
+    fields.member("first_due_ms", job.specification.firstDue);
+    fields.member("interval_ms", job.specification.interval);
+}
+
+Json::Value encodeTask(const TaskProgress &task)
+{
+    Json::Value value(Json::objectValue);
+    if (task.done)
+        value["done"] = true;
+    for (const auto run : task.failedRuns)
+        value["failed_runs"].append(static_cast<Json::UInt64>(run));
+    if (!task.saved.empty())
+        value["saved"] = task.saved;
+    if (task.run != 0)
+        value["run"] = static_cast<Json::UInt64>(task.run);
+    if (!task.worker.empty())
+        value["worker"] = task.worker;
+    return value;
+}
+
+Result<TaskProgress> parseTask(const Json::Value &value)
+{
+    if (!value.isObject())
+        return makeError(ErrorCode::ProtocolViolation, "tasks");
+    TaskProgress task;
+    RecordReader reader(value);
+    reader.member("done", task.done);
+    reader.member("saved", task.saved);
+    reader.member("run", task.run);
+    reader.member("worker", task.worker);
+    for (const auto &run : value["failed_runs"]) {
+        if (!run.isUInt64())
+            return makeError(ErrorCode::ProtocolViolation, "failed_runs");
+        task.failedRuns.push_back(run.asUInt64());
+    }
+    if (!reader.invalid().empty())
+        return makeError(ErrorCode::ProtocolViolation, reader.invalid());
+    return task;
+}
+
+Result<OccurrenceProgress> parseOccurrence(const Json::Value &value)
+{
+    if (!value.isObject() || !value["number"].isUInt() || !value["steps"].isArray())
+        return makeError(ErrorCode::ProtocolViolation, "occurrences");
+    OccurrenceProgress occurrence;
+    occurrence.occurrence = value["number"].asUInt();
+    for (const auto &step : value["steps"]) {
+        if (!step.isArray())
+            return makeError(ErrorCode::ProtocolViolation, "steps");
+        auto &tasks = occurrence.steps.emplace_back();
+        for (const auto &entry : step) {
+            BOOST_LEAF_AUTO(task, parseTask(entry));
+            tasks.push_back(std::move(task));
+        }
+    }
+    return occurrence;
+}
+
+Json::Value encodeOccurrence(const OccurrenceProgress &occurrence)
+{
+    Json::Value value(Json::objectValue);
+    value["number"] = occurrence.occurrence;
+    value["steps"] = Json::Value(Json::arrayValue);
+    for (const auto &step : occurrence.steps) {
+        Json::Value tasks(Json::arrayValue);
+        for (const auto &task : step)
+            tasks.append(encodeTask(task));
+        value["steps"].append(std::move(tasks));
+    }
+    return value;
+}
+
+} // namespace
+
+std::string jobKey(std::string_view id)
+{
+    return std::string(jobPrefix) + std::string(id);
+}
+
+std::string cancellationKey(std::string_view id)
+{
+    return jobKey(id) + std::string(cancellationSuffix);
+}
+
+std::string progressKey(std::string_view id)
+{
+    return std::string(progressPrefix) + std::string(id);
+}
+
+std::string encodeSubmittedJob(const SubmittedJob &job)
+{
+    RecordWriter writer;
+    const auto stretch = static_cast<std::int64_t>(std::lround(job.queue.stretch * 100));
+    describeJob(writer, job, stretch);
+    Json::Value object = writer.take();
+    for (const auto &step : job.specification.steps) {
+        RecordWriter stepWriter;
+        describeStep(stepWriter, step);
+        object["steps"].append(stepWriter.take());
+    }
+    return writeJson(object);
+}
+
+Result<SubmittedJob> parseSubmittedJob(std::string_view text)
+{
+    BOOST_LEAF_AUTO(object, parseJson(text));
+    if (!object.isObject() || !object["steps"].isArray())
+        return makeError(ErrorCode::ProtocolViolation, "steps");
+    SubmittedJob job;
+    RecordReader reader(object);
+    std::int64_t stretch = 100;
+    describeJob(reader, job, stretch);
+    job.queue.stretch = static_cast<double>(stretch) / 100;
+    for (const auto &entry : object["steps"]) {
+        if (!entry.isObject())
+            return makeError(ErrorCode::ProtocolViolation, "steps");
+        RecordReader stepReader(entry);
+        auto &step = job.specification.steps.emplace_back();
+        describeStep(stepReader, step);
+        if (!stepReader.invalid().empty())
+            return makeError(ErrorCode::ProtocolViolation, stepReader.invalid());
+    }
+    if (!reader.invalid().empty() || job.id.empty())
+        return makeError(ErrorCode::ProtocolViolation, reader.invalid());
+    return job;
+}
+
+std::string encodeJobProgress(const JobProgress &progress)
+{
+    Json::Value object(Json::objectValue);
+    object["phase"] = std::string(jobPhaseNames.nameOf(progress.phase));
+    object["changed_ms"] = toJson(progress.changedAt);
+    for (const unsigned number : progress.finishedOccurrences)
+        object["finished"].append(number);
+    for (const auto &occurrence : progress.occurrences)
+        object["occurrences"].append(encodeOccurrence(occurrence));
+    return writeJson(object);
+}
+
+Result<JobProgress> parseJobProgress(std::string_view text)
+{
+    BOOST_LEAF_AUTO(object, parseJson(text));
+    if (!object.isObject() || !object["phase"].isString())
+        return makeError(ErrorCode::ProtocolViolation, "phase");
+    const auto phase = jobPhaseNames.valueOf(object["phase"].asString());
+    if (!phase)
+        return makeError(ErrorCode::ProtocolViolation, "phase");
+    JobProgress progress;
+    progress.phase = *phase;
+    RecordReader reader(object);
+    reader.member("changed_ms", progress.changedAt);
+    reader.member("finished", progress.finishedOccurrences);
+    if (!reader.invalid().empty())
+        return makeError(ErrorCode::ProtocolViolation, reader.invalid());
+    for (const auto &entry : object["occurrences"]) {
+        BOOST_LEAF_AUTO(occurrence, parseOccurrence(entry));
+        progress.occurrences.push_back(std::move(occurrence));
+    }
+    return progress;
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -0,0 +1,207 @@
+#include <Kernel/Jobs/JobScheduler.h>
+
+#include "SchedulerLimits.h"
+#include <algorithm>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+JobScheduler::JobScheduler(std::uint64_t epoch, Version epochRowVersion, SchedulerTiming timing,
+                           SchedulerHooks hooks, TimePoint now)
+    : m_epoch(epoch), m_epochRowVersion(epochRowVersion), m_timing(timing),
+      m_hooks(std::move(hooks)), m_begunAt(now),
+      m_configuration(std::make_shared<JobConfiguration>()),
+      m_placement(PlacementPolicyRegistry::create("pack-and-spread").value())
+{
+}
+
+void JobScheduler::setConfiguration(std::shared_ptr<const JobConfiguration> configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+Worker &JobScheduler::workerEntry(const WorkerDescription &description)
+{
+    const auto [entry, isNew] = m_workers.try_emplace(description.id, description);
+    if (isNew) {
+        // An earlier scheduler that does not know that it was deposed may still extend leases.
+        entry->second.assumeLeasesUntil(m_begunAt + m_timing.deposedLimit
+                                        + m_timing.workerLease * leaseStretchPercent / 100);
+    }
+    return entry->second;
+}
+
+void JobScheduler::setWorkers(TimePoint now, const std::vector<WorkerDescription> &workers)
+{
+    for (auto &[id, worker] : m_workers)
+        worker.listed = false;
+    for (const auto &description : workers) {
+        Worker &worker = workerEntry(description);
+        const std::int64_t knownLife = worker.description.startedAt;
+        // The list lags behind the worker's own answers, which may have shown a later life.
+        if (description.startedAt < knownLife)
+            continue;
+        worker.listed = true;
+        if (knownLife != 0 && description.startedAt > knownLife)
+            endLife(now, worker, description.startedAt);
+        worker.description = description;
+    }
+    std::erase_if(m_workers, [](const auto &entry) {
+        return !entry.second.listed && entry.second.runs.empty();
+    });
+}
+
+void JobScheduler::addJob(TimePoint now, SubmittedJob submitted,
+                          const std::optional<JobProgress> &progress, Version progressVersion)
+{
+    const std::string id = submitted.id;
+    if (m_jobs.contains(id) || m_retained.contains(id))
+        return;
+    Job &job = m_jobs.try_emplace(id, std::move(submitted), progress, now).first->second;
+    job.rowVersion = progressVersion;
+    job.beginDue(now);
+    for (const auto &[number, occurrence] : job.occurrences()) {
+        for (unsigned step = 0; step < occurrence.steps.size(); ++step)
+            restoreRuns(now, job, number, step);
+    }
+    observe("job-added", {{id, 0, 0, 0}, 0}, {}, job.submitted().queue.name);
+}
+
+void JobScheduler::restoreRuns(TimePoint now, Job &job, unsigned occurrence, unsigned step)
+{
+    const auto &tasks = job.occurrences().at(occurrence).steps[step].tasks;
+    for (unsigned index = 0; index < tasks.size(); ++index) {
+        const Job::Task &task = tasks[index];
+        if (task.phase != TaskPhase::Active)
+            continue;
+        // The worker may not be listed: its entry can lapse while it runs on.
+        WorkerDescription placeholder;
+        placeholder.id = task.worker;
+        Worker &worker = workerEntry(placeholder);
+        WorkerRun run = newRun(job.step(step), now);
+        run.phase = RunPhase::Running;
+        run.confirmedAt = m_begunAt;
+        worker.runs.emplace(RunName{{job.id(), occurrence, step, index}, task.run}, run);
+    }
+}
+
+void JobScheduler::addFinishedJob(const std::string &id, TimePoint finishedAt)
+{
+    m_retained.emplace(id, finishedAt + m_timing.statusRetention);
+}
+
+void JobScheduler::cancelJob(TimePoint now, const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || isFinished(found->second.phase()))
+        return;
+    finishJob(now, found->second, JobPhase::Cancelled);
+}
+
+void JobScheduler::finishJob(TimePoint now, Job &job, JobPhase phase)
+{
+    observe("job-finished", {{job.id(), 0, 0, 0}, 0}, {}, std::string(jobPhaseNames.nameOf(phase)));
+    job.finish(phase);
+    touch(job);
+    stopRunsOf(now, job.id());
+}
+
+void JobScheduler::stopRunsOf(TimePoint now, const std::string &job)
+{
+    for (auto &[id, worker] : m_workers) {
+        // Copied, because a run that was not started yet is erased at once.
+        std::vector<RunName> names;
+        for (const auto &[name, run] : worker.runs) {
+            if (name.task.job == job)
+                names.push_back(name);
+        }
+        for (const RunName &name : names)
+            stopRun(now, worker, name);
+    }
+}
+
+void JobScheduler::stopRun(TimePoint now, Worker &worker, const RunName &name)
+{
+    const auto found = worker.runs.find(name);
+    if (found == worker.runs.end() || found->second.phase == RunPhase::Stopping)
+        return;
+    if (found->second.phase == RunPhase::Recording) {
+        worker.runs.erase(found);
+        return;
+    }
+    found->second.phase = RunPhase::Stopping;
+    found->second.attempts = 0;
+    found->second.nextAttempt = now;
+}
+
+Job *JobScheduler::jobOf(const TaskName &name)
+{
+    const auto found = m_jobs.find(name.job);
+    if (found == m_jobs.end() || isFinished(found->second.phase()))
+        return nullptr;
+    return &found->second;
+}
+
+bool JobScheduler::isCurrent(const RunName &run, const std::string &worker)
+{
+    Job *job = jobOf(run.task);
+    const Job::Task *task = job == nullptr ? nullptr : job->task(run.task);
+    return task != nullptr && task->phase == TaskPhase::Active && task->run == run.run
+           && task->worker == worker;
+}
+
+const QueueSettings &JobScheduler::queueOf(const Job &job) const
+{
+    const QueueSettings &accepted = job.submitted().queue;
+    const auto *queue = m_configuration->queue(accepted.name);
+    return queue == nullptr ? accepted : *queue;
+}
+
+WorkerRun JobScheduler::newRun(const StepSpecification &step, TimePoint now)
+{
+    WorkerRun run;
+    run.reserved = reservedSize(step);
+    run.fills = step.fills;
+    run.latencyTarget = step.latencyTarget;
+    run.changedAt = now;
+    return run;
+}
+
+void JobScheduler::observe(std::string_view kind, const RunName &run, const std::string &worker,
+                           std::string detail) const
+{
+    if (m_hooks.observe)
+        m_hooks.observe({kind, run, worker, std::move(detail)});
+}
+
+void JobScheduler::plan(TimePoint now)
+{
+    for (auto &[id, job] : m_jobs)
+        job.beginDue(now);
+    writeOffExpired(now);
+    restartStalled(now);
+    evacuate(now);
+    placeTasks(now);
+    sendDueOrders(now);
+}
+
+std::map<std::string, unsigned> JobScheduler::pendingJobs() const
+{
+    std::map<std::string, unsigned> pending;
+    for (const auto &queue : m_configuration->queues)
+        pending[queue.name] = 0;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.phase() == JobPhase::Queued && job.submitted().specification.occurrences == 0)
+            ++pending[job.submitted().queue.name];
+    }
+    return pending;
+}
+
+void JobScheduler::setReserved(const std::string &worker, bool reserved)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.reserved = reserved;
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/Jobs/JobSchedulerLooks.cpp
@@ -0,0 +1,315 @@
+// Events from workers: answers to orders, ends of runs, and runs that are missing.
+
+#include "SchedulerLimits.h"
+#include <Kernel/Jobs/JobScheduler.h>
+#include <algorithm>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+void JobScheduler::startFinished(TimePoint now, const StartOrder &order, const OrderReply &reply)
+{
+    observe("start-answered", order.run, order.worker,
+            std::string(orderOutcomeNames.nameOf(reply.outcome)));
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    Worker &worker = found->second;
+    if (reply.clock)
+        worker.noteClock(*reply.clock, now);
+    if (reply.outcome == OrderOutcome::Fenced)
+        return m_hooks.deposed();
+    const auto entry = worker.runs.find(order.run);
+    if (entry == worker.runs.end())
+        return;
+    WorkerRun &run = entry->second;
+    run.orderInFlight = false;
+    switch (reply.outcome) {
+    case OrderOutcome::Accepted:
+    case OrderOutcome::Superseded: // the next look shows what became of it
+        run.confirmedAt = now;
+        run.changedAt = now;
+        if (run.phase == RunPhase::Starting)
+            run.phase = RunPhase::Running;
+        return;
+    case OrderOutcome::Unknown:
+        run.orderedBefore = true;
+        run.nextAttempt = now + orderRetryPause;
+        if (run.phase == RunPhase::Starting && run.attempts >= startAttempts)
+            stopRun(now, worker, order.run);
+        return;
+    case OrderOutcome::OtherWorker:
+        return endLife(now, worker, worker.description.startedAt);
+    default:
+        break;
+    }
+    worker.avoidUntil = now + refusedPause;
+    // A copy of the order without an answer may yet be carried out; a stop prevents it.
+    if (run.orderedBefore)
+        return stopRun(now, worker, order.run);
+    dropRun(now, worker, order.run);
+}
+
+void JobScheduler::stopFinished(TimePoint now, const StopOrder &order, const OrderReply &reply)
+{
+    observe("stop-answered", order.run, order.worker,
+            std::string(orderOutcomeNames.nameOf(reply.outcome)));
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    Worker &worker = found->second;
+    if (reply.clock)
+        worker.noteClock(*reply.clock, now);
+    if (reply.outcome == OrderOutcome::Fenced)
+        return m_hooks.deposed();
+    if (reply.outcome == OrderOutcome::OtherWorker)
+        return endLife(now, worker, worker.description.startedAt);
+    const auto entry = worker.runs.find(order.run);
+    if (entry == worker.runs.end())
+        return;
+    entry->second.orderInFlight = false;
+    entry->second.nextAttempt = now + orderRetryPause;
+    if (reply.outcome != OrderOutcome::Accepted)
+        return;
+    entry->second.stopAccepted = true;
+    entry->second.confirmedAt = now;
+}
+
+void JobScheduler::lookFinished(TimePoint now, const LookOrder &order, const LookReply &reply)
+{
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    Worker &worker = found->second;
+    worker.lookInFlight = false;
+    if (reply.outcome == OrderOutcome::Fenced)
+        return m_hooks.deposed();
+    if (reply.outcome == OrderOutcome::OtherWorker)
+        return endLife(now, worker, worker.description.startedAt);
+    if (reply.outcome != OrderOutcome::Accepted) {
+        ++worker.failedLooks;
+        const auto doublings = std::min(worker.failedLooks, 4U);
+        worker.nextLook = now + std::min(shortestLookPause * (1 << doublings), longestLookPause);
+        observe("look-failed", {}, order.worker,
+                std::string(orderOutcomeNames.nameOf(reply.outcome)));
+        return;
+    }
+    if (reply.startedAt != worker.description.startedAt) {
+        // Answers of a former life may arrive after those of a later one.
+        if (reply.startedAt < worker.description.startedAt)
+            return;
+        endLife(now, worker, reply.startedAt);
+    }
+    worker.failedLooks = 0;
+    worker.seen = true;
+    worker.nextLook = now;
+    worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
+    if (reply.clock)
+        worker.noteClock(*reply.clock, now);
+    for (const EndedRun &end : reply.ended)
+        processEnd(now, worker, end);
+    for (const ActiveRun &active : reply.active)
+        processActive(now, worker, active);
+    loseMissingRuns(now, worker, order, reply);
+    paceFillers(now, worker);
+}
+
+void JobScheduler::endLife(TimePoint now, Worker &worker, std::int64_t nextLife)
+{
+    observe("worker-life-ended", {}, worker.description.id, std::to_string(nextLife));
+    const auto runs = std::exchange(worker.runs, {});
+    const bool sameLife = nextLife == worker.description.startedAt;
+    worker.beginLife(nextLife);
+    if (sameLife) // another worker answers at the address
+        worker.listed = false;
+    for (const auto &[name, run] : runs)
+        runOver(now, name, RunEnd::Lapsed, worker.description.id);
+}
+
+void JobScheduler::processEnd(TimePoint now, Worker &worker, const EndedRun &end)
+{
+    if (end.number <= worker.processedEnds)
+        return;
+    worker.processedEnds = end.number;
+    observe("run-ended", end.run, worker.description.id, std::string(runEndNames.nameOf(end.how)));
+    worker.runs.erase(end.run);
+    worker.foreignRuns.erase(end.run);
+    if (end.how == RunEnd::Done)
+        worker.failedRunsInSuccession = 0;
+    Job *job = jobOf(end.run.task);
+    Job::Task *task = job == nullptr ? nullptr : job->task(end.run.task);
+    if (task == nullptr || task->phase == TaskPhase::Done)
+        return;
+    if (!end.saved.empty())
+        task->saved = end.saved;
+    touch(*job);
+    if (end.how == RunEnd::Done && !job->step(end.run.task.step).longRunning)
+        return completeTask(now, *job, end.run.task);
+    if (end.how == RunEnd::Failed)
+        return taskFailed(now, *job, end.run, worker);
+    runOver(now, end.run, end.how, worker.description.id);
+}
+
+void JobScheduler::completeTask(TimePoint now, Job &job, const TaskName &name)
+{
+    // Runs of other members of the gang, or a later run of the task, are stopped.
+    const auto &tasks = job.occurrences().at(name.occurrence).steps[name.step].tasks;
+    for (unsigned index = 0; index < tasks.size(); ++index) {
+        const bool completed = index == name.index || job.step(name.step).gang;
+        if (!completed || tasks[index].phase != TaskPhase::Active)
+            continue;
+        TaskName other = name;
+        other.index = index;
+        const auto worker = m_workers.find(tasks[index].worker);
+        if (worker != m_workers.end())
+            stopRun(now, worker->second, {other, tasks[index].run});
+    }
+    job.complete(name);
+    if (job.allDone())
+        finishJob(now, job, JobPhase::Completed);
+}
+
+void JobScheduler::taskFailed(TimePoint now, Job &job, const RunName &run, Worker &worker)
+{
+    ++worker.failedRunsInSuccession;
+    if (worker.failedRunsInSuccession >= failuresBeforeProbing)
+        worker.avoidUntil = now + probePause;
+    job.task(run.task)->avoidedWorker = worker.description.id;
+    const unsigned failures = job.countFailure(run.task, run.run);
+    const bool limited = !job.step(run.task.step).longRunning;
+    if (limited && failures >= queueOf(job).maximumAttempts)
+        return finishJob(now, job, JobPhase::Failed);
+    runOver(now, run, RunEnd::Failed, worker.description.id);
+}
+
+void JobScheduler::runOver(TimePoint now, const RunName &run, RunEnd how, const std::string &worker)
+{
+    if (!isCurrent(run, worker))
+        return;
+    Job &job = *jobOf(run.task);
+    observe("run-over", run, worker, std::string(runEndNames.nameOf(how)));
+    job.makeReady(run.task);
+    touch(job);
+    if (job.step(run.task.step).gang)
+        stopGang(now, job, run);
+}
+
+void JobScheduler::stopGang(TimePoint now, Job &job, const RunName &run)
+{
+    const auto &tasks = job.occurrences().at(run.task.occurrence).steps[run.task.step].tasks;
+    for (unsigned index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].phase != TaskPhase::Active || tasks[index].run != run.run)
+            continue;
+        TaskName member = run.task;
+        member.index = index;
+        const std::string workerId = tasks[index].worker;
+        const auto worker = m_workers.find(workerId);
+        if (worker == m_workers.end())
+            continue;
+        const auto entry = worker->second.runs.find({member, run.run});
+        const bool recording
+            = entry != worker->second.runs.end() && entry->second.phase == RunPhase::Recording;
+        stopRun(now, worker->second, {member, run.run});
+        if (recording)
+            job.makeReady(member);
+    }
+}
+
+void JobScheduler::dropRun(TimePoint now, Worker &worker, const RunName &name)
+{
+    worker.runs.erase(name);
+    runOver(now, name, RunEnd::Stopped, worker.description.id);
+}
+
+void JobScheduler::processActive(TimePoint now, Worker &worker, const ActiveRun &active)
+{
+    const auto found = worker.runs.find(active.run);
+    if (found == worker.runs.end()) {
+        if (worker.foreignRuns.emplace(active.run, TimePoint{}).second)
+            observe("foreign-run", active.run, worker.description.id);
+        return;
+    }
+    WorkerRun &run = found->second;
+    if (run.percent != active.percent)
+        run.changedAt = now;
+    run.percent = active.percent;
+    if (active.usage)
+        run.latency = std::chrono::milliseconds(*active.usage);
+    if (!active.saved.empty()) {
+        Job *job = jobOf(active.run.task);
+        if (Job::Task *task = job == nullptr ? nullptr : job->task(active.run.task))
+            task->saved = active.saved;
+    }
+    if (run.phase == RunPhase::Starting && run.orderedBefore) {
+        run.phase = RunPhase::Running;
+        run.confirmedAt = now;
+    }
+}
+
+void JobScheduler::loseMissingRuns(TimePoint now, Worker &worker, const LookOrder &order,
+                                   const LookReply &reply)
+{
+    const auto listed = [&](const RunName &name) {
+        return std::any_of(reply.active.begin(), reply.active.end(),
+                           [&](const ActiveRun &active) { return active.run == name; });
+    };
+    std::erase_if(worker.foreignRuns, [&](const auto &entry) { return !listed(entry.first); });
+    if (reply.ended.size() >= endsPerLook)
+        return; // the end of a missing run may be in a later answer
+    std::vector<RunName> missing;
+    for (const auto &[name, run] : worker.runs) {
+        const bool known = run.confirmedAt && *run.confirmedAt <= order.sentAt;
+        // A copy of the start without an answer may come yet, unless a stop prevents it.
+        const bool mayCome = run.orderInFlight && run.phase != RunPhase::Stopping;
+        if (known && !mayCome && !listed(name))
+            missing.push_back(name);
+    }
+    for (const RunName &name : missing) {
+        observe("run-missing", name, worker.description.id);
+        dropRun(now, worker, name);
+    }
+}
+
+void JobScheduler::writeOffExpired(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.runs.empty() || now <= worker.leasesEnd())
+            continue;
+        std::vector<RunName> over;
+        for (const auto &[name, run] : worker.runs) {
+            if (run.phase != RunPhase::Recording)
+                over.push_back(name);
+        }
+        if (over.empty())
+            continue;
+        observe("worker-leases-over", {}, id, std::to_string(over.size()));
+        worker.seen = false;
+        for (const RunName &name : over)
+            dropRun(now, worker, name);
+    }
+}
+
+void JobScheduler::restartStalled(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        std::vector<RunName> stalled;
+        for (const auto &[name, run] : worker.runs) {
+            if (run.phase != RunPhase::Running || run.pace < 100 || !isCurrent(name, id))
+                continue;
+            const StepSpecification &step = jobOf(name.task)->step(name.task.step);
+            const Duration limit
+                = std::max<Duration>(stallLimit, step.estimatedRuntime * stallEstimates);
+            const bool atWork = step.longRunning && run.percent == 100;
+            if (!atWork && !step.fills && now - run.changedAt > limit)
+                stalled.push_back(name);
+        }
+        for (const RunName &name : stalled) {
+            observe("run-stalled", name, id);
+            jobOf(name.task)->task(name.task)->avoidedWorker = id;
+            worker.avoidUntil = now + probePause;
+            stopRun(now, worker, name);
+        }
+    }
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -0,0 +1,264 @@
+// Orders to workers, and the rows that go before them.
+
+#include "SchedulerLimits.h"
+#include <Kernel/Jobs/JobScheduler.h>
+#include <algorithm>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+std::optional<Transaction> JobScheduler::takeTransaction(TimePoint now)
+{
+    if (m_flush || now < m_nextFlush)
+        return std::nullopt;
+    Flush flush;
+    for (const auto &id : m_dirty) {
+        if (flush.jobs.size() < jobsPerTransaction)
+            flush.jobs.push_back(id);
+    }
+    for (const auto &id : flush.jobs)
+        m_dirty.erase(id);
+    if (m_dirty.empty()) {
+        for (auto &[id, worker] : m_workers)
+            flush.ends.emplace(id, worker.processedEnds);
+    }
+    for (const auto &[id, until] : m_retained) {
+        if (now >= until && flush.expired.size() < jobsPerTransaction)
+            flush.expired.push_back(id);
+    }
+    if (flush.jobs.empty() && flush.expired.empty()) {
+        applyDurableEnds(flush);
+        return std::nullopt;
+    }
+    const auto recorded
+        = std::stable_partition(m_recording.begin(), m_recording.end(), [&](const auto &entry) {
+              return std::find(flush.jobs.begin(), flush.jobs.end(), entry.second.task.job)
+                     == flush.jobs.end();
+          });
+    flush.starts.assign(recorded, m_recording.end());
+    m_recording.erase(recorded, m_recording.end());
+    Transaction transaction = transactionOf(flush, now);
+    m_flush = std::move(flush);
+    return transaction;
+}
+
+Transaction JobScheduler::transactionOf(const Flush &flush, TimePoint now) const
+{
+    Transaction transaction;
+    transaction.operationId = "scheduler/" + std::to_string(m_epoch) + '/'
+                              + std::to_string(now.time_since_epoch().count());
+    transaction.checks.push_back({std::string(schedulerEpochKey), m_epochRowVersion});
+    for (const auto &id : flush.jobs) {
+        const Job &job = m_jobs.at(id);
+        transaction.checks.push_back({progressKey(id), job.rowVersion});
+        transaction.writes.push_back({progressKey(id), encodeJobProgress(job.progress(now))});
+        if (!isFinished(job.phase()))
+            continue;
+        transaction.writes.push_back({jobKey(id), std::nullopt});
+        if (job.phase() == JobPhase::Cancelled)
+            transaction.writes.push_back({cancellationKey(id), std::nullopt});
+    }
+    for (const auto &id : flush.expired)
+        transaction.writes.push_back({progressKey(id), std::nullopt});
+    return transaction;
+}
+
+void JobScheduler::transactionFinished(TimePoint now, const CommitResult &result)
+{
+    const Flush flush = *std::exchange(m_flush, std::nullopt);
+    if (result.status == CommitStatus::Committed)
+        return committed(now, flush, result.revision);
+    m_dirty.insert(flush.jobs.begin(), flush.jobs.end());
+    m_recording.insert(m_recording.end(), flush.starts.begin(), flush.starts.end());
+    if (result.status != CommitStatus::Conflict) {
+        m_nextFlush = now + transactionRetryPause;
+        return;
+    }
+    const auto &conflicts = result.conflicts;
+    if (std::find(conflicts.begin(), conflicts.end(), schedulerEpochKey) != conflicts.end())
+        return m_hooks.deposed();
+    // An own earlier write whose answer was lost: only its version is news.
+    for (const Row &row : result.currentRows) {
+        if (!row.key.starts_with(progressPrefix))
+            continue;
+        const auto job = m_jobs.find(row.key.substr(progressPrefix.size()));
+        if (job != m_jobs.end())
+            job->second.rowVersion = row.version;
+    }
+}
+
+void JobScheduler::committed(TimePoint now, const Flush &flush, Version revision)
+{
+    for (const auto &id : flush.jobs) {
+        Job &job = m_jobs.at(id);
+        job.rowVersion = revision;
+        // A job that ended while its row was under way is written once more.
+        if (!isFinished(job.phase()) || m_dirty.contains(id))
+            continue;
+        m_retained.emplace(id, now + m_timing.statusRetention);
+        m_jobs.erase(id);
+    }
+    for (const auto &id : flush.expired)
+        m_retained.erase(id);
+    applyDurableEnds(flush);
+    for (const auto &[workerId, name] : flush.starts) {
+        const auto worker = m_workers.find(workerId);
+        if (worker == m_workers.end())
+            continue;
+        const auto run = worker->second.runs.find(name);
+        if (run == worker->second.runs.end() || run->second.phase != RunPhase::Recording)
+            continue;
+        run->second.phase = RunPhase::Starting;
+        run->second.nextAttempt = now;
+    }
+    sendDueOrders(now);
+}
+
+void JobScheduler::applyDurableEnds(const Flush &flush)
+{
+    for (const auto &[id, number] : flush.ends) {
+        const auto worker = m_workers.find(id);
+        // A new life of the worker numbers its ends anew.
+        if (worker != m_workers.end() && number <= worker->second.processedEnds)
+            worker->second.durableEnds = std::max(worker->second.durableEnds, number);
+    }
+}
+
+void JobScheduler::sendDueOrders(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.description.address.empty())
+            continue; // not listed yet
+        for (auto &[name, run] : worker.runs) {
+            if (run.orderInFlight || now < run.nextAttempt)
+                continue;
+            if (run.phase == RunPhase::Starting)
+                sendStart(now, worker, name, run);
+            else if (run.phase == RunPhase::Stopping && !run.stopAccepted)
+                sendStop(now, worker, name, run);
+        }
+        for (auto &[name, nextStop] : worker.foreignRuns) {
+            if (now < nextStop)
+                continue;
+            nextStop = now + m_timing.stopLimit;
+            m_hooks.orders.stop({id, name, m_epoch});
+        }
+        if (lookWanted(worker) && !worker.lookInFlight && now >= worker.nextLook)
+            sendLook(now, worker);
+    }
+}
+
+void JobScheduler::sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run)
+{
+    Job *job = jobOf(name.task);
+    if (job == nullptr || !isCurrent(name, worker.description.id))
+        return;
+    StartOrder order;
+    order.worker = worker.description.id;
+    order.run = name;
+    order.payload = job->submitted().specification.payload;
+    order.saved = savedOf(*job, name.task);
+    order.leaseEnd = worker.extendLease(now, m_timing.workerLease);
+    order.fencingEpoch = m_epoch;
+    run.orderInFlight = true;
+    ++run.attempts;
+    m_hooks.orders.start(order);
+}
+
+std::string JobScheduler::savedOf(Job &job, const TaskName &name)
+{
+    if (!job.step(name.step).gang)
+        return job.task(name)->saved;
+    // Any member's checkpoint is valid for the gang, and all members must carry the same one.
+    TaskName first = name;
+    for (first.index = 0; first.index < job.step(name.step).count; ++first.index) {
+        if (!job.task(first)->saved.empty())
+            return job.task(first)->saved;
+    }
+    return {};
+}
+
+void JobScheduler::sendStop(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run)
+{
+    run.orderInFlight = true;
+    run.nextAttempt = now + orderRetryPause;
+    ++run.attempts;
+    m_hooks.orders.stop({worker.description.id, name, m_epoch});
+}
+
+bool JobScheduler::lookWanted(const Worker &worker)
+{
+    const bool known = worker.listed || !worker.runs.empty();
+    return known
+           && (!worker.seen || !worker.runs.empty() || !worker.foreignRuns.empty()
+               || worker.durableEnds > worker.acknowledgedEnds);
+}
+
+void JobScheduler::sendLook(TimePoint now, Worker &worker)
+{
+    LookOrder order;
+    order.worker = worker.description.id;
+    order.fencingEpoch = m_epoch;
+    order.acknowledgedEnds = worker.durableEnds;
+    order.sentAt = now;
+    const bool unwritten = worker.processedEnds > worker.durableEnds;
+    if (unwritten && now < worker.lastLook + unwrittenLookPause)
+        return;
+    if (worker.seen && !unwritten && !worker.runs.empty())
+        order.wait = worker.hasFillersBesideServing() ? watchfulLookWait : lookWait;
+    // In doubt the leases end, so that the tasks can be placed elsewhere at a known time.
+    if (worker.clockKnown() && worker.failedLooks < looksBeforeDoubt)
+        order.leaseEnd = worker.extendLease(now, m_timing.workerLease);
+    worker.lookInFlight = true;
+    worker.lastLook = now;
+    m_hooks.orders.look(order);
+}
+
+void JobScheduler::paceFillers(TimePoint now, Worker &worker)
+{
+    if (!worker.hasFillersBesideServing())
+        return;
+    const bool over = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                  [](const auto &entry) { return entry.second.isOverTarget(); });
+    const bool near = std::any_of(worker.runs.begin(), worker.runs.end(),
+                                  [](const auto &entry) { return entry.second.isNearTarget(); });
+    for (auto &[name, run] : worker.runs) {
+        if (!run.fills || run.phase != RunPhase::Running || now < run.nextPace)
+            continue;
+        unsigned wanted = run.pace;
+        if (over)
+            wanted = run.pace / 2 < leastPace ? 0 : run.pace / 2;
+        else if (!near)
+            wanted = std::min(100U, run.pace + paceStep);
+        if (wanted != run.pace)
+            sendPace(now, worker, name, run, wanted);
+    }
+}
+
+void JobScheduler::sendPace(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run,
+                            unsigned percent)
+{
+    observe("run-paced", name, worker.description.id, std::to_string(percent));
+    run.pace = percent;
+    run.nextPace = now + pacePause;
+    m_hooks.orders.pace({worker.description.id, name, percent, m_epoch});
+}
+
+void JobScheduler::paceFinished(TimePoint now, const PaceOrder &order, const OrderReply &reply)
+{
+    if (reply.outcome == OrderOutcome::Fenced)
+        return m_hooks.deposed();
+    const auto worker = m_workers.find(order.worker);
+    if (worker == m_workers.end())
+        return;
+    if (reply.clock)
+        worker->second.noteClock(*reply.clock, now);
+    const auto run = worker->second.runs.find(order.run);
+    if (run == worker->second.runs.end() || reply.outcome == OrderOutcome::Accepted)
+        return;
+    // Sent again with the next look that calls for it.
+    run->second.nextPace = now;
+    run->second.pace = 100;
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -0,0 +1,254 @@
+// Choice of a worker for each ready task, and the removal of tasks from workers that leave.
+
+#include "SchedulerLimits.h"
+#include <Kernel/Jobs/JobScheduler.h>
+#include <algorithm>
+#include <tuple>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+bool hasLabel(const Worker &worker, const std::string &label)
+{
+    const auto &labels = worker.description.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+} // namespace
+
+std::map<std::string, std::vector<JobScheduler::PoolQueueEntry>>
+JobScheduler::queuesByPool(TimePoint now)
+{
+    std::map<std::string, std::vector<PoolQueueEntry>> queues;
+    for (auto &[id, job] : m_jobs) {
+        const bool ready = std::any_of(
+            job.occurrences().begin(), job.occurrences().end(), [](const auto &occurrence) {
+                return std::any_of(occurrence.second.steps.begin(), occurrence.second.steps.end(),
+                                   [](const auto &step) { return step.ready > 0; });
+            });
+        if (!ready)
+            continue;
+        const QueueSettings &queue = queueOf(job);
+        PoolQueueEntry entry;
+        entry.job = &job;
+        entry.priority = queue.priority;
+        const Duration chain = job.chainEstimate();
+        const auto stretched = std::chrono::duration_cast<Duration>(chain * queue.stretch);
+        const TimePoint begin = job.occurrences().begin()->second.dueAt == TimePoint{}
+                                    ? job.seenAt
+                                    : job.occurrences().begin()->second.dueAt;
+        entry.objective = begin + stretched + queue.latencyAllowance;
+        entry.late = !job.longRunning() && now > entry.objective;
+        queues[queue.pool].push_back(entry);
+    }
+    return queues;
+}
+
+void JobScheduler::placeTasks(TimePoint now)
+{
+    for (auto &[pool, queue] : queuesByPool(now)) {
+        std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
+            return std::tie(left.priority, left.late, left.objective)
+                   < std::tie(right.priority, right.late, right.objective);
+        });
+        std::vector<Worker *> workers = candidates(now, pool);
+        if (workers.empty())
+            continue;
+        for (const PoolQueueEntry &entry : queue) {
+            for (auto &[number, occurrence] : entry.job->occurrences()) {
+                for (unsigned step = 0; step < occurrence.steps.size(); ++step)
+                    placeStep(now, *entry.job, number, step, workers);
+            }
+        }
+    }
+}
+
+std::vector<Worker *> JobScheduler::candidates(TimePoint now, const std::string &pool)
+{
+    std::vector<Worker *> result;
+    for (auto &[id, worker] : m_workers) {
+        const bool usable = worker.listed && worker.seen && worker.clockKnown()
+                            && worker.failedLooks == 0 && !worker.reserved
+                            && !worker.description.draining && !worker.hasForeignRuns()
+                            && now >= worker.avoidUntil;
+        const bool probing
+            = worker.failedRunsInSuccession >= failuresBeforeProbing && !worker.runs.empty();
+        if (usable && !probing && worker.description.pool == pool)
+            result.push_back(&worker);
+    }
+    return result;
+}
+
+std::vector<PlacementCandidate> JobScheduler::placesFor(const Job &job, const TaskName &name,
+                                                        const std::vector<Worker *> &workers) const
+{
+    const StepSpecification &step = job.step(name.step);
+    const TaskSize size = reservedSize(step);
+    std::vector<PlacementCandidate> places;
+    for (Worker *worker : workers) {
+        if (!step.requiredLabel.empty() && !hasLabel(*worker, step.requiredLabel))
+            continue;
+        if (!fitsInto(size, worker->free()))
+            continue;
+        const unsigned active = job.activeOn(name.occurrence, name.step, worker->description.id);
+        if (step.maximumPerWorker == 0 || active < step.maximumPerWorker)
+            places.push_back({worker, active});
+    }
+    return places;
+}
+
+void JobScheduler::placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
+                             const std::vector<Worker *> &workers)
+{
+    Job::Step &state = job.occurrences().at(occurrence).steps[step];
+    if (state.ready == 0)
+        return;
+    if (job.step(step).gang)
+        return placeGang(now, job, occurrence, step, workers);
+    for (unsigned index = 0; index < state.tasks.size(); ++index) {
+        Job::Task &task = state.tasks[index];
+        if (task.phase != TaskPhase::Ready)
+            continue;
+        const TaskName name{job.id(), occurrence, step, index};
+        auto places = placesFor(job, name, workers);
+        if (places.size() > 1 && !task.avoidedWorker.empty()) {
+            std::erase_if(places, [&](const PlacementCandidate &place) {
+                return place.worker->description.id == task.avoidedWorker;
+            });
+        }
+        if (places.empty())
+            return; // the other tasks of the step are of the same size
+        const std::size_t chosen = m_placement->choose(job.step(step), places);
+        assign(now, job, name, task.run + 1, *places[chosen].worker);
+    }
+}
+
+void JobScheduler::placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
+                             const std::vector<Worker *> &workers)
+{
+    Job::Step &state = job.occurrences().at(occurrence).steps[step];
+    if (state.ready != state.tasks.size())
+        return; // members of the last run have not ended
+    const std::uint64_t run = job.nextGangRun(occurrence, step);
+    std::vector<TaskName> placed;
+    const std::string rack = gangRack(job, step, workers);
+    for (unsigned index = 0; index < state.tasks.size(); ++index) {
+        const TaskName name{job.id(), occurrence, step, index};
+        auto places = placesFor(job, name, workers);
+        if (!rack.empty()) {
+            std::erase_if(places, [&](const PlacementCandidate &place) {
+                return !hasLabel(*place.worker, rack);
+            });
+        }
+        if (places.empty())
+            break;
+        const std::size_t chosen = m_placement->choose(job.step(step), places);
+        assign(now, job, name, run, *places[chosen].worker);
+        placed.push_back(name);
+    }
+    if (placed.size() == state.tasks.size())
+        return;
+    for (const TaskName &name : placed) {
+        const std::string worker = job.task(name)->worker;
+        m_workers.at(worker).runs.erase({name, run});
+        job.makeReady(name);
+    }
+}
+
+std::string JobScheduler::gangRack(const Job &job, unsigned step,
+                                   const std::vector<Worker *> &workers) const
+{
+    const StepSpecification &specification = job.step(step);
+    if (!specification.sameRack)
+        return {};
+    // Number of members that each label's workers can take; racks are labels of workers.
+    std::map<std::string, std::int64_t> places;
+    for (const Worker *worker : workers) {
+        const TaskSize free = worker->free();
+        const TaskSize size = reservedSize(specification);
+        std::int64_t count = specification.count;
+        if (size.milliProcessors > 0)
+            count = std::min(count, free.milliProcessors / size.milliProcessors);
+        if (size.megabytes > 0)
+            count = std::min(count, free.megabytes / size.megabytes);
+        if (size.accelerators > 0)
+            count = std::min(count, free.accelerators / size.accelerators);
+        if (specification.maximumPerWorker > 0)
+            count = std::min<std::int64_t>(count, specification.maximumPerWorker);
+        for (const auto &label : worker->description.labels)
+            places[label] += std::max<std::int64_t>(count, 0);
+    }
+    // The smallest label group that holds the gang: kinds span racks, so racks come first.
+    std::string best;
+    for (const auto &[label, count] : places) {
+        if (count >= specification.count && (best.empty() || count < places[best]))
+            best = label;
+    }
+    return best;
+}
+
+void JobScheduler::assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run,
+                          Worker &worker)
+{
+    job.activate(name, run, worker.description.id, now);
+    const RunName runName{name, run};
+    worker.runs.emplace(runName, newRun(job.step(name.step), now));
+    m_recording.emplace_back(worker.description.id, runName);
+    touch(job);
+    observe("run-placed", runName, worker.description.id);
+}
+
+unsigned JobScheduler::unavailableTasks(const Job &job, unsigned occurrence, unsigned step) const
+{
+    const auto &tasks = job.occurrences().at(occurrence).steps[step].tasks;
+    unsigned unavailable = 0;
+    for (unsigned index = 0; index < tasks.size(); ++index) {
+        const Job::Task &task = tasks[index];
+        const auto worker = m_workers.find(task.worker);
+        const WorkerRun *run = nullptr;
+        if (task.phase == TaskPhase::Active && worker != m_workers.end()) {
+            const auto found
+                = worker->second.runs.find({{job.id(), occurrence, step, index}, task.run});
+            run = found == worker->second.runs.end() ? nullptr : &found->second;
+        }
+        if (run == nullptr || run->phase != RunPhase::Running || run->percent != 100)
+            ++unavailable;
+    }
+    return unavailable;
+}
+
+void JobScheduler::evacuate(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.reserved && !worker.description.draining)
+            continue;
+        std::vector<RunName> names;
+        for (const auto &[name, run] : worker.runs)
+            names.push_back(name);
+        for (const RunName &name : names) {
+            if (isCurrent(name, id) && worker.runs.at(name).phase == RunPhase::Running)
+                evacuateRun(now, worker, name);
+        }
+    }
+}
+
+void JobScheduler::evacuateRun(TimePoint now, Worker &worker, const RunName &name)
+{
+    const Job &job = *jobOf(name.task);
+    const StepSpecification &step = job.step(name.task.step);
+    if (!step.longRunning)
+        return; // short tasks end by themselves
+    const unsigned allowed = std::max(1U, step.maximumUnavailable.value_or(1));
+    const unsigned away = unavailableTasks(job, name.task.occurrence, name.task.step);
+    const bool ownIsAway = worker.runs.at(name).percent != 100;
+    if (away - (ownIsAway ? 1 : 0) >= allowed)
+        return;
+    const auto workers = candidates(now, queueOf(job).pool);
+    if (placesFor(job, name.task, workers).empty())
+        return; // it would only wait
+    observe("run-evacuated", name, worker.description.id);
+    stopRun(now, worker, name);
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/Jobs/Worker.cpp
@@ -0,0 +1,75 @@
+#include <Kernel/Jobs/Worker.h>
+
+#include <algorithm>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+// The clock of a worker may be 2% slow, and a process reads its own clock a little late.
+constexpr double slowestClockRate = 0.98;
+constexpr std::chrono::milliseconds leaseEndMargin{100};
+
+} // namespace
+
+void Worker::beginLife(std::int64_t startedAt)
+{
+    description.startedAt = startedAt;
+    runs.clear();
+    foreignRuns.clear();
+    processedEnds = 0;
+    durableEnds = 0;
+    acknowledgedEnds = 0;
+    failedRunsInSuccession = 0;
+    m_clockKnown = false;
+    m_leasesEnd = TimePoint{};
+    seen = false;
+}
+
+void Worker::noteClock(WorkerClock clock, TimePoint receivedAt)
+{
+    // Answers on different connections may overtake each other.
+    if (m_clockKnown && clock < m_clock)
+        return;
+    m_clockKnown = true;
+    m_clock = clock;
+    m_clockReceivedAt = receivedAt;
+}
+
+WorkerClock Worker::extendLease(TimePoint now, Duration length)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto elapsed = duration_cast<milliseconds>(now - m_clockReceivedAt).count();
+    const auto ahead = duration_cast<milliseconds>(length).count();
+    const WorkerClock end = m_clock + elapsed + ahead;
+    const auto slowest
+        = static_cast<std::int64_t>(static_cast<double>(elapsed + ahead) / slowestClockRate);
+    assumeLeasesUntil(m_clockReceivedAt + milliseconds(slowest) + leaseEndMargin);
+    return end;
+}
+
+void Worker::assumeLeasesUntil(TimePoint end)
+{
+    m_leasesEnd = std::max(m_leasesEnd, end);
+}
+
+TaskSize Worker::used() const
+{
+    TaskSize sum;
+    for (const auto &[name, run] : runs)
+        sum = plus(sum, run.reserved);
+    return sum;
+}
+
+bool Worker::hasFillersBesideServing() const
+{
+    const auto has = [&](auto &&predicate) {
+        return std::any_of(runs.begin(), runs.end(),
+                           [&](const auto &entry) { return predicate(entry.second); });
+    };
+    return has([](const WorkerRun &run) { return run.fills; })
+           && has([](const WorkerRun &run) { return run.latencyTarget.count() > 0; });
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Libraries/LibStore/include/LibStore/RowFollower.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibBase/Time.h>
+#include <LibStore/ChangeFeed.h>
+#include <LibStore/Store.h>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Peridot {
+
+struct RowFollowerSettings
+{
+    std::string prefix;
+    std::chrono::milliseconds wait{1000}; ///< of one call of the feed
+    std::chrono::milliseconds retryPause{100}; ///< after a call that failed
+    std::size_t scanPage = 500;
+};
+
+/// Keeps a reader up to date on the rows of one prefix: a scan, then the feed, and another scan
+/// whenever the history of the feed is gone. Single-threaded on its context.
+class RowFollower
+{
+public:
+    struct Hooks
+    {
+        /// All rows, after each scan.
+        std::function<void(std::vector<Row>)> onRows;
+        std::function<void(const RowChange &)> onChange;
+        /// The reader knows every change that the store accepted before \a asked.
+        std::function<void(TimePoint asked)> onCurrent;
+        std::function<void()> onUnavailable;
+    };
+
+    RowFollower(asio::io_context &context, Store &store, ChangeFeed &feed,
+                RowFollowerSettings settings, std::function<TimePoint()> clock, Hooks hooks);
+    ~RowFollower();
+    RowFollower(const RowFollower &) = delete;
+    RowFollower &operator=(const RowFollower &) = delete;
+
+    void start();
+
+private:
+    void scan(const std::string &startAfter);
+    void scanned(const ReadResult &result);
+    void followChanges();
+    void followed(TimePoint asked, const FeedResult &result);
+    void retry(std::function<void()> step);
+
+    Store &m_store;
+    ChangeFeed &m_feed;
+    RowFollowerSettings m_settings;
+    std::function<TimePoint()> m_clock;
+    Hooks m_hooks;
+    asio::steady_timer m_timer;
+    std::vector<Row> m_scanned;
+    Version m_revision = absentVersion;
+    TimePoint m_scanBegan;
+    /// Replies that arrive after the destructor find it expired.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Peridot
--- a/Libraries/LibStore/include/LibStore/Transaction.h
+++ b/Libraries/LibStore/include/LibStore/Transaction.h
@@ -62,6 +62,8 @@
     CommitStatus status = CommitStatus::Unavailable;
     std::vector<std::string> conflicts; ///< keys whose check failed
     Version revision = absentVersion; ///< version of every row written by this transaction
+    /// After a conflict: the checked rows as they are, where the store tells them.
+    std::vector<Row> currentRows = {};
 };
 
 enum class ReadStatus { Ok, Unavailable };
@@ -72,6 +74,7 @@
     std::vector<Row>
         rows; ///< read: one for each key, in order; scan: in key order, existing rows only
     bool more = false; ///< scan only: the limit was reached
+    Version revision = absentVersion; ///< newest of the store at the read, where it tells it
 };
 
 } // namespace Peridot
--- /dev/null
+++ b/Services/Jobs/JobFrontend.cpp
@@ -0,0 +1,275 @@
+#include "JobFrontend.h"
+
+#include <Kernel/Jobs/JobRows.h>
+#include <LibBase/Json.h>
+#include <LibBase/Log.h>
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+// Pause before a call of the store is repeated, doubled each time.
+constexpr std::chrono::milliseconds firstPause{20};
+constexpr std::chrono::milliseconds longestPause{200};
+// A call that the store refuses is given up after this time: an answer inside the latency objective
+// of callers (600 ms) lets them come back through another process in time.
+constexpr std::chrono::milliseconds refusedLimit{350};
+// Time before the caller stops waiting in which the answer has to reach it.
+constexpr std::chrono::milliseconds answerMargin{150};
+// Outages of the store last seconds; a caller that comes back sooner meets the same one.
+constexpr std::chrono::seconds outageRetryAfter{1};
+
+bool isPresent(const Row &row)
+{
+    return row.version != absentVersion;
+}
+
+} // namespace
+
+struct JobFrontend::Pending
+{
+    JobCall call;
+    Callback callback;
+    TimePoint arrivedAt;
+    bool mayBeDone = false; ///< a write had no answer
+    unsigned attempts = 0;
+    std::unique_ptr<asio::steady_timer> timer;
+};
+
+JobFrontend::JobFrontend(asio::io_context &context, Store &store, Hooks hooks)
+    : m_context(context), m_store(store), m_hooks(std::move(hooks))
+{
+}
+
+void JobFrontend::handle(JobCall call, Callback callback)
+{
+    auto pending = std::make_shared<Pending>();
+    pending->call = std::move(call);
+    pending->callback = std::move(callback);
+    pending->arrivedAt = m_hooks.clock();
+    pending->timer = std::make_unique<asio::steady_timer>(m_context);
+    switch (pending->call.kind) {
+    case CallKind::Submit:
+        return submit(pending);
+    case CallKind::Query:
+        return query(pending);
+    case CallKind::Cancel:
+        return cancel(pending);
+    case CallKind::Count:
+        return count(pending);
+    }
+}
+
+void JobFrontend::submit(const PendingPointer &pending)
+{
+    const ConfigurationState state = m_hooks.configuration();
+    if (!state.configuration)
+        return giveUp(pending);
+    const JobCall &call = pending->call;
+    const QueueSettings *queue = state.configuration->route(call.hostName, call.path);
+    if (queue == nullptr) {
+        // A newer configuration removed the queue while the call waited.
+        if (pending->mayBeDone)
+            return giveUp(pending);
+        return answer(pending, {.outcome = CallOutcome::UnknownQueue});
+    }
+    SubmittedJob job;
+    job.id = call.id;
+    job.acceptedAt = m_hooks.clock();
+    job.specification = call.specification;
+    job.queue = *queue;
+    Transaction transaction;
+    transaction.operationId = "submit/" + call.id;
+    transaction.checks
+        = {{jobKey(call.id), absentVersion}, {progressKey(call.id), absentVersion}, state.row};
+    transaction.writes = {{jobKey(call.id), encodeSubmittedJob(job)}};
+    m_store.commit(transaction,
+                   [this, pending, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                       if (!alive.expired())
+                           submitted(pending, result);
+                   });
+}
+
+void JobFrontend::submitted(const PendingPointer &pending, const CommitResult &result)
+{
+    const std::string &id = pending->call.id;
+    switch (result.status) {
+    case CommitStatus::Committed:
+        return answer(pending, {.outcome = CallOutcome::Accepted});
+    case CommitStatus::Conflict: {
+        const auto conflicts = [&](const std::string &key) {
+            return std::find(result.conflicts.begin(), result.conflicts.end(), key)
+                   != result.conflicts.end();
+        };
+        // Another copy of the submission was accepted, here or elsewhere: it is the same job.
+        if (conflicts(jobKey(id)) || conflicts(progressKey(id)))
+            return answer(pending, {.outcome = CallOutcome::Accepted});
+        for (const Row &row : result.currentRows)
+            m_hooks.onConfigurationRow(row);
+        return again(pending, [this, pending] { submit(pending); });
+    }
+    case CommitStatus::Unknown:
+        pending->mayBeDone = true;
+        break;
+    case CommitStatus::Unavailable:
+        break;
+    }
+    again(pending, [this, pending] { submit(pending); });
+}
+
+void JobFrontend::query(const PendingPointer &pending)
+{
+    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const auto &rows) {
+        if (!isPresent(rows[0]))
+            return queryJobRow(pending, false);
+        const auto phase = valueOrElse(
+            [&]() -> Result<std::optional<JobPhase>> {
+                BOOST_LEAF_AUTO(progress, parseJobProgress(rows[0].value));
+                return std::optional<JobPhase>(progress.phase);
+            },
+            [&](const Error &error) {
+                logEvent(LogLevel::Error, "row-unreadable",
+                         {{"key", rows[0].key}, {"error", describe(error)}});
+                return std::optional<JobPhase>();
+            });
+        if (!phase)
+            return giveUp(pending);
+        answer(pending, {.outcome = CallOutcome::Found, .phase = *phase});
+    });
+}
+
+void JobFrontend::queryJobRow(const PendingPointer &pending, bool progressWasAbsent)
+{
+    const std::string &id = pending->call.id;
+    readRows(
+        pending, {jobKey(id), cancellationKey(id)},
+        [this, pending, progressWasAbsent](const auto &rows) {
+            if (isPresent(rows[0])) {
+                const JobPhase phase = isPresent(rows[1]) ? JobPhase::Cancelled : JobPhase::Queued;
+                return answer(pending, {.outcome = CallOutcome::Found, .phase = phase});
+            }
+            if (progressWasAbsent)
+                return answer(pending, {.outcome = CallOutcome::UnknownJob});
+            // The job may have begun and ended between the two reads.
+            readRows(pending, {progressKey(pending->call.id)}, [this, pending](const auto &again) {
+                if (isPresent(again[0]))
+                    return query(pending);
+                queryJobRow(pending, true);
+            });
+        });
+}
+
+void JobFrontend::cancel(const PendingPointer &pending)
+{
+    const std::string &id = pending->call.id;
+    readRows(pending, {jobKey(id), cancellationKey(id)}, [this, pending](const auto &rows) {
+        if (!isPresent(rows[0]))
+            return cancelFinished(pending);
+        if (isPresent(rows[1]))
+            return answer(pending, {.outcome = CallOutcome::Cancelled});
+        cancelAccepted(pending, rows[0]);
+    });
+}
+
+void JobFrontend::cancelAccepted(const PendingPointer &pending, const Row &job)
+{
+    Json::Value value(Json::objectValue);
+    value["cancelled_ms"] = static_cast<Json::Int64>(toUnixMilliseconds(m_hooks.clock()));
+    Transaction transaction;
+    transaction.operationId = "cancel/" + pending->call.id;
+    transaction.checks = {{job.key, job.version}};
+    transaction.writes = {{cancellationKey(pending->call.id), writeJson(value)}};
+    m_store.commit(transaction,
+                   [this, pending, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                       if (alive.expired())
+                           return;
+                       if (result.status == CommitStatus::Committed)
+                           return answer(pending, {.outcome = CallOutcome::Cancelled});
+                       // After a conflict the job has finished; after a lost answer the rows show
+                       // the effect.
+                       if (result.status == CommitStatus::Unknown)
+                           pending->mayBeDone = true;
+                       again(pending, [this, pending] { cancel(pending); });
+                   });
+}
+
+void JobFrontend::cancelFinished(const PendingPointer &pending)
+{
+    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const auto &rows) {
+        const CallOutcome outcome
+            = isPresent(rows[0]) ? CallOutcome::Cancelled : CallOutcome::UnknownJob;
+        answer(pending, {.outcome = outcome});
+    });
+}
+
+void JobFrontend::count(const PendingPointer &pending)
+{
+    readRows(pending, {std::string(pendingJobsKey)}, [this, pending](const auto &rows) {
+        const Json::Value counts
+            = valueOrElse([&] { return parseJson(rows[0].value); },
+                          [](const Error &) { return Json::Value(Json::objectValue); });
+        const Json::Value number = counts.get(pending->call.queue, 0U);
+        answer(pending,
+               {.outcome = CallOutcome::Counted, .pending = number.isUInt() ? number.asUInt() : 0});
+    });
+}
+
+void JobFrontend::readRows(const PendingPointer &pending, std::vector<std::string> keys,
+                           std::function<void(const std::vector<Row> &)> next)
+{
+    m_store.read(keys, [this, pending, keys, next = std::move(next),
+                        alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+        if (alive.expired())
+            return;
+        if (result.status == ReadStatus::Ok)
+            return next(result.rows);
+        again(pending, [this, pending, keys, next] { readRows(pending, keys, next); });
+    });
+}
+
+void JobFrontend::again(const PendingPointer &pending, std::function<void()> step)
+{
+    const auto pause = std::min(firstPause * (1 << std::min(pending->attempts, 5U)), longestPause);
+    ++pending->attempts;
+    const Duration patience = pending->call.patience - answerMargin;
+    const Duration limit
+        = pending->mayBeDone ? patience : std::min<Duration>(patience, refusedLimit);
+    if (m_hooks.clock() + pause > pending->arrivedAt + limit)
+        return giveUp(pending);
+    pending->timer->expires_after(pause);
+    pending->timer->async_wait([pending, step = std::move(step),
+                                alive = std::weak_ptr(m_alive)](const asio::error_code &error) {
+        if (!error && !alive.expired())
+            step();
+    });
+}
+
+void JobFrontend::giveUp(const PendingPointer &pending)
+{
+    if (pending->mayBeDone)
+        return answer(pending, {.outcome = CallOutcome::Undetermined});
+    answer(pending, {.outcome = CallOutcome::Unavailable, .retryAfter = outageRetryAfter});
+}
+
+void JobFrontend::answer(const PendingPointer &pending, const CallAnswer &answer)
+{
+    const JobCall &call = pending->call;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_hooks.clock() - pending->arrivedAt);
+    if (call.kind == CallKind::Submit || call.kind == CallKind::Cancel
+        || answer.outcome == CallOutcome::Unavailable
+        || answer.outcome == CallOutcome::Undetermined)
+        logEvent(LogLevel::Info, "call-answered",
+                 {{"job", call.id},
+                  {"call", callKindNames.nameOf(call.kind)},
+                  {"queue", call.queue},
+                  {"outcome", callOutcomeNames.nameOf(answer.outcome)},
+                  {"attempts", static_cast<std::int64_t>(pending->attempts + 1)},
+                  {"ms", static_cast<std::int64_t>(elapsed.count())}});
+    pending->callback(answer);
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Services/Jobs/JobService.cpp
@@ -0,0 +1,225 @@
+#include "JobService.h"
+
+#include <LibBase/Log.h>
+#include <LibMembership/ProcessClock.h>
+#include <algorithm>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+constexpr const char *leaseKey = "lease/scheduler";
+// A successor goes on at most this long after the holder vanished, plus one observation.
+constexpr std::chrono::milliseconds leaseDuration{2000};
+constexpr std::chrono::milliseconds leaseTick{50};
+constexpr std::chrono::milliseconds observePeriod{500};
+constexpr std::chrono::milliseconds storeRetry{200};
+// After an outage of the store its former holder, which knows the jobs, is let go first.
+constexpr std::chrono::milliseconds outageCourtesy{1000};
+// One call of the configuration's feed lasts half a second; three without an answer make a process
+// unready, so that callers are sent to others.
+constexpr std::chrono::milliseconds readyLimit{2500};
+constexpr std::chrono::milliseconds configurationWait{500};
+
+MembershipTiming leaseTiming()
+{
+    MembershipTiming timing = membershipTimingFor(leaseDuration);
+    timing.storeRetry = storeRetry;
+    return timing;
+}
+
+LeaseKeeperSettings leaseSettings(const std::string &instance)
+{
+    LeaseKeeperSettings settings;
+    settings.key = leaseKey;
+    settings.name = "scheduler";
+    settings.holder = instance;
+    settings.timing = leaseTiming();
+    return settings;
+}
+
+} // namespace
+
+JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
+    : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
+      m_clock(processNow), m_frontend(context, *m_ports.store,
+                                      {m_clock, [this] { return m_configuration; },
+                                       [this](const Row &row) {
+                                           configurationRow(row);
+                                       }}),
+      m_lease(leaseSettings(m_settings.instance)), m_leaseTimer(context), m_observeTimer(context)
+{
+}
+
+void JobService::start()
+{
+    followConfiguration();
+    m_lease.setWanted(true);
+    driveLease();
+    observeLease();
+}
+
+void JobService::beginStop()
+{
+    m_stopping = true;
+    endSession("stopping");
+    m_lease.release();
+}
+
+void JobService::handle(JobCall call, JobFrontend::Callback callback)
+{
+    m_frontend.handle(std::move(call), std::move(callback));
+}
+
+std::shared_ptr<const JobConfiguration> JobService::configuration() const
+{
+    return m_published.load();
+}
+
+bool JobService::ready() const
+{
+    const TimePoint reached{Duration(m_storeReachedAt.load())};
+    return !m_stopping && m_published.load() != nullptr && m_clock() < reached + readyLimit;
+}
+
+void JobService::followConfiguration()
+{
+    RowFollowerSettings settings;
+    settings.prefix = m_ports.operatorPrefix;
+    settings.wait = configurationWait;
+    RowFollower::Hooks hooks;
+    hooks.onRows = [this](const std::vector<Row> &rows) {
+        for (const Row &row : rows)
+            configurationRow(row);
+    };
+    hooks.onChange = [this](const RowChange &change) {
+        if (!change.removed)
+            configurationRow(change.row);
+    };
+    hooks.onCurrent = [this](TimePoint asked) {
+        m_configuration.confirmedAt = asked;
+        m_storeReachedAt = asked.time_since_epoch().count();
+    };
+    m_operatorFollower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
+                                                       settings, m_clock, std::move(hooks));
+    m_operatorFollower->start();
+}
+
+void JobService::configurationRow(const Row &row)
+{
+    // Rows arrive by the feed and by conflicts of transactions, in any order.
+    if (row.version <= m_configuration.row.expected)
+        return;
+    const auto configuration = m_ports.decodeConfiguration(row);
+    if (!configuration)
+        return;
+    m_configuration.configuration = configuration;
+    m_configuration.row = {row.key, row.version};
+    m_published = configuration;
+    logEvent(LogLevel::Info, "configuration-in-force",
+             {{"version", configuration->version},
+              {"queues", static_cast<std::uint64_t>(configuration->queues.size())}});
+    if (m_session)
+        m_session->setConfiguration(configuration);
+}
+
+void JobService::driveLease()
+{
+    if (auto next = m_lease.takeRequest(m_clock()))
+        request(std::move(*next));
+    checkLease();
+    m_leaseTimer.expires_after(leaseTick);
+    m_leaseTimer.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            driveLease();
+    });
+}
+
+void JobService::request(StoreRequest request)
+{
+    if (const auto *transaction = std::get_if<Transaction>(&request)) {
+        m_ports.store->commit(*transaction, [this](const CommitResult &result) {
+            m_lease.finish(m_clock(), result);
+            checkLease();
+        });
+        return;
+    }
+    const auto &keys = std::get<ReadRows>(request).keys;
+    m_ports.store->read(keys, [this](const ReadResult &result) {
+        m_lease.finish(m_clock(), result);
+        checkLease();
+    });
+}
+
+void JobService::observeLease()
+{
+    m_observeTimer.expires_after(observePeriod);
+    m_observeTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        // A holder learns of the row by its own renewals.
+        if (m_lease.held(m_clock()))
+            return observeLease();
+        m_ports.store->read({leaseKey}, [this](const ReadResult &result) {
+            const TimePoint now = m_clock();
+            if (result.status == ReadStatus::Ok)
+                m_lease.observe(now, result.rows.front());
+            else
+                m_storeFailedAt = now;
+            const bool courtesy = m_storeFailedAt && now < *m_storeFailedAt + outageCourtesy;
+            m_lease.setWanted(!courtesy && !m_stopping);
+            observeLease();
+        });
+    });
+}
+
+void JobService::checkLease()
+{
+    const TimePoint now = m_clock();
+    const auto held = m_lease.held(now);
+    if (held) {
+        m_leaseHeldAt = now;
+        if (held->fencingEpoch <= m_fencedEpoch)
+            return;
+        if (!m_session || m_sessionEpoch != held->fencingEpoch)
+            beginSession(held->fencingEpoch);
+        return;
+    }
+    if (!m_session)
+        return;
+    if (!m_lease.observedHolder().empty() && m_lease.observedHolder() != m_settings.instance)
+        return endSession("lease-taken");
+    // Without the store the scheduler goes on for a while: workers reject it once a successor,
+    // which has a higher epoch, has spoken to them.
+    if (now > m_leaseHeldAt + m_settings.timing.deposedLimit)
+        endSession("lease-expired");
+}
+
+void JobService::beginSession(std::uint64_t epoch)
+{
+    endSession("new-epoch");
+    logEvent(LogLevel::Info, "scheduler-lease-acquired", {{"epoch", epoch}});
+    m_sessionEpoch = epoch;
+    SchedulerSession::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.deposed = [this, epoch] {
+        m_fencedEpoch = std::max(m_fencedEpoch, epoch);
+        if (m_session && m_sessionEpoch == epoch)
+            endSession("fenced");
+    };
+    m_session = std::make_unique<SchedulerSession>(m_context, m_ports, epoch, m_settings.timing,
+                                                   std::move(hooks));
+    m_session->setConfiguration(m_configuration.configuration);
+    m_session->start();
+}
+
+void JobService::endSession(const char *reason)
+{
+    if (!m_session)
+        return;
+    logEvent(LogLevel::Info, "scheduler-session-ended", {{"reason", reason}});
+    m_session.reset();
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -0,0 +1,333 @@
+#include "SchedulerSession.h"
+
+#include <LibBase/Json.h>
+#include <LibBase/Log.h>
+#include <asio/post.hpp>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+// Orders that wait for a time are sent up to this much late.
+constexpr std::chrono::milliseconds tickPeriod{50};
+// A worker that leaves must get no new runs after two seconds.
+constexpr std::chrono::milliseconds workerPeriod{500};
+// The count may be two seconds old.
+constexpr std::chrono::milliseconds countPeriod{1000};
+constexpr std::chrono::milliseconds retryPause{100};
+constexpr std::size_t scanPage = 500; ///< rows
+
+} // namespace
+
+SchedulerSession::SchedulerSession(asio::io_context &context, const PlatformPorts &ports,
+                                   std::uint64_t epoch, SchedulerTiming timing, Hooks hooks)
+    : m_context(context), m_ports(ports), m_epoch(epoch), m_timing(timing),
+      m_hooks(std::move(hooks)), m_claimTimer(context), m_tickTimer(context),
+      m_workerTimer(context), m_countTimer(context)
+{
+}
+
+SchedulerSession::~SchedulerSession() = default;
+
+template <typename Step>
+void SchedulerSession::after(asio::steady_timer &timer, std::chrono::milliseconds pause, Step step)
+{
+    timer.expires_after(pause);
+    timer.async_wait([step = std::move(step)](const asio::error_code &error) {
+        if (!error)
+            step();
+    });
+}
+
+void SchedulerSession::start()
+{
+    claimEpoch();
+}
+
+void SchedulerSession::setConfiguration(std::shared_ptr<const JobConfiguration> configuration)
+{
+    m_configuration = std::move(configuration);
+    if (!m_scheduler)
+        return;
+    m_scheduler->setConfiguration(m_configuration);
+    planSoon();
+}
+
+void SchedulerSession::claimEpoch()
+{
+    m_ports.store->read({std::string(schedulerEpochKey)},
+                        [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+                            if (alive.expired())
+                                return;
+                            if (result.status != ReadStatus::Ok)
+                                return after(m_claimTimer, retryPause, [this] { claimEpoch(); });
+                            const Row &row = result.rows.front();
+                            const auto epoch = row.version == absentVersion
+                                                   ? 0
+                                                   : std::strtoull(row.value.c_str(), nullptr, 10);
+                            if (epoch > m_epoch)
+                                return reportDeposed();
+                            if (epoch == m_epoch) // an own write whose answer was lost
+                                return epochClaimed(row.version);
+                            writeEpoch(row.version);
+                        });
+}
+
+void SchedulerSession::writeEpoch(Version current)
+{
+    Transaction transaction;
+    transaction.operationId = "epoch/" + std::to_string(m_epoch);
+    transaction.checks = {{std::string(schedulerEpochKey), current}};
+    transaction.writes = {{std::string(schedulerEpochKey), std::to_string(m_epoch)}};
+    m_ports.store->commit(transaction,
+                          [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                              if (alive.expired())
+                                  return;
+                              if (result.status == CommitStatus::Committed)
+                                  return epochClaimed(result.revision);
+                              after(m_claimTimer, retryPause, [this] { claimEpoch(); });
+                          });
+}
+
+void SchedulerSession::epochClaimed(Version version)
+{
+    logEvent(LogLevel::Info, "epoch-claimed", {{"epoch", m_epoch}});
+    m_epochVersion = version;
+    loadProgress({});
+}
+
+void SchedulerSession::loadProgress(const std::string &startAfter)
+{
+    m_ports.store->scan(
+        std::string(progressPrefix), startAfter, scanPage,
+        [this, startAfter, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+            if (alive.expired())
+                return;
+            if (result.status != ReadStatus::Ok)
+                return after(m_claimTimer, retryPause,
+                             [this, startAfter] { loadProgress(startAfter); });
+            for (const Row &row : result.rows) {
+                valueOrElse(
+                    [&]() -> Result<bool> {
+                        BOOST_LEAF_AUTO(progress, parseJobProgress(row.value));
+                        m_loaded[row.key.substr(progressPrefix.size())] = {progress, row.version};
+                        return true;
+                    },
+                    [&](const Error &error) {
+                        logEvent(LogLevel::Error, "row-unreadable",
+                                 {{"key", row.key}, {"error", describe(error)}});
+                        return false;
+                    });
+            }
+            if (result.more && !result.rows.empty())
+                return loadProgress(result.rows.back().key);
+            progressLoaded();
+        });
+}
+
+void SchedulerSession::progressLoaded()
+{
+    RowFollower::Hooks hooks;
+    hooks.onRows = [this](const std::vector<Row> &rows) {
+        jobRows(rows);
+    };
+    hooks.onChange = [this](const RowChange &change) {
+        jobChanged(change);
+    };
+    RowFollowerSettings settings;
+    settings.prefix = std::string(jobPrefix);
+    m_jobFollower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
+                                                  settings, m_hooks.clock, std::move(hooks));
+    m_jobFollower->start();
+}
+
+void SchedulerSession::jobRows(const std::vector<Row> &rows)
+{
+    if (!m_scheduler)
+        beginScheduling();
+    for (const Row &row : rows)
+        jobChanged({row, false});
+}
+
+void SchedulerSession::beginScheduling()
+{
+    SchedulerHooks hooks;
+    hooks.orders = m_ports.connectWorkers(replyHooks());
+    hooks.deposed = [this] {
+        reportDeposed();
+    };
+    hooks.observe = [](const SchedulerEvent &event) {
+        logEvent(LogLevel::Info, event.kind,
+                 {{"job", event.run.task.job},
+                  {"task", event.run.run == 0 ? std::string() : event.run.task.text()},
+                  {"run", event.run.run},
+                  {"worker", event.worker},
+                  {"detail", event.detail}});
+    };
+    const TimePoint now = m_hooks.clock();
+    m_scheduler
+        = std::make_unique<JobScheduler>(m_epoch, m_epochVersion, m_timing, std::move(hooks), now);
+    if (m_configuration)
+        m_scheduler->setConfiguration(m_configuration);
+    for (const auto &[id, progress] : m_loaded) {
+        if (isFinished(progress.first.phase))
+            m_scheduler->addFinishedJob(id, progress.first.changedAt);
+    }
+    logEvent(LogLevel::Info, "scheduling-began",
+             {{"epoch", m_epoch}, {"progress_rows", static_cast<std::uint64_t>(m_loaded.size())}});
+    readWorkers({});
+    tick();
+    writePendingCounts();
+}
+
+void SchedulerSession::jobChanged(const RowChange &change)
+{
+    const std::string &key = change.row.key;
+    if (change.removed)
+        return;
+    if (key.ends_with(cancellationSuffix)) {
+        const auto length = key.size() - jobPrefix.size() - cancellationSuffix.size();
+        m_scheduler->cancelJob(m_hooks.clock(), key.substr(jobPrefix.size(), length));
+    } else {
+        addJob(change.row);
+    }
+    planSoon();
+}
+
+void SchedulerSession::addJob(const Row &row)
+{
+    valueOrElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(job, parseSubmittedJob(row.value));
+            const auto loaded = m_loaded.find(job.id);
+            if (loaded == m_loaded.end()) {
+                m_scheduler->addJob(m_hooks.clock(), std::move(job), std::nullopt, absentVersion);
+            } else {
+                m_scheduler->addJob(m_hooks.clock(), std::move(job), loaded->second.first,
+                                    loaded->second.second);
+                m_loaded.erase(loaded);
+            }
+            return true;
+        },
+        [&](const Error &error) {
+            logEvent(LogLevel::Error, "row-unreadable",
+                     {{"key", row.key}, {"error", describe(error)}});
+            return false;
+        });
+}
+
+void SchedulerSession::readWorkers(const std::string &startAfter)
+{
+    if (startAfter.empty())
+        m_workersRead.clear();
+    m_ports.store->scan(m_ports.workerPrefix, startAfter, scanPage,
+                        [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+                            if (!alive.expired())
+                                workersRead(result);
+                        });
+}
+
+void SchedulerSession::workersRead(const ReadResult &result)
+{
+    // After a failure the last complete list holds.
+    if (result.status == ReadStatus::Ok) {
+        for (const Row &row : result.rows) {
+            if (auto worker = m_ports.decodeWorker(row)) {
+                m_ports.setWorkerAddress(*worker);
+                m_workersRead.push_back(std::move(*worker));
+            }
+        }
+        if (result.more && !result.rows.empty())
+            return readWorkers(result.rows.back().key);
+        m_scheduler->setWorkers(m_hooks.clock(), m_workersRead);
+        planSoon();
+    }
+    after(m_workerTimer, workerPeriod, [this] { readWorkers({}); });
+}
+
+WorkerReplyHooks SchedulerSession::replyHooks()
+{
+    // Replies that arrive after the session find it gone.
+    const auto guarded = [this](auto event) {
+        return [this, event, alive = std::weak_ptr(m_alive)](const auto &order, const auto &reply) {
+            if (alive.expired())
+                return;
+            ((*m_scheduler).*event)(m_hooks.clock(), order, reply);
+            planSoon();
+        };
+    };
+    return {guarded(&JobScheduler::startFinished), guarded(&JobScheduler::stopFinished),
+            guarded(&JobScheduler::paceFinished), guarded(&JobScheduler::lookFinished)};
+}
+
+void SchedulerSession::planSoon()
+{
+    if (std::exchange(m_planPosted, true))
+        return;
+    asio::post(m_context, [this, alive = std::weak_ptr(m_alive)] {
+        if (alive.expired())
+            return;
+        m_planPosted = false;
+        plan();
+    });
+}
+
+void SchedulerSession::plan()
+{
+    if (m_deposedReported)
+        return;
+    m_scheduler->plan(m_hooks.clock());
+    writeRows();
+}
+
+void SchedulerSession::writeRows()
+{
+    const auto transaction = m_scheduler->takeTransaction(m_hooks.clock());
+    if (!transaction)
+        return;
+    m_ports.store->commit(*transaction,
+                          [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                              if (alive.expired())
+                                  return;
+                              m_scheduler->transactionFinished(m_hooks.clock(), result);
+                              planSoon();
+                          });
+}
+
+void SchedulerSession::writePendingCounts()
+{
+    const auto counts = m_scheduler->pendingJobs();
+    after(m_countTimer, countPeriod, [this] { writePendingCounts(); });
+    if (counts == m_writtenCounts)
+        return;
+    Json::Value value(Json::objectValue);
+    for (const auto &[queue, count] : counts)
+        value[queue] = count;
+    Transaction transaction;
+    transaction.operationId = "pending";
+    transaction.checks = {{std::string(schedulerEpochKey), m_epochVersion}};
+    transaction.writes = {{std::string(pendingJobsKey), writeJson(value)}};
+    m_ports.store->commit(
+        transaction, [this, counts, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+            if (!alive.expired() && result.status == CommitStatus::Committed)
+                m_writtenCounts = counts;
+        });
+}
+
+void SchedulerSession::tick()
+{
+    plan();
+    after(m_tickTimer, tickPeriod, [this] { tick(); });
+}
+
+void SchedulerSession::reportDeposed()
+{
+    if (std::exchange(m_deposedReported, true))
+        return;
+    logEvent(LogLevel::Warning, "scheduler-deposed", {{"epoch", m_epoch}});
+    // The owner destroys this object, which may be in a call of its scheduler.
+    asio::post(m_context, m_hooks.deposed);
+}
+
+} // namespace Peridot::Jobs
--- /dev/null
+++ b/Services/Jobs/SchedulerSession.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "PlatformPorts.h"
+#include <Kernel/Fleet/Reconciler.h>
+#include <Kernel/Jobs/JobScheduler.h>
+#include <LibStore/RowFollower.h>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Peridot::Jobs {
+
+/// One term of this process as the scheduler of all pools: claims the epoch row, loads the jobs,
+/// and drives the scheduler until it is deposed. Single-threaded on its context.
+class SchedulerSession
+{
+public:
+    struct Hooks
+    {
+        std::function<TimePoint()> clock;
+        /// Called once, later, when another process has taken over.
+        std::function<void()> deposed;
+    };
+
+    SchedulerSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
+                     SchedulerTiming timing, Hooks hooks);
+    ~SchedulerSession();
+    SchedulerSession(const SchedulerSession &) = delete;
+    SchedulerSession &operator=(const SchedulerSession &) = delete;
+
+    void start();
+    void setConfiguration(std::shared_ptr<const JobConfiguration> configuration);
+    /// Null until the jobs are loaded.
+    const JobScheduler *scheduler() const { return m_scheduler.get(); }
+
+private:
+    void claimEpoch();
+    void writeEpoch(Version current);
+    void epochClaimed(Version version);
+    void loadProgress(const std::string &startAfter);
+    void progressLoaded();
+    void jobRows(const std::vector<Row> &rows);
+    void jobChanged(const RowChange &change);
+    void addJob(const Row &row);
+    void beginScheduling();
+    void readWorkers(const std::string &startAfter);
+    void workersRead(const ReadResult &result);
+    void planSoon();
+    void plan();
+    void writeRows();
+    void writePendingCounts();
+    void tick();
+    void reportDeposed();
+    WorkerReplyHooks replyHooks();
+    template <typename Step>
+    void after(asio::steady_timer &timer, std::chrono::milliseconds pause, Step step);
+
+    asio::io_context &m_context;
+    const PlatformPorts &m_ports;
+    std::uint64_t m_epoch;
+    SchedulerTiming m_timing;
+    Hooks m_hooks;
+    std::shared_ptr<const JobConfiguration> m_configuration;
+    std::map<std::string, std::pair<JobProgress, Version>> m_loaded; ///< by job, until scheduling
+    Version m_epochVersion = absentVersion;
+    std::unique_ptr<JobScheduler> m_scheduler;
+    std::unique_ptr<RowFollower> m_jobFollower;
+    std::vector<WorkerDescription> m_workersRead;
+    std::map<std::string, unsigned> m_writtenCounts;
+    asio::steady_timer m_claimTimer;
+    asio::steady_timer m_tickTimer;
+    asio::steady_timer m_workerTimer;
+    asio::steady_timer m_countTimer;
+    bool m_planPosted = false;
+    bool m_deposedReported = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Peridot::Jobs
