Kernel/Jobs: Maintain hosts in waves and move them between pools

Waves and demand were ignored: 22 of 22 hosts of the wave were late (11 duties missed) and bursts waited for their pool. Bursts still wait.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -197,6 +197,22 @@
     return pending;
 }
 
+void JobScheduler::stopShortRuns(TimePoint now, const std::string &id)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return;
+    std::vector<RunName> names;
+    for (const auto &[name, run] : found->second.runs) {
+        const Job *job = jobOf(name.task);
+        if (run.phase == RunPhase::Running && job != nullptr
+            && !job->step(name.task.step).longRunning)
+            names.push_back(name);
+    }
+    for (const RunName &name : names)
+        stopRun(now, found->second, name);
+}
+
 void JobScheduler::setReserved(const std::string &worker, bool reserved)
 {
     const auto found = m_workers.find(worker);
--- /dev/null
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <Kernel/Jobs/HostOrders.h>
+#include <Kernel/Jobs/JobScheduler.h>
+#include <Kernel/Jobs/PoolDemand.h>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Peridot::Jobs {
+
+struct HostPlannerTiming
+{
+    /// Two holders must not give orders for one host within this time.
+    Duration holderPause = std::chrono::seconds(3);
+    Duration maintenance = std::chrono::seconds(2);
+};
+
+struct HostPlannerHooks
+{
+    std::function<void(const HostOrder &)> order;
+    /// Every host of the wave has had its maintenance.
+    std::function<void(std::uint64_t wave)> waveCompleted;
+    std::function<void(std::string_view kind, const std::string &host, const std::string &detail)>
+        observe;
+    std::function<void()> deposed;
+};
+
+/// Decides which hosts have their maintenance next, and which host works in which pool. Acts under
+/// the epoch of the scheduler. Hosts are emptied by placement before they are taken away.
+class HostPlanner
+{
+public:
+    HostPlanner(std::uint64_t epoch, HostPlannerTiming timing, HostPlannerHooks hooks,
+                TimePoint now);
+
+    /// The provider's complete list, asked for at \a asked.
+    void setHosts(TimePoint asked, const std::vector<HostDescription> &hosts);
+    /// \a done: hosts whose maintenance is known to have begun, for example from a former holder.
+    void setWave(TimePoint now, const MaintenanceWave &wave, const std::set<std::string> &done);
+    void orderFinished(TimePoint now, const HostOrder &order, HostOrderOutcome outcome);
+
+    void plan(TimePoint now, JobScheduler &scheduler, const JobConfiguration &configuration);
+
+    /// Hosts of the wave whose maintenance has begun.
+    const std::set<std::string> &doneHosts(std::uint64_t wave) const;
+    /// Hosts are on their way, so that lists of hosts and workers are wanted soon.
+    bool changesUnderWay() const;
+
+private:
+    struct Host
+    {
+        HostDescription description;
+        bool orderInFlight = false;
+        bool away = false; ///< ordered away; until the list shows another worker
+        std::string workerBefore; ///< when it was ordered away
+        TimePoint orderedAt;
+        TimePoint notBefore; ///< of the next order
+        std::uint64_t reservedForWave = 0; ///< 0: for none
+        std::string reservedForPool; ///< empty: for none
+    };
+    struct Wave
+    {
+        MaintenanceWave request;
+        TimePoint seenAt;
+        std::set<std::string> done;
+        bool completed = false;
+    };
+
+    void planWave(TimePoint now, Wave &wave, JobScheduler &scheduler);
+    void reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler);
+    unsigned wantedAtOnce(TimePoint now, const Wave &wave, std::size_t left) const;
+    unsigned inMaintenance(const Wave &wave) const;
+    void planMoves(TimePoint now, JobScheduler &scheduler, const JobConfiguration &configuration);
+    void observeDemand(TimePoint now, const JobScheduler &scheduler,
+                       const JobConfiguration &configuration);
+    std::map<std::string, unsigned> presentHosts() const;
+    Host *donor(TimePoint now, const JobScheduler &scheduler, const std::string &pool);
+    void moveHost(TimePoint now, Host &host, const std::string &pool);
+    void order(TimePoint now, Host &host, HostOrder order);
+    void applyReservations(JobScheduler &scheduler) const;
+    void observe(std::string_view kind, const std::string &host, const std::string &detail) const;
+    static std::size_t runsOn(const Host &host, const JobScheduler &scheduler);
+    static double load(const Host &host, const JobScheduler &scheduler);
+
+    std::uint64_t m_epoch;
+    HostPlannerTiming m_timing;
+    HostPlannerHooks m_hooks;
+    TimePoint m_begunAt;
+    std::map<std::string, Host> m_hosts;
+    std::map<std::uint64_t, Wave> m_waves;
+    PoolDemand m_demand;
+    std::set<std::pair<std::string, std::string>> m_impossible; ///< host and pool
+    TimePoint m_listAskedAt;
+};
+
+} // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -75,6 +75,10 @@
     std::optional<Transaction> takeTransaction(TimePoint now);
     void transactionFinished(TimePoint now, const CommitResult &result);
 
+    /// Stops the runs on a worker that restart elsewhere without harm to a serving task.
+    void stopShortRuns(TimePoint now, const std::string &worker);
+    /// Pool whose workers run the tasks of \a job.
+    const std::string &poolOf(const Job &job) const { return queueOf(job).pool; }
     /// A reserved worker gets no further runs, and its long-running tasks move away.
     void setReserved(const std::string &worker, bool reserved);
 
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -91,11 +91,11 @@
     RowFollower::Hooks hooks;
     hooks.onRows = [this](const std::vector<Row> &rows) {
         for (const Row &row : rows)
-            configurationRow(row);
+            operatorRow(row);
     };
     hooks.onChange = [this](const RowChange &change) {
         if (!change.removed)
-            configurationRow(change.row);
+            operatorRow(change.row);
     };
     hooks.onCurrent = [this](TimePoint asked) {
         m_configuration.confirmedAt = asked;
@@ -106,6 +106,16 @@
     m_operatorFollower->start();
 }
 
+void JobService::operatorRow(const Row &row)
+{
+    const auto wave = m_ports.decodeWave(row);
+    if (!wave)
+        return configurationRow(row);
+    m_waves[wave->number] = *wave;
+    if (m_session)
+        m_session->setWave(*wave);
+}
+
 void JobService::configurationRow(const Row &row)
 {
     // Rows arrive by the feed and by conflicts of transactions, in any order.
@@ -203,14 +213,20 @@
     m_sessionEpoch = epoch;
     SchedulerSession::Hooks hooks;
     hooks.clock = m_clock;
+    hooks.leaseHeld = [this, epoch] {
+        const auto held = m_lease.held(m_clock());
+        return held && held->fencingEpoch == epoch;
+    };
     hooks.deposed = [this, epoch] {
         m_fencedEpoch = std::max(m_fencedEpoch, epoch);
         if (m_session && m_sessionEpoch == epoch)
             endSession("fenced");
     };
     m_session = std::make_unique<SchedulerSession>(m_context, m_ports, epoch, m_settings.timing,
-                                                   std::move(hooks));
+                                                   m_settings.hostTiming, std::move(hooks));
     m_session->setConfiguration(m_configuration.configuration);
+    for (const auto &[number, wave] : m_waves)
+        m_session->setWave(wave);
     m_session->start();
 }
 
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -6,6 +6,7 @@
 #include <Kernel/Membership/LeaseKeeper.h>
 #include <LibStore/RowFollower.h>
 #include <atomic>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -16,6 +17,7 @@
     std::string host;
     std::string instance; ///< unique for each start
     SchedulerTiming timing;
+    HostPlannerTiming hostTiming;
 };
 
 /// The job service of one host: follows the configuration, answers callers, competes for the lease
@@ -39,6 +41,7 @@
 
 private:
     void followConfiguration();
+    void operatorRow(const Row &row);
     void configurationRow(const Row &row);
     void driveLease();
     void request(StoreRequest request);
@@ -57,6 +60,7 @@
     std::atomic<std::int64_t> m_storeReachedAt{0}; ///< nanoseconds on the service's clock
     std::atomic<bool> m_stopping{false};
     std::unique_ptr<RowFollower> m_operatorFollower;
+    std::map<std::uint64_t, MaintenanceWave> m_waves; ///< by number
     LeaseKeeper m_lease;
     asio::steady_timer m_leaseTimer;
     asio::steady_timer m_observeTimer;
--- a/Services/Jobs/PlatformPorts.h
+++ b/Services/Jobs/PlatformPorts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/HostOrders.h>
 #include <Kernel/Jobs/WorkerOrders.h>
 #include <LibStore/ChangeFeed.h>
 #include <LibStore/Store.h>
@@ -7,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Peridot::Jobs {
 
@@ -34,6 +36,18 @@
     /// Orders to workers, which are known by their newest descriptions.
     std::function<WorkerOrderHooks(WorkerReplyHooks)> connectWorkers;
     std::function<void(const WorkerDescription &)> setWorkerAddress;
+
+    using HostListCallback = std::function<void(std::optional<std::vector<HostDescription>>)>;
+    using HostOrderCallback = std::function<void(const HostOrder &, HostOrderOutcome)>;
+
+    /// Maintenance that an administrator's row asks for; nothing when the row holds something else.
+    std::function<std::optional<MaintenanceWave>(const Row &)> decodeWave;
+    /// Row that tells administrators about a wave.
+    std::function<RowWrite(std::uint64_t wave, bool completed)> waveStatus;
+    /// The complete list of hosts, or nothing when it can't be had now. Empty: there is no provider
+    /// of hosts, and none is moved or maintained.
+    std::function<void(HostListCallback)> listHosts;
+    std::function<void(const HostOrder &, HostOrderCallback)> orderHost;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -21,10 +21,11 @@
 } // namespace
 
 SchedulerSession::SchedulerSession(asio::io_context &context, const PlatformPorts &ports,
-                                   std::uint64_t epoch, SchedulerTiming timing, Hooks hooks)
+                                   std::uint64_t epoch, SchedulerTiming timing,
+                                   HostPlannerTiming hostTiming, Hooks hooks)
     : m_context(context), m_ports(ports), m_epoch(epoch), m_timing(timing),
-      m_hooks(std::move(hooks)), m_claimTimer(context), m_tickTimer(context),
-      m_workerTimer(context), m_countTimer(context)
+      m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_claimTimer(context),
+      m_tickTimer(context), m_workerTimer(context), m_countTimer(context)
 {
 }
 
@@ -176,11 +177,39 @@
     }
     logEvent(LogLevel::Info, "scheduling-began",
              {{"epoch", m_epoch}, {"progress_rows", static_cast<std::uint64_t>(m_loaded.size())}});
+    beginHostSession();
     readWorkers({});
     tick();
     writePendingCounts();
 }
 
+void SchedulerSession::beginHostSession()
+{
+    HostSession::Hooks hooks;
+    hooks.clock = m_hooks.clock;
+    hooks.deposed = [this] {
+        reportDeposed();
+    };
+    hooks.mayOrder = m_hooks.leaseHeld;
+    hooks.listChanged = [this] {
+        if (!m_readingWorkers)
+            readWorkers({});
+    };
+    const RowCheck epochCheck{std::string(schedulerEpochKey), m_epochVersion};
+    m_hostSession = std::make_unique<HostSession>(m_context, m_ports, m_epoch, epochCheck,
+                                                  m_hostTiming, std::move(hooks));
+    m_hostSession->start();
+    for (const auto &[number, wave] : m_waves)
+        m_hostSession->setWave(wave);
+}
+
+void SchedulerSession::setWave(const MaintenanceWave &wave)
+{
+    m_waves.emplace(wave.number, wave);
+    if (m_hostSession)
+        m_hostSession->setWave(wave);
+}
+
 void SchedulerSession::jobChanged(const RowChange &change)
 {
     const std::string &key = change.row.key;
@@ -219,6 +248,7 @@
 
 void SchedulerSession::readWorkers(const std::string &startAfter)
 {
+    m_readingWorkers = true;
     if (startAfter.empty())
         m_workersRead.clear();
     m_ports.store->scan(m_ports.workerPrefix, startAfter, scanPage,
@@ -243,6 +273,7 @@
         m_scheduler->setWorkers(m_hooks.clock(), m_workersRead);
         planSoon();
     }
+    m_readingWorkers = false;
     after(m_workerTimer, workerPeriod, [this] { readWorkers({}); });
 }
 
@@ -277,6 +308,8 @@
 {
     if (m_deposedReported)
         return;
+    if (m_configuration)
+        m_hostSession->plan(*m_scheduler, *m_configuration);
     m_scheduler->plan(m_hooks.clock());
     writeRows();
 }
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HostSession.h"
 #include "PlatformPorts.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
@@ -20,18 +21,21 @@
     struct Hooks
     {
         std::function<TimePoint()> clock;
+        /// Whether the lease is certainly held now.
+        std::function<bool()> leaseHeld;
         /// Called once, later, when another process has taken over.
         std::function<void()> deposed;
     };
 
     SchedulerSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
-                     SchedulerTiming timing, Hooks hooks);
+                     SchedulerTiming timing, HostPlannerTiming hostTiming, Hooks hooks);
     ~SchedulerSession();
     SchedulerSession(const SchedulerSession &) = delete;
     SchedulerSession &operator=(const SchedulerSession &) = delete;
 
     void start();
     void setConfiguration(std::shared_ptr<const JobConfiguration> configuration);
+    void setWave(const MaintenanceWave &wave);
     /// Null until the jobs are loaded.
     const JobScheduler *scheduler() const { return m_scheduler.get(); }
 
@@ -46,6 +50,7 @@
     void addJob(const Row &row);
     void beginScheduling();
     void readWorkers(const std::string &startAfter);
+    void beginHostSession();
     void workersRead(const ReadResult &result);
     void planSoon();
     void plan();
@@ -61,11 +66,14 @@
     const PlatformPorts &m_ports;
     std::uint64_t m_epoch;
     SchedulerTiming m_timing;
+    HostPlannerTiming m_hostTiming;
     Hooks m_hooks;
     std::shared_ptr<const JobConfiguration> m_configuration;
     std::map<std::string, std::pair<JobProgress, Version>> m_loaded; ///< by job, until scheduling
     Version m_epochVersion = absentVersion;
     std::unique_ptr<JobScheduler> m_scheduler;
+    std::unique_ptr<HostSession> m_hostSession;
+    std::map<std::uint64_t, MaintenanceWave> m_waves; ///< by number
     std::unique_ptr<RowFollower> m_jobFollower;
     std::vector<WorkerDescription> m_workersRead;
     std::map<std::string, unsigned> m_writtenCounts;
@@ -74,6 +82,7 @@
     asio::steady_timer m_workerTimer;
     asio::steady_timer m_countTimer;
     bool m_planPosted = false;
+    bool m_readingWorkers = false;
     bool m_deposedReported = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
