Kernel/Jobs: Size pools by learned runtimes and lend hosts where demand comes by turns

Cause: declared runtimes are off by a factor, so that pools asked for 60 hosts, and a host whose worker id did not change by its maintenance counted as away for good.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -17,8 +18,9 @@
 constexpr std::chrono::milliseconds waveReserve{5000};
 // Short tasks on a host that is due are stopped when less than this is left of the period.
 constexpr std::chrono::milliseconds waveUrgent{4000};
-// A pool gives up at most this share of its hosts to maintenance at the same time.
-constexpr std::size_t poolShareDivisor = 3;
+// A host goes back to the spare pool when nobody had a use for it for so long. Each move costs as
+// much as a second of an idle host, and the next burst needs the same time to get it from there.
+constexpr std::chrono::milliseconds parkingDelay{1200};
 
 } // namespace
 
@@ -44,9 +46,7 @@
         Host host = known == m_hosts.end() ? Host{} : std::move(known->second);
         // A list that was asked for before the last order does not show its effect.
         const bool shows = !host.away || (!host.orderInFlight && asked > host.orderedAt);
-        // On a host that is off, in a spare pool, runs no worker at all.
-        const bool back
-            = description.phase == HostPhase::Up && description.worker != host.workerBefore;
+        const bool back = description.phase == HostPhase::Up && asked >= host.notBefore;
         if (host.away && shows && back) {
             host.away = false;
             observe("host-back", description.id, description.pool);
@@ -181,13 +181,7 @@
 {
     std::vector<Host *> waiting;
     std::size_t taken = inMaintenance(wave);
-    std::map<std::string, std::size_t> takenByPool;
-    std::map<std::string, std::size_t> hostsByPool;
-    for (auto &[id, host] : m_hosts) {
-        ++hostsByPool[host.description.pool];
-        if (host.away || host.reservedForWave != 0)
-            ++takenByPool[host.description.pool];
-    }
+    auto present = presentHosts();
     for (const std::string &id : wave.request.hosts) {
         const auto host = m_hosts.find(id);
         if (host == m_hosts.end() || wave.done.contains(id))
@@ -203,16 +197,16 @@
     });
     const bool late = wanted >= wave.request.atOnce;
     for (Host *host : waiting) {
-        if (taken >= wanted)
-            return;
+        // A host without runs costs nobody anything, so it does not wait.
+        const bool idle = runsOn(*host, scheduler) == 0;
         const std::string &pool = host->description.pool;
-        const std::size_t limit = std::max<std::size_t>(1, hostsByPool[pool] / poolShareDivisor);
-        if (!late && takenByPool[pool] >= limit)
+        const bool spared = present[pool] > m_demand.neededHosts(pool);
+        if (taken >= (idle && spared ? wave.request.atOnce : wanted) || (!spared && !late))
             continue;
         host->reservedForWave = wave.request.number;
         host->reservedForPool.clear();
         ++taken;
-        ++takenByPool[pool];
+        --present[pool];
         observe("host-reserved", host->description.id,
                 "wave " + std::to_string(wave.request.number));
     }
@@ -224,7 +218,6 @@
             order.kind == HostOrderKind::Move ? order.pool : std::to_string(order.wave));
     host.orderInFlight = true;
     host.away = true;
-    host.workerBefore = host.description.worker;
     host.orderedAt = now;
     m_hooks.order(order);
 }
@@ -287,25 +280,46 @@
         anySize = host.description.capacity;
     }
     const auto loads = poolLoads(scheduler);
+    auto present = presentHosts();
     for (const PoolSettings &pool : configuration.pools) {
         if (pool.spare)
             continue;
         const auto load = loads.find(pool.name);
         const auto size = sizes.find(pool.name);
-        m_demand.observe(now, pool.name, load == loads.end() ? PoolLoad{} : load->second,
-                         size == sizes.end() ? anySize : size->second);
+        const unsigned before = m_demand.neededHosts(pool.name);
+        const PoolLoad poolLoad = load == loads.end() ? PoolLoad{} : load->second;
+        m_demand.observe(now, pool.name, poolLoad, size == sizes.end() ? anySize : size->second);
+        const unsigned after = m_demand.neededHosts(pool.name);
+        if (after != before)
+            observe(
+                "pool-demand", {},
+                pool.name + ": " + std::to_string(after) + " hosts, active="
+                    + std::to_string(poolLoad.active.milliProcessors / 1000) + " waiting="
+                    + std::to_string(poolLoad.waiting.milliProcessors / 1000) + " work="
+                    + std::to_string(static_cast<int>(poolLoad.waitingMilliProcessorSeconds / 1000))
+                    + " present=" + std::to_string(present[pool.name]));
+    }
+}
+
+void HostPlanner::noteIdleHosts(TimePoint now, const JobScheduler &scheduler)
+{
+    for (auto &[id, host] : m_hosts) {
+        if (host.away || runsOn(host, scheduler) > 0)
+            host.idleSince.reset();
+        else if (!host.idleSince)
+            host.idleSince = now;
     }
 }
 
 HostPlanner::Host *HostPlanner::donor(TimePoint now, const JobScheduler &scheduler,
-                                      const std::string &pool)
+                                      const std::string &pool, Duration idleFor)
 {
     for (auto &[id, host] : m_hosts) {
-        if (host.description.pool != pool || host.away || host.orderInFlight
-            || host.reservedForWave != 0 || now < host.notBefore
-            || host.description.phase != HostPhase::Up)
+        const bool free = !host.away && !host.orderInFlight && host.reservedForWave == 0
+                          && now >= host.notBefore && host.description.phase == HostPhase::Up;
+        if (!free || host.description.pool != pool || runsOn(host, scheduler) > 0)
             continue;
-        if (runsOn(host, scheduler) == 0)
+        if (host.idleSince && now >= *host.idleSince + idleFor)
             return &host;
     }
     return nullptr;
@@ -317,46 +331,63 @@
     host.description.pool = pool;
 }
 
-void HostPlanner::planMoves(TimePoint now, JobScheduler &scheduler,
+unsigned HostPlanner::keptHosts(const PoolSettings &pool, unsigned present, bool forGood) const
+{
+    if (pool.spare)
+        return 0;
+    const unsigned needed
+        = forGood ? m_demand.lastingNeed(pool.name) : m_demand.neededHosts(pool.name);
+    // A pool without a burst so far may be the next to have one, before other hosts can come.
+    return m_demand.hadBurst(pool.name) ? needed + 1 : std::max(needed + 1, present);
+}
+
+bool HostPlanner::giveHost(TimePoint now, const JobScheduler &scheduler, const std::string &from,
+                           const std::string &to, Duration idleFor)
+{
+    Host *host = donor(now, scheduler, from, idleFor);
+    if (host == nullptr || m_impossible.contains({host->description.id, to}))
+        return false;
+    moveHost(now, *host, to);
+    return true;
+}
+
+void HostPlanner::planMoves(TimePoint now, const JobScheduler &scheduler,
                             const JobConfiguration &configuration)
 {
+    noteIdleHosts(now, scheduler);
     auto present = presentHosts();
     std::vector<std::string> spares;
-    std::vector<std::string> surplus;
+    std::vector<std::string> givers;
     for (const PoolSettings &pool : configuration.pools) {
         if (pool.spare)
             spares.push_back(pool.name);
-        else if (present[pool.name] > std::max(1U, m_demand.wantedHosts(pool.name)))
-            surplus.push_back(pool.name);
+        else
+            givers.push_back(pool.name);
     }
-    const auto takeFrom = [&](const std::vector<std::string> &pools, const std::string &target) {
-        for (const std::string &pool : pools) {
-            const bool spare = std::find(spares.begin(), spares.end(), pool) != spares.end();
-            if (!spare && present[pool] <= std::max(1U, m_demand.wantedHosts(pool)))
-                continue;
-            Host *host = donor(now, scheduler, pool);
-            if (host == nullptr || m_impossible.contains({host->description.id, target}))
-                continue;
-            --present[pool];
-            ++present[target];
-            moveHost(now, *host, target);
-            return true;
-        }
-        return false;
+    const auto move = [&](const std::string &from, const std::string &to, Duration idleFor) {
+        const bool forGood = idleFor.count() > 0;
+        const unsigned kept = keptHosts(*configuration.pool(from), present[from], forGood);
+        if (from == to || present[from] <= kept || !giveHost(now, scheduler, from, to, idleFor))
+            return false;
+        --present[from];
+        ++present[to];
+        return true;
     };
+    // Hosts of pools that don't need them are on already; those of a spare pool are not.
+    std::vector<std::string> sources = givers;
+    sources.insert(sources.end(), spares.begin(), spares.end());
     for (const PoolSettings &pool : configuration.pools) {
-        if (pool.spare)
+        const auto grow = [&](const std::string &from) {
+            return move(from, pool.name, Duration{0});
+        };
+        while (!pool.spare && present[pool.name] < m_demand.neededHosts(pool.name)
+               && std::any_of(sources.begin(), sources.end(), grow))
             continue;
-        while (present[pool.name] < m_demand.wantedHosts(pool.name)) {
-            // Hosts that are on already cost nothing more.
-            if (!takeFrom(surplus, pool.name) && !takeFrom(spares, pool.name))
-                break;
-        }
     }
     if (spares.empty())
         return;
-    for (const std::string &pool : surplus) {
-        while (takeFrom({pool}, spares.front()))
+    for (const std::string &pool : givers) {
+        while (move(pool, spares.front(), parkingDelay))
             continue;
     }
 }
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -150,6 +150,13 @@
            && task->worker == worker;
 }
 
+Duration JobScheduler::expectedRuntime(const Job &job, const StepSpecification &step) const
+{
+    const auto found = m_runtimes.find(job.submitted().queue.name);
+    return found == m_runtimes.end() ? step.estimatedRuntime
+                                     : found->second.predict(step.estimatedRuntime);
+}
+
 const QueueSettings &JobScheduler::queueOf(const Job &job) const
 {
     const QueueSettings &accepted = job.submitted().queue;
--- a/Kernel/Jobs/JobSchedulerLooks.cpp
+++ b/Kernel/Jobs/JobSchedulerLooks.cpp
@@ -132,11 +132,13 @@
         return;
     worker.processedEnds = end.number;
     observe("run-ended", end.run, worker.description.id, std::string(runEndNames.nameOf(end.how)));
-    worker.runs.erase(end.run);
+    const auto ended = worker.runs.extract(end.run);
     worker.foreignRuns.erase(end.run);
     if (end.how == RunEnd::Done)
         worker.failedRunsInSuccession = 0;
     Job *job = jobOf(end.run.task);
+    if (job != nullptr && end.how == RunEnd::Done && ended)
+        learnRuntime(now, *job, end.run, ended.mapped());
     Job::Task *task = job == nullptr ? nullptr : job->task(end.run.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
@@ -150,6 +152,15 @@
     runOver(now, end.run, end.how, worker.description.id);
 }
 
+void JobScheduler::learnRuntime(TimePoint now, const Job &job, const RunName &run,
+                                const WorkerRun &ended)
+{
+    const StepSpecification &step = job.step(run.task.step);
+    if (step.longRunning || step.estimatedRuntime.count() == 0 || !ended.confirmedAt)
+        return;
+    m_runtimes[job.submitted().queue.name].learn(step.estimatedRuntime, now - *ended.confirmedAt);
+}
+
 void JobScheduler::completeTask(TimePoint now, Job &job, const TaskName &name)
 {
     // Runs of other members of the gang, or a later run of the task, are stopped.
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-// Waiting work should be done within this time: most of the slack in the objective of short jobs.
-constexpr double backlogHorizonSeconds = 1.0;
+// Waiting work should be done within this time. A host that is moved needs most of it to come.
+constexpr double backlogHorizonSeconds = 2.0;
+// A pool that wants this many times the hosts of its long-running tasks has a burst.
+constexpr unsigned burstFactor = 2;
 // Placement cannot fill hosts to the last core with tasks of several sizes.
-constexpr double usableShare = 0.85;
-// A smaller number of hosts is wanted only when it has held this long. A host moved out and back
-// costs as much as two seconds of an idle one.
+constexpr double usableShare = 0.9;
+// A pool gives hosts away for good when it had no need for them this long: a host moved out and
+// back costs as much as two seconds of an idle one.
 constexpr std::chrono::milliseconds shrinkDelay{1200};
 
 double hostsFor(double processors, double megabytes, const TaskSize &hostSize)
@@ -27,7 +29,8 @@
     return std::max(byProcessors, byMemory);
 }
 
-void addStep(PoolLoad &load, const StepSpecification &step, const Job::Step &state)
+void addStep(PoolLoad &load, const StepSpecification &step, const Job::Step &state,
+             Duration expectedRuntime)
 {
     const auto times = [](const TaskSize &size, unsigned count) {
         return TaskSize{size.milliProcessors * count, size.megabytes * count,
@@ -45,8 +48,8 @@
     }
     load.active = plus(load.active, times(size, state.active));
     load.waiting = plus(load.waiting, times(size, state.ready));
-    const double seconds = toSeconds(step.estimatedRuntime) * state.ready;
-    load.waitingProcessorSeconds += static_cast<double>(size.milliProcessors) * seconds;
+    const double seconds = toSeconds(expectedRuntime) * state.ready;
+    load.waitingMilliProcessorSeconds += static_cast<double>(size.milliProcessors) * seconds;
     load.waitingMegabyteSeconds += static_cast<double>(size.megabytes) * seconds;
 }
 
@@ -59,7 +62,8 @@
         PoolLoad &load = loads[scheduler.poolOf(job)];
         for (const auto &[number, occurrence] : job.occurrences()) {
             for (unsigned step = 0; step < occurrence.steps.size(); ++step)
-                addStep(load, job.step(step), occurrence.steps[step]);
+                addStep(load, job.step(step), occurrence.steps[step],
+                        scheduler.expectedRuntime(job, job.step(step)));
         }
     }
     return loads;
@@ -68,35 +72,43 @@
 void PoolDemand::observe(TimePoint now, const std::string &pool, const PoolLoad &load,
                          const TaskSize &hostSize)
 {
+    State &state = m_pools[pool];
     const double processors
         = static_cast<double>(load.lasting.milliProcessors + load.active.milliProcessors)
-          + load.waitingProcessorSeconds / backlogHorizonSeconds;
+          + load.waitingMilliProcessorSeconds / backlogHorizonSeconds;
     const double megabytes = static_cast<double>(load.lasting.megabytes + load.active.megabytes)
                              + load.waitingMegabyteSeconds / backlogHorizonSeconds;
     const auto byLoad = static_cast<unsigned>(std::ceil(hostsFor(processors, megabytes, hostSize)));
-    const unsigned wanted = std::max(byLoad, load.widestSpread);
-    State &state = m_pools[pool];
-    if (wanted >= state.wanted) {
-        state.wanted = wanted;
-        state.lower = false;
-        return;
-    }
-    if (!state.lower) {
-        state.lower = true;
-        state.lowerFrom = now;
-        state.lowerSince = wanted;
-    }
-    state.lowerSince = std::max(state.lowerSince, wanted);
-    if (now < state.lowerFrom + shrinkDelay)
-        return;
-    state.wanted = state.lowerSince;
-    state.lower = false;
+    state.needed = std::max(byLoad, load.widestSpread);
+    while (!state.recent.empty() && state.recent.back().second <= state.needed)
+        state.recent.pop_back();
+    state.recent.emplace_back(now, state.needed);
+    while (state.recent.front().first < now - shrinkDelay)
+        state.recent.pop_front();
+    const unsigned quiet
+        = std::max(load.widestSpread, static_cast<unsigned>(std::ceil(hostsFor(
+                                          static_cast<double>(load.lasting.milliProcessors),
+                                          static_cast<double>(load.lasting.megabytes), hostSize))));
+    if (state.needed >= burstFactor * std::max(quiet, 1U))
+        state.hadBurst = true;
+}
+
+unsigned PoolDemand::neededHosts(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.needed;
+}
+
+unsigned PoolDemand::lastingNeed(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.recent.front().second;
 }
 
-unsigned PoolDemand::wantedHosts(const std::string &pool) const
+bool PoolDemand::hadBurst(const std::string &pool) const
 {
     const auto found = m_pools.find(pool);
-    return found == m_pools.end() ? 0 : found->second.wanted;
+    return found != m_pools.end() && found->second.hadBurst;
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -5,6 +5,7 @@
 #include <Kernel/Jobs/PoolDemand.h>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,10 +55,10 @@
     {
         HostDescription description;
         bool orderInFlight = false;
-        bool away = false; ///< ordered away; until the list shows another worker
-        std::string workerBefore; ///< when it was ordered away
+        bool away = false; ///< ordered away; until a later list shows it up
         TimePoint orderedAt;
         TimePoint notBefore; ///< of the next order
+        std::optional<TimePoint> idleSince;
         std::uint64_t reservedForWave = 0; ///< 0: for none
         std::string reservedForPool; ///< empty: for none
     };
@@ -73,11 +74,17 @@
     void reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler);
     unsigned wantedAtOnce(TimePoint now, const Wave &wave, std::size_t left) const;
     unsigned inMaintenance(const Wave &wave) const;
-    void planMoves(TimePoint now, JobScheduler &scheduler, const JobConfiguration &configuration);
+    unsigned keptHosts(const PoolSettings &pool, unsigned present, bool forGood) const;
+    bool giveHost(TimePoint now, const JobScheduler &scheduler, const std::string &from,
+                  const std::string &to, Duration idleFor);
+    void planMoves(TimePoint now, const JobScheduler &scheduler,
+                   const JobConfiguration &configuration);
     void observeDemand(TimePoint now, const JobScheduler &scheduler,
                        const JobConfiguration &configuration);
     std::map<std::string, unsigned> presentHosts() const;
-    Host *donor(TimePoint now, const JobScheduler &scheduler, const std::string &pool);
+    Host *donor(TimePoint now, const JobScheduler &scheduler, const std::string &pool,
+                Duration idleFor);
+    void noteIdleHosts(TimePoint now, const JobScheduler &scheduler);
     void moveHost(TimePoint now, Host &host, const std::string &pool);
     void order(TimePoint now, Host &host, HostOrder order);
     void applyReservations(JobScheduler &scheduler) const;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/Job.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
+#include <Kernel/Jobs/RuntimeModel.h>
 #include <Kernel/Jobs/Worker.h>
 #include <LibStore/Transaction.h>
 #include <functional>
@@ -86,6 +87,8 @@
     const std::map<std::string, Worker> &workers() const { return m_workers; }
     /// Accepted jobs without a started task, by queue; jobs with due times are not counted.
     std::map<std::string, unsigned> pendingJobs() const;
+    /// Expected runtime of a task of \a job in this step.
+    Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
 private:
     /// What one transaction makes durable.
@@ -120,6 +123,7 @@
     // JobSchedulerLooks.cpp
     void endLife(TimePoint now, Worker &worker, std::int64_t nextLife);
     void processEnd(TimePoint now, Worker &worker, const EndedRun &end);
+    void learnRuntime(TimePoint now, const Job &job, const RunName &run, const WorkerRun &ended);
     void completeTask(TimePoint now, Job &job, const TaskName &name);
     void taskFailed(TimePoint now, Job &job, const RunName &run, Worker &worker);
     void runOver(TimePoint now, const RunName &run, RunEnd how, const std::string &worker);
@@ -168,6 +172,7 @@
     TimePoint m_begunAt;
     std::shared_ptr<const JobConfiguration> m_configuration;
     std::unique_ptr<PlacementPolicy> m_placement;
+    std::map<std::string, RuntimeModel> m_runtimes; ///< by queue
     std::map<std::string, Job> m_jobs; ///< not finished, or finished and not yet written so
     std::map<std::string, Worker> m_workers;
     std::set<std::string> m_dirty; ///< jobs whose rows are older than their state
--- a/Kernel/include/Kernel/Jobs/PoolDemand.h
+++ b/Kernel/include/Kernel/Jobs/PoolDemand.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <Kernel/Jobs/JobScheduler.h>
+#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace Peridot::Jobs {
 
@@ -12,8 +14,8 @@
     TaskSize lasting; ///< of long-running tasks, placed or not
     TaskSize active; ///< of other tasks that are placed
     TaskSize waiting; ///< of other tasks that are ready
-    /// Work of the waiting tasks: processors and memory, each times the estimated runtime.
-    double waitingProcessorSeconds = 0; ///< in thousandths of a core
+    /// Work of the waiting tasks: their size times the expected runtime.
+    double waitingMilliProcessorSeconds = 0;
     double waitingMegabyteSeconds = 0;
     unsigned widestSpread
         = 0; ///< hosts that a long-running step needs by its limit for each worker
@@ -22,25 +24,27 @@
 /// Load by pool, from the jobs of the scheduler.
 std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler);
 
-/// Wanted number of hosts of each pool over time. A pool grows at once with its load, and shrinks
-/// when the smaller number has held for a while, because a host that is moved back and forth costs
-/// more than an idle one.
+/// Number of hosts that each pool needs, now and over the last moments.
 class PoolDemand
 {
 public:
     /// \a hostSize: capacity of one host of the pool.
     void observe(TimePoint now, const std::string &pool, const PoolLoad &load,
                  const TaskSize &hostSize);
-    /// 0 for a pool that was not observed.
-    unsigned wantedHosts(const std::string &pool) const;
+    /// For the load at the last observation; 0 for a pool that was not observed.
+    unsigned neededHosts(const std::string &pool) const;
+    /// The largest need of the last moments, below which a pool gives no host away for good.
+    unsigned lastingNeed(const std::string &pool) const;
+    /// Whether the pool had a burst: it wanted much more than its long-running tasks need. Where
+    /// demand comes by turns, such a pool is the last to be busy again.
+    bool hadBurst(const std::string &pool) const;
 
 private:
     struct State
     {
-        unsigned wanted = 0;
-        unsigned lowerSince = 0; ///< largest smaller number seen since \c lowerFrom
-        TimePoint lowerFrom;
-        bool lower = false;
+        unsigned needed = 0;
+        std::deque<std::pair<TimePoint, unsigned>> recent; ///< falling needs; the first is largest
+        bool hadBurst = false;
     };
 
     std::map<std::string, State> m_pools;
