--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -40,6 +40,9 @@
 void HostPlanner::setHosts(TimePoint asked, const std::vector<HostDescription> &hosts)
 {
     m_listAskedAt = asked;
+    m_listed.clear();
+    for (const auto &description : hosts)
+        m_listed.emplace(description.id, description);
     std::map<std::string, Host> next;
     for (const auto &description : hosts) {
         const auto known = m_hosts.find(description.id);
@@ -58,6 +61,16 @@
     m_hosts = std::move(next);
 }
 
+std::set<std::string> HostPlanner::existingWorkers() const
+{
+    std::set<std::string> workers;
+    for (const auto &[id, host] : m_listed) {
+        if (host.phase != HostPhase::Down && !host.worker.empty())
+            workers.insert(host.worker);
+    }
+    return workers;
+}
+
 void HostPlanner::setWave(TimePoint now, const MaintenanceWave &request,
                           const std::set<std::string> &done)
 {
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -51,6 +51,20 @@
     });
 }
 
+void JobScheduler::setExistingWorkers(TimePoint now, TimePoint asked,
+                                      const std::set<std::string> &workers)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.runs.empty() || workers.contains(id) || worker.lastSeen > asked)
+            continue;
+        const bool newRun
+            = std::any_of(worker.runs.begin(), worker.runs.end(),
+                          [&](const auto &entry) { return entry.second.createdAt > asked; });
+        if (!newRun)
+            endLife(now, worker, worker.description.startedAt);
+    }
+}
+
 void JobScheduler::addJob(TimePoint now, SubmittedJob submitted,
                           const std::optional<JobProgress> &progress, Version progressVersion)
 {
@@ -171,6 +185,7 @@
     run.fills = step.fills;
     run.latencyTarget = step.latencyTarget;
     run.changedAt = now;
+    run.createdAt = now;
     return run;
 }
 
--- a/Kernel/Jobs/JobSchedulerLooks.cpp
+++ b/Kernel/Jobs/JobSchedulerLooks.cpp
@@ -102,6 +102,7 @@
     }
     worker.failedLooks = 0;
     worker.seen = true;
+    worker.lastSeen = now;
     worker.nextLook = now;
     worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
     if (reply.clock)
@@ -305,7 +306,8 @@
     for (auto &[id, worker] : m_workers) {
         std::vector<RunName> stalled;
         for (const auto &[name, run] : worker.runs) {
-            if (run.phase != RunPhase::Running || run.pace < 100 || !isCurrent(name, id))
+            if (run.phase != RunPhase::Running || run.pace < 100 || worker.failedLooks > 0
+                || !isCurrent(name, id))
                 continue;
             const StepSpecification &step = jobOf(name.task)->step(name.task.step);
             const Duration limit
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -206,8 +206,9 @@
         return;
     if (worker.seen && !unwritten && !worker.runs.empty())
         order.wait = worker.hasFillersBesideServing() ? watchfulLookWait : lookWait;
-    // In doubt the leases end, so that the tasks can be placed elsewhere at a known time.
-    if (worker.clockKnown() && worker.failedLooks < looksBeforeDoubt)
+    // After a failed look the leases end, so that the tasks can be placed elsewhere at a known
+    // time.
+    if (worker.clockKnown() && worker.failedLooks == 0)
         order.leaseEnd = worker.extendLease(now, m_timing.workerLease);
     worker.lookInFlight = true;
     worker.lastLook = now;
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -207,7 +207,8 @@
         const Job::Task &task = tasks[index];
         const auto worker = m_workers.find(task.worker);
         const WorkerRun *run = nullptr;
-        if (task.phase == TaskPhase::Active && worker != m_workers.end()) {
+        const bool reachable = worker != m_workers.end() && worker->second.failedLooks == 0;
+        if (task.phase == TaskPhase::Active && reachable) {
             const auto found
                 = worker->second.runs.find({{job.id(), occurrence, step, index}, task.run});
             run = found == worker->second.runs.end() ? nullptr : &found->second;
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -16,13 +16,11 @@
 constexpr std::chrono::milliseconds refusedPause{500};
 
 /// Longest wait of a look. Each look also extends the lease, which is several times longer.
-constexpr std::chrono::milliseconds lookWait{2000};
+constexpr std::chrono::milliseconds lookWait{1500};
 /// The same while the latencies of the worker decide the pace of tasks that fill.
 constexpr std::chrono::milliseconds watchfulLookWait{500};
 /// Period of looks while ends wait for the store: a waiting look would return at once.
 constexpr std::chrono::milliseconds unwrittenLookPause{400};
-/// Failed looks after which leases are no longer extended, so that they surely end.
-constexpr unsigned looksBeforeDoubt = 2;
 constexpr std::chrono::milliseconds shortestLookPause{100};
 constexpr std::chrono::milliseconds longestLookPause{1000};
 
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -45,6 +45,11 @@
 
     void plan(TimePoint now, JobScheduler &scheduler, const JobConfiguration &configuration);
 
+    /// Workers of the newest list of hosts.
+    std::set<std::string> existingWorkers() const;
+    /// When the newest list was asked for.
+    TimePoint listAskedAt() const { return m_listAskedAt; }
+
     /// Hosts of the wave whose maintenance has begun.
     const std::set<std::string> &doneHosts(std::uint64_t wave) const;
     /// Hosts are on their way, so that lists of hosts and workers are wanted soon.
@@ -97,6 +102,7 @@
     HostPlannerHooks m_hooks;
     TimePoint m_begunAt;
     std::map<std::string, Host> m_hosts;
+    std::map<std::string, HostDescription> m_listed; ///< the newest list as it is
     std::map<std::uint64_t, Wave> m_waves;
     PoolDemand m_demand;
     std::set<std::pair<std::string, std::string>> m_impossible; ///< host and pool
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -19,7 +19,7 @@
     /// Length of the leases of workers. Long enough for a successor to take over meanwhile.
     Duration workerLease = std::chrono::seconds(6);
     /// A process that was deposed without knowing it sends orders for at most this long.
-    Duration deposedLimit = std::chrono::seconds(12);
+    Duration deposedLimit = std::chrono::seconds(5);
     Duration stopLimit = std::chrono::milliseconds(500); ///< a worker ends a run within this time
     Duration statusRetention = std::chrono::seconds(120); ///< of finished jobs
 };
@@ -56,6 +56,10 @@
     /// The platform's complete list of workers.
     void setWorkers(TimePoint now, const std::vector<WorkerDescription> &workers);
 
+    /// The provider's list of workers that exist, asked for at \a asked. Runs on a worker that does
+    /// not exist any more are over.
+    void setExistingWorkers(TimePoint now, TimePoint asked, const std::set<std::string> &workers);
+
     /// A job of the store. One that is known already is ignored.
     void addJob(TimePoint now, SubmittedJob job, const std::optional<JobProgress> &progress,
                 Version progressVersion);
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -34,6 +34,7 @@
     /// The worker knew the run at this time; a later look that does not list it proves its end.
     std::optional<TimePoint> confirmedAt;
     unsigned percent = 0; ///< 100: at work
+    TimePoint createdAt; ///< chosen, or restored from its row
     TimePoint changedAt; ///< of the percent
     std::optional<Duration> latency; ///< of a serving task, by the newest look
     Duration latencyTarget{0}; ///< 0: none
@@ -88,7 +89,8 @@
     bool lookInFlight = false;
     unsigned failedLooks = 0; ///< in succession
     TimePoint nextLook;
-    TimePoint lastLook;
+    TimePoint lastLook; ///< sent
+    TimePoint lastSeen; ///< answered a look
     TimePoint avoidUntil; ///< gets no new runs before
     unsigned failedRunsInSuccession = 0; ///< of different tasks, without a success between
 
--- a/Libraries/LibStore/include/LibStore/Transaction.h
+++ b/Libraries/LibStore/include/LibStore/Transaction.h
@@ -64,6 +64,7 @@
     Version revision = absentVersion; ///< version of every row written by this transaction
     /// After a conflict: the checked rows as they are, where the store tells them.
     std::vector<Row> currentRows = {};
+    std::int64_t storeMilliseconds = 0; ///< on a steady clock of the store, where it tells it
 };
 
 enum class ReadStatus { Ok, Unavailable };
@@ -75,6 +76,7 @@
         rows; ///< read: one for each key, in order; scan: in key order, existing rows only
     bool more = false; ///< scan only: the limit was reached
     Version revision = absentVersion; ///< newest of the store at the read, where it tells it
+    std::int64_t storeMilliseconds = 0; ///< on a steady clock of the store, where it tells it
 };
 
 } // namespace Peridot
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -141,6 +141,10 @@
 void HostSession::plan(JobScheduler &scheduler, const JobConfiguration &configuration)
 {
     const TimePoint now = m_hooks.clock();
+    if (m_listApplied != m_planner.listAskedAt()) {
+        m_listApplied = m_planner.listAskedAt();
+        scheduler.setExistingWorkers(now, m_listApplied, m_planner.existingWorkers());
+    }
     if (!m_wavesLoaded || now < m_lastPlan + planPeriod || !m_hooks.mayOrder())
         return;
     m_lastPlan = now;
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -49,6 +49,7 @@
     std::map<std::uint64_t, MaintenanceWave> m_waves;
     std::map<std::uint64_t, std::set<std::string>> m_loadedDone; ///< of former holders, by wave
     TimePoint m_lastPlan;
+    TimePoint m_listApplied; ///< when the list was asked for that the scheduler knows
     asio::steady_timer m_listTimer;
     asio::steady_timer m_loadTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -22,6 +22,9 @@
 // Outages of the store last seconds; a caller that comes back sooner meets the same one.
 constexpr std::chrono::seconds outageRetryAfter{1};
 
+// Oldest count of waiting jobs that is still told to callers.
+constexpr std::chrono::milliseconds oldestCount{3500};
+
 bool isPresent(const Row &row)
 {
     return row.version != absentVersion;
@@ -122,17 +125,17 @@
 
 void JobFrontend::query(const PendingPointer &pending)
 {
-    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const auto &rows) {
-        if (!isPresent(rows[0]))
+    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const ReadResult &read) {
+        if (!isPresent(read.rows[0]))
             return queryJobRow(pending, false);
         const auto phase = valueOrElse(
             [&]() -> Result<std::optional<JobPhase>> {
-                BOOST_LEAF_AUTO(progress, parseJobProgress(rows[0].value));
+                BOOST_LEAF_AUTO(progress, parseJobProgress(read.rows[0].value));
                 return std::optional<JobPhase>(progress.phase);
             },
             [&](const Error &error) {
                 logEvent(LogLevel::Error, "row-unreadable",
-                         {{"key", rows[0].key}, {"error", describe(error)}});
+                         {{"key", read.rows[0].key}, {"error", describe(error)}});
                 return std::optional<JobPhase>();
             });
         if (!phase)
@@ -144,33 +147,34 @@
 void JobFrontend::queryJobRow(const PendingPointer &pending, bool progressWasAbsent)
 {
     const std::string &id = pending->call.id;
-    readRows(
-        pending, {jobKey(id), cancellationKey(id)},
-        [this, pending, progressWasAbsent](const auto &rows) {
-            if (isPresent(rows[0])) {
-                const JobPhase phase = isPresent(rows[1]) ? JobPhase::Cancelled : JobPhase::Queued;
-                return answer(pending, {.outcome = CallOutcome::Found, .phase = phase});
-            }
-            if (progressWasAbsent)
-                return answer(pending, {.outcome = CallOutcome::UnknownJob});
-            // The job may have begun and ended between the two reads.
-            readRows(pending, {progressKey(pending->call.id)}, [this, pending](const auto &again) {
-                if (isPresent(again[0]))
-                    return query(pending);
-                queryJobRow(pending, true);
-            });
-        });
+    readRows(pending, {jobKey(id), cancellationKey(id)},
+             [this, pending, progressWasAbsent](const ReadResult &read) {
+                 if (isPresent(read.rows[0])) {
+                     const JobPhase phase
+                         = isPresent(read.rows[1]) ? JobPhase::Cancelled : JobPhase::Queued;
+                     return answer(pending, {.outcome = CallOutcome::Found, .phase = phase});
+                 }
+                 if (progressWasAbsent)
+                     return answer(pending, {.outcome = CallOutcome::UnknownJob});
+                 // The job may have begun and ended between the two reads.
+                 readRows(pending, {progressKey(pending->call.id)},
+                          [this, pending](const ReadResult &again) {
+                              if (isPresent(again.rows[0]))
+                                  return query(pending);
+                              queryJobRow(pending, true);
+                          });
+             });
 }
 
 void JobFrontend::cancel(const PendingPointer &pending)
 {
     const std::string &id = pending->call.id;
-    readRows(pending, {jobKey(id), cancellationKey(id)}, [this, pending](const auto &rows) {
-        if (!isPresent(rows[0]))
+    readRows(pending, {jobKey(id), cancellationKey(id)}, [this, pending](const ReadResult &read) {
+        if (!isPresent(read.rows[0]))
             return cancelFinished(pending);
-        if (isPresent(rows[1]))
+        if (isPresent(read.rows[1]))
             return answer(pending, {.outcome = CallOutcome::Cancelled});
-        cancelAccepted(pending, rows[0]);
+        cancelAccepted(pending, read.rows[0]);
     });
 }
 
@@ -198,34 +202,38 @@
 
 void JobFrontend::cancelFinished(const PendingPointer &pending)
 {
-    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const auto &rows) {
+    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const ReadResult &read) {
         const CallOutcome outcome
-            = isPresent(rows[0]) ? CallOutcome::Cancelled : CallOutcome::UnknownJob;
+            = isPresent(read.rows[0]) ? CallOutcome::Cancelled : CallOutcome::UnknownJob;
         answer(pending, {.outcome = outcome});
     });
 }
 
 void JobFrontend::count(const PendingPointer &pending)
 {
-    readRows(pending, {std::string(pendingJobsKey)}, [this, pending](const auto &rows) {
+    readRows(pending, {std::string(pendingJobsKey)}, [this, pending](const ReadResult &read) {
         const Json::Value counts
-            = valueOrElse([&] { return parseJson(rows[0].value); },
+            = valueOrElse([&] { return parseJson(read.rows[0].value); },
                           [](const Error &) { return Json::Value(Json::objectValue); });
-        const Json::Value number = counts.get(pending->call.queue, 0U);
+        // Without a scheduler nobody counts.
+        const std::int64_t writtenAt = counts.get("store_ms", Json::Int64{0}).asInt64();
+        if (read.storeMilliseconds - writtenAt > oldestCount.count())
+            return giveUp(pending);
+        const Json::Value number = counts["queues"].get(pending->call.queue, 0U);
         answer(pending,
                {.outcome = CallOutcome::Counted, .pending = number.isUInt() ? number.asUInt() : 0});
     });
 }
 
 void JobFrontend::readRows(const PendingPointer &pending, std::vector<std::string> keys,
-                           std::function<void(const std::vector<Row> &)> next)
+                           std::function<void(const ReadResult &)> next)
 {
     m_store.read(keys, [this, pending, keys, next = std::move(next),
                         alive = std::weak_ptr(m_alive)](const ReadResult &result) {
         if (alive.expired())
             return;
         if (result.status == ReadStatus::Ok)
-            return next(result.rows);
+            return next(result);
         again(pending, [this, pending, keys, next] { readRows(pending, keys, next); });
     });
 }
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -52,7 +52,7 @@
     void count(const PendingPointer &pending);
 
     void readRows(const PendingPointer &pending, std::vector<std::string> keys,
-                  std::function<void(const std::vector<Row> &)> next);
+                  std::function<void(const ReadResult &)> next);
     /// Runs \a step after a pause, or gives up when the caller's patience or \a limit is over.
     void again(const PendingPointer &pending, std::function<void()> step);
     void answer(const PendingPointer &pending, const CallAnswer &answer);
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -260,6 +260,7 @@
 
 void SchedulerSession::workersRead(const ReadResult &result)
 {
+    noteStoreTime(result.storeMilliseconds);
     // After a failure the last complete list holds.
     if (result.status == ReadStatus::Ok) {
         for (const Row &row : result.rows) {
@@ -332,20 +333,35 @@
 {
     const auto counts = m_scheduler->pendingJobs();
     after(m_countTimer, countPeriod, [this] { writePendingCounts(); });
-    if (counts == m_writtenCounts)
-        return;
     Json::Value value(Json::objectValue);
+    value["store_ms"] = static_cast<Json::Int64>(storeTime());
     for (const auto &[queue, count] : counts)
-        value[queue] = count;
+        value["queues"][queue] = count;
     Transaction transaction;
     transaction.operationId = "pending";
     transaction.checks = {{std::string(schedulerEpochKey), m_epochVersion}};
     transaction.writes = {{std::string(pendingJobsKey), writeJson(value)}};
-    m_ports.store->commit(
-        transaction, [this, counts, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-            if (!alive.expired() && result.status == CommitStatus::Committed)
-                m_writtenCounts = counts;
-        });
+    m_ports.store->commit(transaction,
+                          [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                              if (!alive.expired())
+                                  noteStoreTime(result.storeMilliseconds);
+                          });
+}
+
+void SchedulerSession::noteStoreTime(std::int64_t milliseconds)
+{
+    if (milliseconds == 0)
+        return;
+    m_storeTime = milliseconds;
+    m_storeTimeNotedAt = m_hooks.clock();
+}
+
+std::int64_t SchedulerSession::storeTime() const
+{
+    if (m_storeTime == 0)
+        return 0;
+    const Duration elapsed = m_hooks.clock() - m_storeTimeNotedAt;
+    return m_storeTime + std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
 }
 
 void SchedulerSession::tick()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -56,6 +56,8 @@
     void plan();
     void writeRows();
     void writePendingCounts();
+    void noteStoreTime(std::int64_t milliseconds);
+    std::int64_t storeTime() const;
     void tick();
     void reportDeposed();
     WorkerReplyHooks replyHooks();
@@ -76,7 +78,8 @@
     std::map<std::uint64_t, MaintenanceWave> m_waves; ///< by number
     std::unique_ptr<RowFollower> m_jobFollower;
     std::vector<WorkerDescription> m_workersRead;
-    std::map<std::string, unsigned> m_writtenCounts;
+    std::int64_t m_storeTime = 0; ///< milliseconds on the store's clock; 0: not known
+    TimePoint m_storeTimeNotedAt;
     asio::steady_timer m_claimTimer;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_workerTimer;
