Kernel/Jobs: Lend hosts of pools whose turn is over

Cause: a pool that needed 6 hosts kept 18, because its tasks were spread and none of them was empty, while another asked for 30.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -102,6 +102,10 @@
 {
     if (m_hosts.empty())
         return;
+    if (m_firstHosts.empty()) {
+        for (const auto &[id, host] : m_hosts)
+            ++m_firstHosts[host.description.pool];
+    }
     observeDemand(now, scheduler, configuration);
     // A former holder may have given orders until its lease ended.
     if (now < m_begunAt + m_timing.holderPause && m_epoch > 1)
@@ -217,7 +221,7 @@
         if (taken >= (idle && spared ? wave.request.atOnce : wanted) || (!spared && !late))
             continue;
         host->reservedForWave = wave.request.number;
-        host->reservedForPool.clear();
+        host->lent = false;
         ++taken;
         --present[pool];
         observe("host-reserved", host->description.id,
@@ -257,7 +261,7 @@
     if (outcome == HostOrderOutcome::Invalid)
         m_impossible.insert({order.host, order.pool});
     if (outcome == HostOrderOutcome::Accepted) {
-        host.reservedForPool.clear();
+        host.lent = false;
         return;
     }
     if (outcome == HostOrderOutcome::Unknown) {
@@ -266,7 +270,7 @@
     }
     host.away = false;
     host.notBefore = now + refusedOrderPause;
-    host.reservedForPool.clear();
+    host.lent = false;
 }
 
 // Moves
@@ -292,7 +296,8 @@
         sizes[host.description.pool] = host.description.capacity;
         anySize = host.description.capacity;
     }
-    const auto loads = poolLoads(scheduler);
+    const auto loads = poolLoads(scheduler, m_demandObservedAt);
+    m_demandObservedAt = now;
     auto present = presentHosts();
     for (const PoolSettings &pool : configuration.pools) {
         if (pool.spare)
@@ -303,6 +308,8 @@
         const PoolLoad poolLoad = load == loads.end() ? PoolLoad{} : load->second;
         m_demand.observe(now, pool.name, poolLoad, size == sizes.end() ? anySize : size->second);
         const unsigned after = m_demand.neededHosts(pool.name);
+        if (after > 0 && after >= m_firstHosts[pool.name])
+            m_hadBurst.insert(pool.name);
         if (after != before)
             observe(
                 "pool-demand", {},
@@ -344,14 +351,21 @@
     host.description.pool = pool;
 }
 
-unsigned HostPlanner::keptHosts(const PoolSettings &pool, unsigned present, bool forGood) const
+unsigned HostPlanner::readyHosts(const PoolSettings &pool) const
+{
+    // A pool without a burst so far may be the next to have one, before other hosts can come.
+    const auto first = m_firstHosts.find(pool.name);
+    const bool due = !pool.spare && !m_hadBurst.contains(pool.name);
+    return due && first != m_firstHosts.end() ? first->second : 0;
+}
+
+unsigned HostPlanner::keptHosts(const PoolSettings &pool, bool forGood) const
 {
     if (pool.spare)
         return 0;
     const unsigned needed
         = forGood ? m_demand.lastingNeed(pool.name) : m_demand.neededHosts(pool.name);
-    // A pool without a burst so far may be the next to have one, before other hosts can come.
-    return m_demand.hadBurst(pool.name) ? needed + 1 : std::max(needed + 1, present);
+    return std::max(needed + 1, readyHosts(pool));
 }
 
 bool HostPlanner::giveHost(TimePoint now, const JobScheduler &scheduler, const std::string &from,
@@ -364,6 +378,38 @@
     return true;
 }
 
+bool HostPlanner::hasLastingRuns(const Host &host, const JobScheduler &scheduler)
+{
+    const auto worker = scheduler.workers().find(host.description.worker);
+    return worker != scheduler.workers().end()
+           && std::any_of(worker->second.runs.begin(), worker->second.runs.end(),
+                          [&](const auto &entry) { return scheduler.isLasting(entry.first.task); });
+}
+
+void HostPlanner::lendHosts(const std::string &pool, std::size_t count,
+                            const JobScheduler &scheduler)
+{
+    std::vector<Host *> hosts;
+    for (auto &[id, host] : m_hosts) {
+        if (host.description.pool != pool)
+            continue;
+        const bool able = !host.away && host.reservedForWave == 0
+                          && host.description.phase == HostPhase::Up
+                          && !hasLastingRuns(host, scheduler);
+        if (able)
+            hosts.push_back(&host);
+        else
+            host.lent = false;
+    }
+    // Hosts that are lent already stay so, or none would ever become empty.
+    std::stable_sort(hosts.begin(), hosts.end(), [&](const Host *left, const Host *right) {
+        return std::make_pair(!left->lent, load(*left, scheduler))
+               < std::make_pair(!right->lent, load(*right, scheduler));
+    });
+    for (std::size_t index = 0; index < hosts.size(); ++index)
+        hosts[index]->lent = index < count;
+}
+
 void HostPlanner::planMoves(TimePoint now, const JobScheduler &scheduler,
                             const JobConfiguration &configuration)
 {
@@ -379,7 +425,7 @@
     }
     const auto move = [&](const std::string &from, const std::string &to, Duration idleFor) {
         const bool forGood = idleFor.count() > 0;
-        const unsigned kept = keptHosts(*configuration.pool(from), present[from], forGood);
+        const unsigned kept = keptHosts(*configuration.pool(from), forGood);
         if (from == to || present[from] <= kept || !giveHost(now, scheduler, from, to, idleFor))
             return false;
         --present[from];
@@ -389,13 +435,24 @@
     // Hosts of pools that don't need them are on already; those of a spare pool are not.
     std::vector<std::string> sources = givers;
     sources.insert(sources.end(), spares.begin(), spares.end());
+    std::size_t missing = 0;
     for (const PoolSettings &pool : configuration.pools) {
+        if (pool.spare)
+            continue;
         const auto grow = [&](const std::string &from) {
             return move(from, pool.name, Duration{0});
         };
-        while (!pool.spare && present[pool.name] < m_demand.neededHosts(pool.name)
-               && std::any_of(sources.begin(), sources.end(), grow))
+        const unsigned wanted = std::max(m_demand.neededHosts(pool.name), readyHosts(pool));
+        while (present[pool.name] < wanted && std::any_of(sources.begin(), sources.end(), grow))
             continue;
+        missing += wanted - std::min(wanted, present[pool.name]);
+    }
+    for (const std::string &pool : givers) {
+        const unsigned kept = keptHosts(*configuration.pool(pool), false);
+        const std::size_t surplus = present[pool] - std::min(present[pool], kept);
+        const std::size_t count = std::min(surplus, missing);
+        lendHosts(pool, count, scheduler);
+        missing -= count;
     }
     if (spares.empty())
         return;
@@ -409,7 +466,8 @@
 {
     for (const auto &[id, host] : m_hosts) {
         if (!host.description.worker.empty())
-            scheduler.setReserved(host.description.worker, host.away || host.reservedForWave != 0);
+            scheduler.setReserved(host.description.worker,
+                                  host.away || host.lent || host.reservedForWave != 0);
     }
 }
 
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -235,6 +235,12 @@
         stopRun(now, found->second, name);
 }
 
+bool JobScheduler::isLasting(const TaskName &name) const
+{
+    const auto found = m_jobs.find(name.job);
+    return found != m_jobs.end() && found->second.step(name.step).longRunning;
+}
+
 void JobScheduler::setReserved(const std::string &worker, bool reserved)
 {
     const auto found = m_workers.find(worker);
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -9,8 +9,10 @@
 
 // Waiting work should be done within this time. A host that is moved needs most of it to come.
 constexpr double backlogHorizonSeconds = 2.0;
-// A pool that wants this many times the hosts of its long-running tasks has a burst.
-constexpr unsigned burstFactor = 2;
+// The rate of arrivals is taken over this time, or longer until it holds enough jobs.
+constexpr std::chrono::milliseconds shortestWindow{700};
+constexpr std::chrono::milliseconds longestWindow{2500};
+constexpr std::size_t leastArrivals = 6;
 // Placement cannot fill hosts to the last core with tasks of several sizes.
 constexpr double usableShare = 0.9;
 // A pool gives hosts away for good when it had no need for them this long: a host moved out and
@@ -53,13 +55,28 @@
     load.waitingMegabyteSeconds += static_cast<double>(size.megabytes) * seconds;
 }
 
+AddedWork workOf(const JobScheduler &scheduler, const Job &job)
+{
+    AddedWork work;
+    work.at = job.seenAt;
+    for (const auto &step : job.submitted().specification.steps) {
+        const double seconds = toSeconds(scheduler.expectedRuntime(job, step)) * step.count;
+        if (!step.fills)
+            work.milliProcessorSeconds += static_cast<double>(step.size.milliProcessors) * seconds;
+        work.megabyteSeconds += static_cast<double>(step.size.megabytes) * seconds;
+    }
+    return work;
+}
+
 } // namespace
 
-std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler)
+std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint since)
 {
     std::map<std::string, PoolLoad> loads;
     for (const auto &[id, job] : scheduler.jobs()) {
         PoolLoad &load = loads[scheduler.poolOf(job)];
+        if (job.seenAt > since && !job.longRunning())
+            load.added.push_back(workOf(scheduler, job));
         for (const auto &[number, occurrence] : job.occurrences()) {
             for (unsigned step = 0; step < occurrence.steps.size(); ++step)
                 addStep(load, job.step(step), occurrence.steps[step],
@@ -69,15 +86,40 @@
     return loads;
 }
 
+AddedWork PoolDemand::arrivalRate(TimePoint now, std::deque<AddedWork> &arrivals)
+{
+    while (!arrivals.empty() && arrivals.front().at < now - longestWindow)
+        arrivals.pop_front();
+    while (arrivals.size() > leastArrivals && arrivals.front().at < now - shortestWindow)
+        arrivals.pop_front();
+    if (arrivals.size() < leastArrivals)
+        return {};
+    AddedWork sum;
+    for (const AddedWork &work : arrivals) {
+        sum.milliProcessorSeconds += work.milliProcessorSeconds;
+        sum.megabyteSeconds += work.megabyteSeconds;
+    }
+    const double seconds
+        = std::max(toSeconds(now - arrivals.front().at), toSeconds(shortestWindow));
+    return {now, sum.milliProcessorSeconds / seconds, sum.megabyteSeconds / seconds};
+}
+
 void PoolDemand::observe(TimePoint now, const std::string &pool, const PoolLoad &load,
                          const TaskSize &hostSize)
 {
     State &state = m_pools[pool];
-    const double processors
-        = static_cast<double>(load.lasting.milliProcessors + load.active.milliProcessors)
-          + load.waitingMilliProcessorSeconds / backlogHorizonSeconds;
-    const double megabytes = static_cast<double>(load.lasting.megabytes + load.active.megabytes)
-                             + load.waitingMegabyteSeconds / backlogHorizonSeconds;
+    state.arrivals.insert(state.arrivals.end(), load.added.begin(), load.added.end());
+    const AddedWork rate = arrivalRate(now, state.arrivals);
+    // Work that arrives at a steady rate keeps as many processors busy as the rate says.
+    const auto needed
+        = [](std::int64_t lasting, std::int64_t active, double arriving, double waiting) {
+              return static_cast<double>(lasting) + std::max(static_cast<double>(active), arriving)
+                     + waiting / backlogHorizonSeconds;
+          };
+    const double processors = needed(load.lasting.milliProcessors, load.active.milliProcessors,
+                                     rate.milliProcessorSeconds, load.waitingMilliProcessorSeconds);
+    const double megabytes = needed(load.lasting.megabytes, load.active.megabytes,
+                                    rate.megabyteSeconds, load.waitingMegabyteSeconds);
     const auto byLoad = static_cast<unsigned>(std::ceil(hostsFor(processors, megabytes, hostSize)));
     state.needed = std::max(byLoad, load.widestSpread);
     while (!state.recent.empty() && state.recent.back().second <= state.needed)
@@ -85,12 +127,6 @@
     state.recent.emplace_back(now, state.needed);
     while (state.recent.front().first < now - shrinkDelay)
         state.recent.pop_front();
-    const unsigned quiet
-        = std::max(load.widestSpread, static_cast<unsigned>(std::ceil(hostsFor(
-                                          static_cast<double>(load.lasting.milliProcessors),
-                                          static_cast<double>(load.lasting.megabytes), hostSize))));
-    if (state.needed >= burstFactor * std::max(quiet, 1U))
-        state.hadBurst = true;
 }
 
 unsigned PoolDemand::neededHosts(const std::string &pool) const
@@ -105,10 +141,4 @@
     return found == m_pools.end() ? 0 : found->second.recent.front().second;
 }
 
-bool PoolDemand::hadBurst(const std::string &pool) const
-{
-    const auto found = m_pools.find(pool);
-    return found != m_pools.end() && found->second.hadBurst;
-}
-
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -65,7 +65,7 @@
         TimePoint notBefore; ///< of the next order
         std::optional<TimePoint> idleSince;
         std::uint64_t reservedForWave = 0; ///< 0: for none
-        std::string reservedForPool; ///< empty: for none
+        bool lent = false; ///< gets no further runs, so that it can move to a pool in need
     };
     struct Wave
     {
@@ -79,7 +79,8 @@
     void reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler);
     unsigned wantedAtOnce(TimePoint now, const Wave &wave, std::size_t left) const;
     unsigned inMaintenance(const Wave &wave) const;
-    unsigned keptHosts(const PoolSettings &pool, unsigned present, bool forGood) const;
+    unsigned readyHosts(const PoolSettings &pool) const;
+    unsigned keptHosts(const PoolSettings &pool, bool forGood) const;
     bool giveHost(TimePoint now, const JobScheduler &scheduler, const std::string &from,
                   const std::string &to, Duration idleFor);
     void planMoves(TimePoint now, const JobScheduler &scheduler,
@@ -89,6 +90,8 @@
     std::map<std::string, unsigned> presentHosts() const;
     Host *donor(TimePoint now, const JobScheduler &scheduler, const std::string &pool,
                 Duration idleFor);
+    void lendHosts(const std::string &pool, std::size_t count, const JobScheduler &scheduler);
+    static bool hasLastingRuns(const Host &host, const JobScheduler &scheduler);
     void noteIdleHosts(TimePoint now, const JobScheduler &scheduler);
     void moveHost(TimePoint now, Host &host, const std::string &pool);
     void order(TimePoint now, Host &host, HostOrder order);
@@ -105,6 +108,11 @@
     std::map<std::string, HostDescription> m_listed; ///< the newest list as it is
     std::map<std::uint64_t, Wave> m_waves;
     PoolDemand m_demand;
+    TimePoint m_demandObservedAt;
+    std::map<std::string, unsigned> m_firstHosts; ///< by pool, at the first plan
+    /// Pools that needed as many hosts as they had at first. Where demand comes by turns, they are
+    /// the last to be busy again.
+    std::set<std::string> m_hadBurst;
     std::set<std::pair<std::string, std::string>> m_impossible; ///< host and pool
     TimePoint m_listAskedAt;
 };
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -84,6 +84,8 @@
     void stopShortRuns(TimePoint now, const std::string &worker);
     /// Pool whose workers run the tasks of \a job.
     const std::string &poolOf(const Job &job) const { return queueOf(job).pool; }
+    /// Whether the task runs until its job is cancelled.
+    bool isLasting(const TaskName &name) const;
     /// A reserved worker gets no further runs, and its long-running tasks move away.
     void setReserved(const std::string &worker, bool reserved);
 
--- a/Kernel/include/Kernel/Jobs/PoolDemand.h
+++ b/Kernel/include/Kernel/Jobs/PoolDemand.h
@@ -5,9 +5,18 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Peridot::Jobs {
 
+/// Work that came with one job.
+struct AddedWork
+{
+    TimePoint at;
+    double milliProcessorSeconds = 0;
+    double megabyteSeconds = 0;
+};
+
 /// What the tasks of one pool need at the moment.
 struct PoolLoad
 {
@@ -17,12 +26,13 @@
     /// Work of the waiting tasks: their size times the expected runtime.
     double waitingMilliProcessorSeconds = 0;
     double waitingMegabyteSeconds = 0;
-    unsigned widestSpread
-        = 0; ///< hosts that a long-running step needs by its limit for each worker
+    /// Hosts that the widest long-running step needs, by its limit for each worker.
+    unsigned widestSpread = 0;
+    std::vector<AddedWork> added; ///< jobs that came since the last observation
 };
 
-/// Load by pool, from the jobs of the scheduler.
-std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler);
+/// Load by pool, from the jobs of the scheduler. Jobs seen after \a since count as added.
+std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint since);
 
 /// Number of hosts that each pool needs, now and over the last moments.
 class PoolDemand
@@ -35,18 +45,17 @@
     unsigned neededHosts(const std::string &pool) const;
     /// The largest need of the last moments, below which a pool gives no host away for good.
     unsigned lastingNeed(const std::string &pool) const;
-    /// Whether the pool had a burst: it wanted much more than its long-running tasks need. Where
-    /// demand comes by turns, such a pool is the last to be busy again.
-    bool hadBurst(const std::string &pool) const;
 
 private:
     struct State
     {
         unsigned needed = 0;
         std::deque<std::pair<TimePoint, unsigned>> recent; ///< falling needs; the first is largest
-        bool hadBurst = false;
+        std::deque<AddedWork> arrivals; ///< the newest jobs
     };
 
+    static AddedWork arrivalRate(TimePoint now, std::deque<AddedWork> &arrivals);
+
     std::map<std::string, State> m_pools;
 };
 
