--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -238,8 +238,14 @@
 {
     const Job &job = *jobOf(name.task);
     const StepSpecification &step = job.step(name.task.step);
-    if (!step.longRunning)
-        return; // short tasks end by themselves
+    if (!step.longRunning && !step.savesProgress)
+        return; // it ends by itself, and a stop would lose its work
+    if (!step.longRunning && placesFor(job, name.task, candidates(now, queueOf(job).pool)).empty())
+        return;
+    if (!step.longRunning) {
+        observe("run-evacuated", name, worker.description.id);
+        return stopRun(now, worker, name);
+    }
     const unsigned allowed = std::max(1U, step.maximumUnavailable.value_or(1));
     const unsigned away = unavailableTasks(job, name.task.occurrence, name.task.step);
     const bool ownIsAway = worker.runs.at(name).percent != 100;
