Kernel/Jobs, Services/Jobs: Go on with host orders right after a change of the scheduler

Cause: a successor gave no host order for 3 s, and pools before their first burst kept idle hosts while another starved.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -18,15 +18,16 @@
 constexpr std::chrono::milliseconds waveReserve{5000};
 // Short tasks on a host that is due are stopped when less than this is left of the period.
 constexpr std::chrono::milliseconds waveUrgent{4000};
+// Pools without a burst keep fewer hosts for this long after another pool lacked some.
+constexpr std::chrono::milliseconds starvedDelay{1000};
 // A host goes back to the spare pool when nobody had a use for it for so long. Each move costs as
 // much as a second of an idle host, and the next burst needs the same time to get it from there.
 constexpr std::chrono::milliseconds parkingDelay{1200};
 
 } // namespace
 
-HostPlanner::HostPlanner(std::uint64_t epoch, HostPlannerTiming timing, HostPlannerHooks hooks,
-                         TimePoint now)
-    : m_epoch(epoch), m_timing(timing), m_hooks(std::move(hooks)), m_begunAt(now)
+HostPlanner::HostPlanner(std::uint64_t epoch, HostPlannerTiming timing, HostPlannerHooks hooks)
+    : m_epoch(epoch), m_timing(timing), m_hooks(std::move(hooks))
 {
 }
 
@@ -83,6 +84,18 @@
     observe("wave-requested", {}, std::to_string(request.number));
 }
 
+void HostPlanner::holdBack(const std::string &host, TimePoint time)
+{
+    m_heldBack[host] = time;
+}
+
+bool HostPlanner::mayOrder(TimePoint now, const Host &host) const
+{
+    const auto heldBack = m_heldBack.find(host.description.id);
+    return !host.orderInFlight && now >= host.notBefore && host.description.phase == HostPhase::Up
+           && (heldBack == m_heldBack.end() || now >= heldBack->second);
+}
+
 const std::set<std::string> &HostPlanner::doneHosts(std::uint64_t wave) const
 {
     return m_waves.at(wave).done;
@@ -107,9 +120,6 @@
             ++m_firstHosts[host.description.pool];
     }
     observeDemand(now, scheduler, configuration);
-    // A former holder may have given orders until its lease ended.
-    if (now < m_begunAt + m_timing.holderPause && m_epoch > 1)
-        return;
     for (auto &[number, wave] : m_waves) {
         if (!wave.completed)
             planWave(now, wave, scheduler);
@@ -181,7 +191,7 @@
         if (entry == m_hosts.end() || entry->second.reservedForWave != wave.request.number)
             continue;
         Host &host = entry->second;
-        if (host.orderInFlight || now < host.notBefore || host.description.phase != HostPhase::Up)
+        if (host.away || !mayOrder(now, host))
             continue;
         if (runsOn(host, scheduler) > 0) {
             if (urgent)
@@ -335,8 +345,7 @@
                                       const std::string &pool, Duration idleFor)
 {
     for (auto &[id, host] : m_hosts) {
-        const bool free = !host.away && !host.orderInFlight && host.reservedForWave == 0
-                          && now >= host.notBefore && host.description.phase == HostPhase::Up;
+        const bool free = !host.away && host.reservedForWave == 0 && mayOrder(now, host);
         if (!free || host.description.pool != pool || runsOn(host, scheduler) > 0)
             continue;
         if (host.idleSince && now >= *host.idleSince + idleFor)
@@ -351,21 +360,23 @@
     host.description.pool = pool;
 }
 
-unsigned HostPlanner::readyHosts(const PoolSettings &pool) const
+unsigned HostPlanner::readyHosts(TimePoint now, const PoolSettings &pool) const
 {
     // A pool without a burst so far may be the next to have one, before other hosts can come.
     const auto first = m_firstHosts.find(pool.name);
     const bool due = !pool.spare && !m_hadBurst.contains(pool.name);
-    return due && first != m_firstHosts.end() ? first->second : 0;
+    if (!due || first == m_firstHosts.end())
+        return 0;
+    return now < m_starvedUntil ? (first->second + 1) / 2 : first->second;
 }
 
-unsigned HostPlanner::keptHosts(const PoolSettings &pool, bool forGood) const
+unsigned HostPlanner::keptHosts(TimePoint now, const PoolSettings &pool, bool forGood) const
 {
     if (pool.spare)
         return 0;
     const unsigned needed
         = forGood ? m_demand.lastingNeed(pool.name) : m_demand.neededHosts(pool.name);
-    return std::max(needed + 1, readyHosts(pool));
+    return std::max(needed + 1, readyHosts(now, pool));
 }
 
 bool HostPlanner::giveHost(TimePoint now, const JobScheduler &scheduler, const std::string &from,
@@ -410,55 +421,71 @@
         hosts[index]->lent = index < count;
 }
 
-void HostPlanner::planMoves(TimePoint now, const JobScheduler &scheduler,
-                            const JobConfiguration &configuration)
+bool HostPlanner::takeHost(TimePoint now, const JobScheduler &scheduler, MovePlan &plan,
+                           const std::string &target)
 {
-    noteIdleHosts(now, scheduler);
-    auto present = presentHosts();
-    std::vector<std::string> spares;
-    std::vector<std::string> givers;
-    for (const PoolSettings &pool : configuration.pools) {
-        if (pool.spare)
-            spares.push_back(pool.name);
-        else
-            givers.push_back(pool.name);
-    }
-    const auto move = [&](const std::string &from, const std::string &to, Duration idleFor) {
-        const bool forGood = idleFor.count() > 0;
-        const unsigned kept = keptHosts(*configuration.pool(from), forGood);
-        if (from == to || present[from] <= kept || !giveHost(now, scheduler, from, to, idleFor))
-            return false;
-        --present[from];
-        ++present[to];
-        return true;
-    };
     // Hosts of pools that don't need them are on already; those of a spare pool are not.
-    std::vector<std::string> sources = givers;
-    sources.insert(sources.end(), spares.begin(), spares.end());
-    std::size_t missing = 0;
-    for (const PoolSettings &pool : configuration.pools) {
-        if (pool.spare)
+    for (const PoolSettings *pool : plan.donors) {
+        const unsigned kept = keptHosts(now, *pool, false);
+        if (pool->name == target || plan.present[pool->name] <= kept
+            || !giveHost(now, scheduler, pool->name, target, Duration{0}))
             continue;
-        const auto grow = [&](const std::string &from) {
-            return move(from, pool.name, Duration{0});
-        };
-        const unsigned wanted = std::max(m_demand.neededHosts(pool.name), readyHosts(pool));
-        while (present[pool.name] < wanted && std::any_of(sources.begin(), sources.end(), grow))
+        --plan.present[pool->name];
+        ++plan.present[target];
+        return true;
+    }
+    return false;
+}
+
+void HostPlanner::growPools(TimePoint now, const JobScheduler &scheduler, MovePlan &plan)
+{
+    for (const PoolSettings *pool : plan.donors) {
+        if (pool->spare)
             continue;
-        missing += wanted - std::min(wanted, present[pool.name]);
+        const unsigned needed = m_demand.neededHosts(pool->name);
+        const unsigned wanted = std::max(needed, readyHosts(now, *pool));
+        unsigned &present = plan.present[pool->name];
+        while (present < wanted && takeHost(now, scheduler, plan, pool->name))
+            continue;
+        if (present < needed) {
+            m_starvedUntil = now + starvedDelay;
+            plan.missing += needed - present;
+        }
     }
-    for (const std::string &pool : givers) {
-        const unsigned kept = keptHosts(*configuration.pool(pool), false);
-        const std::size_t surplus = present[pool] - std::min(present[pool], kept);
-        const std::size_t count = std::min(surplus, missing);
-        lendHosts(pool, count, scheduler);
-        missing -= count;
+}
+
+void HostPlanner::planMoves(TimePoint now, const JobScheduler &scheduler,
+                            const JobConfiguration &configuration)
+{
+    noteIdleHosts(now, scheduler);
+    MovePlan plan;
+    plan.present = presentHosts();
+    for (const PoolSettings &pool : configuration.pools)
+        plan.donors.push_back(&pool);
+    std::stable_partition(plan.donors.begin(), plan.donors.end(),
+                          [](const PoolSettings *pool) { return !pool->spare; });
+    growPools(now, scheduler, plan);
+    for (const PoolSettings *pool : plan.donors) {
+        const unsigned kept = keptHosts(now, *pool, false);
+        const unsigned present = plan.present[pool->name];
+        const std::size_t count
+            = pool->spare ? 0
+                          : std::min<std::size_t>(present - std::min(present, kept), plan.missing);
+        lendHosts(pool->name, count, scheduler);
+        plan.missing -= count;
     }
-    if (spares.empty())
-        return;
-    for (const std::string &pool : givers) {
-        while (move(pool, spares.front(), parkingDelay))
-            continue;
+    if (!plan.donors.empty() && plan.donors.back()->spare)
+        parkHosts(now, scheduler, plan, plan.donors.back()->name);
+}
+
+void HostPlanner::parkHosts(TimePoint now, const JobScheduler &scheduler, MovePlan &plan,
+                            const std::string &sparePool)
+{
+    for (const PoolSettings *pool : plan.donors) {
+        unsigned &present = plan.present[pool->name];
+        while (!pool->spare && present > keptHosts(now, *pool, true)
+               && giveHost(now, scheduler, pool->name, sparePool, parkingDelay))
+            --present;
     }
 }
 
--- a/Kernel/Membership/LeaseKeeper.cpp
+++ b/Kernel/Membership/LeaseKeeper.cpp
@@ -49,7 +49,10 @@
 
 bool LeaseKeeper::isFree(TimePoint now) const
 {
-    return m_rowKnown && (m_row.holder.empty() || now >= m_rowSeenAt + m_row.duration);
+    if (!m_rowKnown)
+        return false;
+    const bool ended = m_settings.hasEnded && m_settings.hasEnded(m_row.holder);
+    return m_row.holder.empty() || ended || now >= m_rowSeenAt + m_row.duration;
 }
 
 bool LeaseKeeper::holdsRow() const
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -14,8 +14,6 @@
 
 struct HostPlannerTiming
 {
-    /// Two holders must not give orders for one host within this time.
-    Duration holderPause = std::chrono::seconds(3);
     Duration maintenance = std::chrono::seconds(2);
 };
 
@@ -34,13 +32,14 @@
 class HostPlanner
 {
 public:
-    HostPlanner(std::uint64_t epoch, HostPlannerTiming timing, HostPlannerHooks hooks,
-                TimePoint now);
+    HostPlanner(std::uint64_t epoch, HostPlannerTiming timing, HostPlannerHooks hooks);
 
     /// The provider's complete list, asked for at \a asked.
     void setHosts(TimePoint asked, const std::vector<HostDescription> &hosts);
     /// \a done: hosts whose maintenance is known to have begun, for example from a former holder.
     void setWave(TimePoint now, const MaintenanceWave &wave, const std::set<std::string> &done);
+    /// A former holder gave an order for the host, so that none may follow before \a time.
+    void holdBack(const std::string &host, TimePoint time);
     void orderFinished(TimePoint now, const HostOrder &order, HostOrderOutcome outcome);
 
     void plan(TimePoint now, JobScheduler &scheduler, const JobConfiguration &configuration);
@@ -75,12 +74,21 @@
         bool completed = false;
     };
 
+    /// State of one pass over the pools.
+    struct MovePlan
+    {
+        std::map<std::string, unsigned> present; ///< hosts by pool, with those on their way
+        std::vector<const PoolSettings *> donors; ///< in order; spare pools last
+        std::size_t missing = 0; ///< hosts that pools lack, and no other pool could give
+    };
+
     void planWave(TimePoint now, Wave &wave, JobScheduler &scheduler);
     void reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler);
     unsigned wantedAtOnce(TimePoint now, const Wave &wave, std::size_t left) const;
     unsigned inMaintenance(const Wave &wave) const;
-    unsigned readyHosts(const PoolSettings &pool) const;
-    unsigned keptHosts(const PoolSettings &pool, bool forGood) const;
+    unsigned readyHosts(TimePoint now, const PoolSettings &pool) const;
+    unsigned keptHosts(TimePoint now, const PoolSettings &pool, bool forGood) const;
+    bool mayOrder(TimePoint now, const Host &host) const;
     bool giveHost(TimePoint now, const JobScheduler &scheduler, const std::string &from,
                   const std::string &to, Duration idleFor);
     void planMoves(TimePoint now, const JobScheduler &scheduler,
@@ -90,6 +98,11 @@
     std::map<std::string, unsigned> presentHosts() const;
     Host *donor(TimePoint now, const JobScheduler &scheduler, const std::string &pool,
                 Duration idleFor);
+    bool takeHost(TimePoint now, const JobScheduler &scheduler, MovePlan &plan,
+                  const std::string &target);
+    void growPools(TimePoint now, const JobScheduler &scheduler, MovePlan &plan);
+    void parkHosts(TimePoint now, const JobScheduler &scheduler, MovePlan &plan,
+                   const std::string &sparePool);
     void lendHosts(const std::string &pool, std::size_t count, const JobScheduler &scheduler);
     static bool hasLastingRuns(const Host &host, const JobScheduler &scheduler);
     void noteIdleHosts(TimePoint now, const JobScheduler &scheduler);
@@ -103,8 +116,9 @@
     std::uint64_t m_epoch;
     HostPlannerTiming m_timing;
     HostPlannerHooks m_hooks;
-    TimePoint m_begunAt;
     std::map<std::string, Host> m_hosts;
+    std::map<std::string, TimePoint> m_heldBack; ///< hosts that get no order before
+    TimePoint m_starvedUntil; ///< a pool lacked hosts lately
     std::map<std::string, HostDescription> m_listed; ///< the newest list as it is
     std::map<std::uint64_t, Wave> m_waves;
     PoolDemand m_demand;
--- a/Kernel/include/Kernel/Membership/LeaseKeeper.h
+++ b/Kernel/include/Kernel/Membership/LeaseKeeper.h
@@ -27,6 +27,9 @@
     bool deleteOnRelease = false; ///< member rows are removed; lease rows keep their epoch
     MembershipTiming timing;
     MembershipDefects defects;
+    /// Whether a holder has certainly ended, for example an earlier process of this host. Its lease
+    /// is free at once. Empty: none has.
+    std::function<bool(const std::string &holder)> hasEnded = {};
 };
 
 /// Acquires, renews and releases one lease row with conditional transactions.
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -2,7 +2,7 @@
 
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -10,11 +10,13 @@
 namespace {
 
 constexpr std::string_view wavePrefix = "wave/";
+constexpr std::string_view orderPrefix = "host-order/"; ///< newest order for each host
 constexpr std::chrono::milliseconds listPeriod{1000};
 constexpr std::chrono::milliseconds busyListPeriod{300}; ///< while hosts are on their way
 constexpr std::chrono::milliseconds planPeriod{100};
 constexpr std::chrono::milliseconds retryPause{200};
 constexpr std::size_t scanPage = 500; ///< rows
+constexpr std::size_t ordersPerTransaction = 50;
 
 std::string waveKey(std::uint64_t wave)
 {
@@ -52,10 +54,10 @@
 } // namespace
 
 HostSession::HostSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
-                         RowCheck epochCheck, HostPlannerTiming timing, Hooks hooks)
+                         RowCheck epochCheck, HostSessionTiming timing, Hooks hooks)
     : m_ports(ports), m_epochCheck(std::move(epochCheck)), m_hooks(std::move(hooks)),
-      m_planner(epoch, timing, plannerHooks(), m_hooks.clock()), m_listTimer(context),
-      m_loadTimer(context)
+      m_holderPause(timing.holderPause), m_planner(epoch, timing.planner, plannerHooks()),
+      m_listTimer(context)
 {
 }
 
@@ -63,10 +65,10 @@
 {
     HostPlannerHooks hooks;
     hooks.order = [this](const HostOrder &order) {
-        sendOrder(order);
+        m_planned.push_back(order);
     };
     hooks.waveCompleted = [this](std::uint64_t wave) {
-        writeWave(wave, true);
+        writeWave(wave, {m_ports.waveStatus(wave, true)});
     };
     hooks.deposed = [this] {
         m_hooks.deposed();
@@ -81,33 +83,50 @@
 {
     if (!m_ports.listHosts)
         return;
-    loadWaves();
+    load(std::string(wavePrefix));
+    load(std::string(orderPrefix));
     listHosts();
 }
 
-void HostSession::loadWaves()
-{
-    m_ports.store->scan(std::string(wavePrefix), {}, scanPage,
-                        [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-                            if (alive.expired())
-                                return;
-                            if (result.status != ReadStatus::Ok) {
-                                m_loadTimer.expires_after(retryPause);
-                                m_loadTimer.async_wait([this](const asio::error_code &error) {
-                                    if (!error)
-                                        loadWaves();
-                                });
-                                return;
-                            }
-                            for (const Row &row : result.rows) {
-                                const auto number = std::strtoull(
-                                    row.key.c_str() + wavePrefix.size(), nullptr, 10);
-                                m_loadedDone[number] = decodeDone(row);
-                            }
-                            m_wavesLoaded = true;
-                            for (const auto &[number, wave] : m_waves)
-                                m_planner.setWave(m_hooks.clock(), wave, m_loadedDone[number]);
-                        });
+void HostSession::load(const std::string &prefix)
+{
+    m_ports.store->scan(
+        prefix, {}, scanPage,
+        [this, prefix, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+            if (alive.expired())
+                return;
+            if (result.status == ReadStatus::Ok)
+                return prefix == wavePrefix ? wavesLoaded(result) : ordersLoaded(result);
+            auto timer
+                = std::make_shared<asio::steady_timer>(m_listTimer.get_executor(), retryPause);
+            timer->async_wait([this, prefix, timer, alive](const asio::error_code &error) {
+                if (!error && !alive.expired())
+                    load(prefix);
+            });
+        });
+}
+
+void HostSession::wavesLoaded(const ReadResult &result)
+{
+    for (const Row &row : result.rows) {
+        const auto number = std::strtoull(row.key.c_str() + wavePrefix.size(), nullptr, 10);
+        m_loadedDone[number] = decodeDone(row);
+    }
+    m_wavesLoaded = true;
+    for (const auto &[number, wave] : m_waves)
+        beginWave(wave);
+}
+
+void HostSession::ordersLoaded(const ReadResult &result)
+{
+    m_ordersLoaded = true;
+    for (const Row &row : result.rows) {
+        const auto orderedAt = std::strtoll(row.value.c_str(), nullptr, 10);
+        const Duration age = std::chrono::milliseconds(result.storeMilliseconds - orderedAt);
+        if (age < m_holderPause)
+            m_planner.holdBack(row.key.substr(orderPrefix.size()),
+                               m_hooks.clock() + m_holderPause - age);
+    }
 }
 
 void HostSession::setWave(const MaintenanceWave &wave)
@@ -115,8 +134,15 @@
     if (!m_waves.emplace(wave.number, wave).second)
         return;
     if (m_wavesLoaded)
-        m_planner.setWave(m_hooks.clock(), wave, m_loadedDone[wave.number]);
-    writeWave(wave.number, false);
+        beginWave(wave);
+}
+
+void HostSession::beginWave(const MaintenanceWave &wave)
+{
+    const bool isNew = !m_loadedDone.contains(wave.number);
+    m_planner.setWave(m_hooks.clock(), wave, m_loadedDone[wave.number]);
+    if (isNew)
+        writeWave(wave.number, {m_ports.waveStatus(wave.number, false)});
 }
 
 void HostSession::listHosts()
@@ -145,10 +171,46 @@
         m_listApplied = m_planner.listAskedAt();
         scheduler.setExistingWorkers(now, m_listApplied, m_planner.existingWorkers());
     }
-    if (!m_wavesLoaded || now < m_lastPlan + planPeriod || !m_hooks.mayOrder())
+    const bool ready = m_wavesLoaded && m_ordersLoaded && m_hooks.storeTime() != 0;
+    if (!ready || now < m_lastPlan + planPeriod || !m_hooks.mayOrder())
         return;
     m_lastPlan = now;
     m_planner.plan(now, scheduler, configuration);
+    recordOrders(std::exchange(m_planned, {}));
+}
+
+void HostSession::recordOrders(std::vector<HostOrder> orders)
+{
+    // A successor waits for the pause after the newest order of each host, so the times of orders
+    // are written before they are sent.
+    while (!orders.empty()) {
+        const std::size_t count = std::min(orders.size(), ordersPerTransaction);
+        std::vector<HostOrder> batch(orders.begin(),
+                                     orders.begin() + static_cast<std::ptrdiff_t>(count));
+        orders.erase(orders.begin(), orders.begin() + static_cast<std::ptrdiff_t>(count));
+        Transaction transaction;
+        transaction.operationId = "host-orders";
+        transaction.checks = {m_epochCheck};
+        for (const HostOrder &order : batch)
+            transaction.writes.push_back(
+                {std::string(orderPrefix) + order.host, std::to_string(m_hooks.storeTime())});
+        m_ports.store->commit(
+            transaction, [this, batch, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                if (!alive.expired())
+                    ordersRecorded(batch, result);
+            });
+    }
+}
+
+void HostSession::ordersRecorded(const std::vector<HostOrder> &orders, const CommitResult &result)
+{
+    const bool recorded = result.status == CommitStatus::Committed && m_hooks.mayOrder();
+    for (const HostOrder &order : orders) {
+        if (recorded)
+            sendOrder(order);
+        else
+            m_planner.orderFinished(m_hooks.clock(), order, HostOrderOutcome::Refused);
+    }
 }
 
 void HostSession::sendOrder(const HostOrder &order)
@@ -159,25 +221,23 @@
             return;
         m_planner.orderFinished(m_hooks.clock(), sent, outcome);
         if (sent.kind == HostOrderKind::Maintain && outcome == HostOrderOutcome::Accepted)
-            writeWave(sent.wave, false);
+            writeWave(sent.wave, {});
     });
 }
 
-void HostSession::writeWave(std::uint64_t wave, bool completed)
+void HostSession::writeWave(std::uint64_t wave, std::vector<RowWrite> status)
 {
     Transaction transaction;
     transaction.operationId = waveKey(wave);
     transaction.checks = {m_epochCheck};
-    transaction.writes = {m_ports.waveStatus(wave, completed)};
-    if (m_wavesLoaded)
-        transaction.writes.push_back({waveKey(wave), encodeDone(m_planner.doneHosts(wave))});
-    m_ports.store->commit(transaction, [this, wave, completed, alive = std::weak_ptr(m_alive)](
+    transaction.writes = status;
+    transaction.writes.push_back({waveKey(wave), encodeDone(m_planner.doneHosts(wave))});
+    m_ports.store->commit(transaction, [this, wave, status, alive = std::weak_ptr(m_alive)](
                                            const CommitResult &result) {
         const bool done = result.status == CommitStatus::Committed
                           || result.status == CommitStatus::Conflict; // another process goes on
-        if (alive.expired() || done || !completed)
-            return;
-        writeWave(wave, true);
+        if (!alive.expired() && !done && !status.empty())
+            writeWave(wave, status);
     });
 }
 
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -9,9 +9,17 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Peridot::Jobs {
 
+struct HostSessionTiming
+{
+    /// Two holders must not give orders for one host within this time.
+    Duration holderPause = std::chrono::seconds(3);
+    HostPlannerTiming planner;
+};
+
 /// Drives the host planner during one term of the scheduler: lists of hosts, orders to their
 /// provider, and the rows of waves. Single-threaded on its context.
 class HostSession
@@ -23,11 +31,13 @@
         std::function<void()> deposed;
         /// Whether the lease of the scheduler is certainly held now.
         std::function<bool()> mayOrder;
+        /// Milliseconds on the store's clock; 0: not known yet.
+        std::function<std::int64_t()> storeTime;
         std::function<void()> listChanged; ///< the list of workers is worth another look
     };
 
     HostSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
-                RowCheck epochCheck, HostPlannerTiming timing, Hooks hooks);
+                RowCheck epochCheck, HostSessionTiming timing, Hooks hooks);
 
     void start();
     void setWave(const MaintenanceWave &wave);
@@ -35,23 +45,32 @@
     bool changesUnderWay() const { return m_planner.changesUnderWay(); }
 
 private:
-    void loadWaves();
+    void load(const std::string &prefix);
+    void wavesLoaded(const ReadResult &result);
+    void ordersLoaded(const ReadResult &result);
+    void recordOrders(std::vector<HostOrder> orders);
+    void ordersRecorded(const std::vector<HostOrder> &orders, const CommitResult &result);
     void listHosts();
     void sendOrder(const HostOrder &order);
-    void writeWave(std::uint64_t wave, bool completed);
+    void beginWave(const MaintenanceWave &wave);
+    /// Writes the hosts that are done, and \a status beside them; repeats a status until it is known
+    /// to be written.
+    void writeWave(std::uint64_t wave, std::vector<RowWrite> status);
     HostPlannerHooks plannerHooks();
 
     const PlatformPorts &m_ports;
     RowCheck m_epochCheck;
     Hooks m_hooks;
+    Duration m_holderPause;
+    std::vector<HostOrder> m_planned; ///< by the pass under way
     HostPlanner m_planner;
     bool m_wavesLoaded = false;
+    bool m_ordersLoaded = false;
     std::map<std::uint64_t, MaintenanceWave> m_waves;
     std::map<std::uint64_t, std::set<std::string>> m_loadedDone; ///< of former holders, by wave
     TimePoint m_lastPlan;
     TimePoint m_listApplied; ///< when the list was asked for that the scheduler knows
     asio::steady_timer m_listTimer;
-    asio::steady_timer m_loadTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -29,9 +29,15 @@
     return timing;
 }
 
-LeaseKeeperSettings leaseSettings(const std::string &instance)
+LeaseKeeperSettings leaseSettings(const std::string &host, const std::string &instance)
 {
     LeaseKeeperSettings settings;
+    // A host runs one process of this service at a time.
+    settings.hasEnded = [host, instance](const std::string &holder) {
+        return holder != instance && holder.starts_with(host + '-')
+               && std::count(holder.begin(), holder.end(), '-')
+                      == std::count(instance.begin(), instance.end(), '-');
+    };
     settings.key = leaseKey;
     settings.name = "scheduler";
     settings.holder = instance;
@@ -48,7 +54,8 @@
                                        [this](const Row &row) {
                                            configurationRow(row);
                                        }}),
-      m_lease(leaseSettings(m_settings.instance)), m_leaseTimer(context), m_observeTimer(context)
+      m_lease(leaseSettings(m_settings.host, m_settings.instance)), m_leaseTimer(context),
+      m_observeTimer(context)
 {
 }
 
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -17,7 +17,7 @@
     std::string host;
     std::string instance; ///< unique for each start
     SchedulerTiming timing;
-    HostPlannerTiming hostTiming;
+    HostSessionTiming hostTiming;
 };
 
 /// The job service of one host: follows the configuration, answers callers, competes for the lease
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -22,7 +22,7 @@
 
 SchedulerSession::SchedulerSession(asio::io_context &context, const PlatformPorts &ports,
                                    std::uint64_t epoch, SchedulerTiming timing,
-                                   HostPlannerTiming hostTiming, Hooks hooks)
+                                   HostSessionTiming hostTiming, Hooks hooks)
     : m_context(context), m_ports(ports), m_epoch(epoch), m_timing(timing),
       m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_claimTimer(context),
       m_tickTimer(context), m_workerTimer(context), m_countTimer(context)
@@ -191,6 +191,9 @@
         reportDeposed();
     };
     hooks.mayOrder = m_hooks.leaseHeld;
+    hooks.storeTime = [this] {
+        return storeTime();
+    };
     hooks.listChanged = [this] {
         if (!m_readingWorkers)
             readWorkers({});
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -28,7 +28,7 @@
     };
 
     SchedulerSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
-                     SchedulerTiming timing, HostPlannerTiming hostTiming, Hooks hooks);
+                     SchedulerTiming timing, HostSessionTiming hostTiming, Hooks hooks);
     ~SchedulerSession();
     SchedulerSession(const SchedulerSession &) = delete;
     SchedulerSession &operator=(const SchedulerSession &) = delete;
@@ -68,7 +68,7 @@
     const PlatformPorts &m_ports;
     std::uint64_t m_epoch;
     SchedulerTiming m_timing;
-    HostPlannerTiming m_hostTiming;
+    HostSessionTiming m_hostTiming;
     Hooks m_hooks;
     std::shared_ptr<const JobConfiguration> m_configuration;
     std::map<std::string, std::pair<JobProgress, Version>> m_loaded; ///< by job, until scheduling
