--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -110,8 +110,10 @@
         // Another copy of the submission was accepted, here or elsewhere: it is the same job.
         if (conflicts(jobKey(id)) || conflicts(progressKey(id)))
             return answer(pending, {.outcome = CallOutcome::Accepted});
-        for (const Row &row : result.currentRows)
-            m_hooks.onConfigurationRow(row);
+        for (const Row &row : result.currentRows) {
+            if (row.key == m_hooks.configuration().row.key)
+                m_hooks.onConfigurationRow(row);
+        }
         return again(pending, [this, pending] { submit(pending); });
     }
     case CommitStatus::Unknown:
--- /dev/null
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -0,0 +1,235 @@
+#include <Kernel/Jobs/HostPlanner.h>
+#include <Kernel/Jobs/RuntimeModel.h>
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TaskSize hostSize{32000, 131072, 0};
+
+/// Two pools of six hosts and a spare pool of four, with one worker a host; short tasks of one
+/// core. Orders are answered at once.
+class Fleet
+{
+public:
+    explicit Fleet(std::uint64_t epoch = 1)
+        : scheduler(epoch, 1, {}, schedulerHooks(), now), planner(epoch, {}, plannerHooks())
+    {
+        configuration.pools
+            = {{"front", false, false}, {"back", false, false}, {"spare", false, true}};
+        configuration.queues = {{"front-queue", "h", "/f/", "front", 0, 3, 1.6, 600ms},
+                                {"back-queue", "h", "/b/", "back", 0, 3, 1.6, 600ms}};
+        scheduler.setConfiguration(std::make_shared<JobConfiguration>(configuration));
+        for (int index = 0; index < 16; ++index) {
+            HostDescription host;
+            host.id = "h" + std::to_string(index);
+            host.pool = index < 6 ? "front" : index < 12 ? "back" : "spare";
+            host.capacity = hostSize;
+            host.worker = index < 12 ? "w" + std::to_string(index) : std::string();
+            hosts.push_back(host);
+        }
+        listWorkers();
+        planner.setHosts(now, hosts);
+    }
+
+    /// Lists the workers and answers a look to each, so that they may get runs.
+    void listWorkers()
+    {
+        std::vector<WorkerDescription> workers;
+        for (const auto &host : hosts) {
+            if (host.worker.empty())
+                continue;
+            WorkerDescription worker;
+            worker.id = host.worker;
+            worker.address = "10.0.0.1";
+            worker.pool = host.pool;
+            worker.capacity = hostSize;
+            workers.push_back(worker);
+        }
+        scheduler.setWorkers(now, workers);
+        for (const auto &worker : workers) {
+            LookOrder order;
+            order.worker = worker.id;
+            order.sentAt = now;
+            LookReply reply;
+            reply.outcome = OrderOutcome::Accepted;
+            reply.clock = 1000;
+            scheduler.lookFinished(now, order, reply);
+        }
+    }
+
+    void submit(const std::string &queue, unsigned tasks)
+    {
+        SubmittedJob job;
+        job.id = "job" + std::to_string(++m_jobs);
+        job.queue = *configuration.queue(queue);
+        StepSpecification step;
+        step.count = tasks;
+        step.size = {4000, 1000, 0};
+        step.estimatedRuntime = 2s;
+        job.specification.steps = {step};
+        scheduler.addJob(now, job, std::nullopt, absentVersion);
+        scheduler.plan(now);
+    }
+
+    void plan(Duration later = 100ms)
+    {
+        now += later;
+        orders.clear();
+        planner.plan(now, scheduler, configuration);
+    }
+
+    unsigned moves(const std::string &pool) const
+    {
+        return static_cast<unsigned>(
+            std::count_if(orders.begin(), orders.end(), [&](const auto &order) {
+                return order.kind == HostOrderKind::Move && order.pool == pool;
+            }));
+    }
+
+    unsigned maintained() const
+    {
+        return static_cast<unsigned>(
+            std::count_if(orders.begin(), orders.end(),
+                          [](const auto &order) { return order.kind == HostOrderKind::Maintain; }));
+    }
+
+    SchedulerHooks schedulerHooks()
+    {
+        SchedulerHooks hooks;
+        hooks.orders
+            = {[](const StartOrder &) {}, [](const StopOrder &) {}, [](const PaceOrder &) {},
+               [](const LookOrder &) {
+               }};
+        hooks.deposed = [] {
+        };
+        return hooks;
+    }
+
+    HostPlannerHooks plannerHooks()
+    {
+        HostPlannerHooks hooks;
+        hooks.order = [this](const HostOrder &order) {
+            orders.push_back(order);
+        };
+        hooks.waveCompleted = [this](std::uint64_t) {
+            waveCompleted = true;
+        };
+        hooks.deposed = [] {
+        };
+        return hooks;
+    }
+
+    TimePoint now{std::chrono::hours(1)};
+    JobConfiguration configuration;
+    std::vector<HostDescription> hosts;
+    JobScheduler scheduler;
+    HostPlanner planner;
+    std::vector<HostOrder> orders;
+    bool waveCompleted = false;
+
+private:
+    unsigned m_jobs = 0;
+};
+
+} // namespace
+
+TEST_CASE("A burst takes the hosts of the spare pool before those that another pool may need")
+{
+    Fleet fleet;
+    fleet.plan();
+    CHECK(fleet.orders.empty());
+    fleet.submit("front-queue", 70); // 280 cores, and six hosts have 192
+    fleet.plan();
+    CHECK(fleet.moves("front") >= 3);
+    for (const HostOrder &order : fleet.orders)
+        CHECK(std::stoi(order.host.substr(1)) >= 12);
+    SECTION("and some of the other pool's idle ones when it still lacks hosts")
+    {
+        fleet.submit("front-queue", 200);
+        fleet.plan();
+        fleet.plan(); // the pool that had no burst so far keeps half of its hosts
+        CHECK(fleet.moves("front") <= 3);
+        CHECK_FALSE(fleet.orders.empty());
+    }
+    SECTION("a host for which a former scheduler gave an order gets none before its pause is over")
+    {
+        Fleet next(2);
+        for (int index = 12; index < 16; ++index)
+            next.planner.holdBack("h" + std::to_string(index), next.now + 2s);
+        next.submit("front-queue", 70);
+        next.plan();
+        CHECK(next.orders.empty());
+        next.plan(2s);
+        CHECK(next.moves("front") >= 3);
+    }
+}
+
+TEST_CASE("A wave keeps its limit and is completed when every host was maintained")
+{
+    Fleet fleet;
+    MaintenanceWave wave{1, {}, 24s, 2};
+    for (int index = 0; index < 5; ++index)
+        wave.hosts.push_back("h" + std::to_string(index));
+    fleet.planner.setWave(fleet.now, wave, {});
+    fleet.plan();
+    REQUIRE(fleet.maintained() == 2);
+    const auto first = fleet.orders;
+    SECTION("an order without an answer counts as a host in maintenance")
+    {
+        fleet.planner.orderFinished(fleet.now, first[0], HostOrderOutcome::Unknown);
+        fleet.planner.orderFinished(fleet.now, first[1], HostOrderOutcome::Unknown);
+        fleet.plan();
+        CHECK(fleet.maintained() == 0);
+    }
+    SECTION("hosts that are back make room for the next, until all are done")
+    {
+        for (int round = 0; round < 4 && !fleet.waveCompleted; ++round) {
+            for (const HostOrder &order : fleet.orders)
+                fleet.planner.orderFinished(fleet.now, order, HostOrderOutcome::Accepted);
+            fleet.now += 2s;
+            fleet.planner.setHosts(fleet.now, fleet.hosts);
+            fleet.plan();
+            CHECK(fleet.maintained() <= 2);
+        }
+        CHECK(fleet.waveCompleted);
+    }
+    SECTION("a successor does not maintain a host again that is done")
+    {
+        Fleet next(2);
+        next.planner.setWave(next.now, wave, {"h0", "h1", "h2", "h3"});
+        next.plan();
+        REQUIRE(next.maintained() == 1);
+        CHECK(next.orders[0].host == "h4");
+    }
+    SECTION("a host with runs is emptied first")
+    {
+        Fleet busy;
+        busy.submit("front-queue", 48);
+        busy.planner.setWave(busy.now, wave, {});
+        busy.plan();
+        CHECK(busy.maintained() == 0);
+    }
+}
+
+TEST_CASE("Runtimes are learned where declared ones are far off")
+{
+    RuntimeModel model;
+    CHECK(model.predict(5s) == Duration(5s));
+    SECTION("estimates that say nothing lead to the typical runtime")
+    {
+        for (int index = 0; index < 100; ++index)
+            model.learn(index % 2 == 0 ? 100ms : 10s, 800ms);
+        CHECK(toSeconds(model.predict(10s)) == Approx(0.8).epsilon(0.05));
+        CHECK(toSeconds(model.predict(100ms)) == Approx(0.8).epsilon(0.05));
+    }
+    SECTION("estimates that are right are kept")
+    {
+        for (int index = 0; index < 100; ++index)
+            model.learn((1 + index % 5) * 1s, (1 + index % 5) * 1s);
+        CHECK(toSeconds(model.predict(4s)) == Approx(4).epsilon(0.05));
+    }
+}
