--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -73,9 +73,11 @@
     hooks.deposed = [this] {
         m_hooks.deposed();
     };
-    hooks.observe = [](std::string_view kind, const std::string &host, const std::string &detail) {
-        logEvent(LogLevel::Info, kind, {{"host", host}, {"detail", detail}});
-    };
+    hooks.observe
+        = [this](std::string_view kind, const std::string &host, const std::string &detail) {
+              m_hooks.observe(kind);
+              logEvent(LogLevel::Info, kind, {{"host", host}, {"detail", detail}});
+          };
     return hooks;
 }
 
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -33,6 +33,7 @@
         std::function<bool()> mayOrder;
         /// Milliseconds on the store's clock; 0: not known yet.
         std::function<std::int64_t()> storeTime;
+        std::function<void(std::string_view kind)> observe; ///< an event of the planner
         std::function<void()> listChanged; ///< the list of workers is worth another look
     };
 
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -279,6 +279,8 @@
                   {"outcome", callOutcomeNames.nameOf(answer.outcome)},
                   {"attempts", static_cast<std::int64_t>(pending->attempts + 1)},
                   {"ms", static_cast<std::int64_t>(elapsed.count())}});
+    if (m_hooks.onAnswered)
+        m_hooks.onAnswered(call, answer.outcome, m_hooks.clock() - pending->arrivedAt);
     pending->callback(answer);
 }
 
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -31,6 +31,8 @@
         std::function<ConfigurationState()> configuration;
         /// The store has shown this row of the configuration to be newer than the one in force.
         std::function<void(const Row &)> onConfigurationRow;
+        /// Empty: nobody counts.
+        std::function<void(const JobCall &, CallOutcome, Duration)> onAnswered = {};
     };
 
     JobFrontend(asio::io_context &context, Store &store, Hooks hooks);
--- /dev/null
+++ b/Services/Jobs/JobMetrics.cpp
@@ -0,0 +1,79 @@
+#include "JobMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries secondBuckets
+    = {0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+
+template <typename Builder>
+auto &family(Builder builder, const char *name, const char *help, prometheus::Registry &registry)
+{
+    return builder.Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+JobMetrics::JobMetrics()
+    : m_answers(family(prometheus::BuildCounter(), "peridot_job_calls_total",
+                       "Answers to callers by call, queue and outcome.", m_registry)),
+      m_answerTimes(family(prometheus::BuildHistogram(), "peridot_job_call_seconds",
+                           "Time from the arrival of a call to its answer.", m_registry)),
+      m_events(family(prometheus::BuildCounter(), "peridot_job_events_total",
+                      "Events of the scheduler and the host planner by kind.", m_registry)),
+      m_waiting(family(prometheus::BuildGauge(), "peridot_waiting_jobs",
+                       "Accepted jobs without a started task by queue.", m_registry)),
+      m_version(family(prometheus::BuildGauge(), "peridot_configuration_version",
+                       "Version of the configuration in force.", m_registry)
+                    .Add({})),
+      m_scheduling(family(prometheus::BuildGauge(), "peridot_scheduling",
+                          "1 while this process schedules the jobs.", m_registry)
+                       .Add({}))
+{
+}
+
+void JobMetrics::answered(const JobCall &call, CallOutcome outcome, Duration duration)
+{
+    const std::string kind(callKindNames.nameOf(call.kind));
+    m_answers
+        .Add({{"call", kind},
+              {"queue", call.queue},
+              {"outcome", std::string(callOutcomeNames.nameOf(outcome))}})
+        .Increment();
+    m_answerTimes.Add({{"call", kind}}, secondBuckets).Observe(toSeconds(duration));
+}
+
+void JobMetrics::event(std::string_view kind)
+{
+    const auto found = m_eventCounters.find(kind);
+    if (found != m_eventCounters.end())
+        return found->second->Increment();
+    prometheus::Counter &counter = m_events.Add({{"event", std::string(kind)}});
+    m_eventCounters.emplace(kind, &counter);
+    counter.Increment();
+}
+
+void JobMetrics::setConfigurationVersion(std::uint64_t version)
+{
+    m_version.Set(static_cast<double>(version));
+}
+
+void JobMetrics::setScheduling(bool scheduling)
+{
+    m_scheduling.Set(scheduling ? 1 : 0);
+}
+
+void JobMetrics::setWaitingJobs(const std::string &queue, unsigned jobs)
+{
+    m_waiting.Add({{"queue", queue}}).Set(jobs);
+}
+
+std::string JobMetrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace Peridot::Jobs
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -1,5 +1,6 @@
 #include "JobService.h"
 
+#include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibMembership/ProcessClock.h>
 #include <algorithm>
@@ -49,11 +50,13 @@
 
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
-      m_clock(processNow), m_frontend(context, *m_ports.store,
-                                      {m_clock, [this] { return m_configuration; },
-                                       [this](const Row &row) {
-                                           configurationRow(row);
-                                       }}),
+      m_clock(processNow),
+      m_frontend(context, *m_ports.store,
+                 {m_clock, [this] { return m_configuration; },
+                  [this](const Row &row) { configurationRow(row); },
+                  [this](const JobCall &call, CallOutcome outcome, Duration duration) {
+                      m_metrics.answered(call, outcome, duration);
+                  }}),
       m_lease(leaseSettings(m_settings.host, m_settings.instance)), m_leaseTimer(context),
       m_observeTimer(context)
 {
@@ -134,6 +137,7 @@
     m_configuration.configuration = configuration;
     m_configuration.row = {row.key, row.version};
     m_published = configuration;
+    m_metrics.setConfigurationVersion(configuration->version);
     logEvent(LogLevel::Info, "configuration-in-force",
              {{"version", configuration->version},
               {"queues", static_cast<std::uint64_t>(configuration->queues.size())}});
@@ -229,12 +233,14 @@
         if (m_session && m_sessionEpoch == epoch)
             endSession("fenced");
     };
-    m_session = std::make_unique<SchedulerSession>(m_context, m_ports, epoch, m_settings.timing,
-                                                   m_settings.hostTiming, std::move(hooks));
+    m_session = std::make_unique<SchedulerSession>(m_context, m_ports, m_metrics, epoch,
+                                                   m_settings.timing, m_settings.hostTiming,
+                                                   std::move(hooks));
     m_session->setConfiguration(m_configuration.configuration);
     for (const auto &[number, wave] : m_waves)
         m_session->setWave(wave);
     m_session->start();
+    m_metrics.setScheduling(true);
 }
 
 void JobService::endSession(const char *reason)
@@ -243,6 +249,40 @@
         return;
     logEvent(LogLevel::Info, "scheduler-session-ended", {{"reason", reason}});
     m_session.reset();
+    m_metrics.setScheduling(false);
+}
+
+std::string JobService::state() const
+{
+    Json::Value state(Json::objectValue);
+    state["host"] = m_settings.host;
+    state["instance"] = m_settings.instance;
+    state["ready"] = ready();
+    if (m_configuration.configuration)
+        state["configuration_version"]
+            = static_cast<Json::UInt64>(m_configuration.configuration->version);
+    state["scheduler_lease_holder"] = m_lease.observedHolder();
+    const JobScheduler *scheduler = m_session ? m_session->scheduler() : nullptr;
+    if (scheduler == nullptr)
+        return writeIndentedJson(state);
+    state["scheduler_epoch"] = static_cast<Json::UInt64>(m_sessionEpoch);
+    for (const auto &[id, job] : scheduler->jobs()) {
+        Json::Value entry(Json::objectValue);
+        entry["queue"] = job.submitted().queue.name;
+        entry["phase"] = std::string(jobPhaseNames.nameOf(job.phase()));
+        state["jobs"][id] = std::move(entry);
+    }
+    for (const auto &[id, worker] : scheduler->workers()) {
+        Json::Value entry(Json::objectValue);
+        entry["pool"] = worker.description.pool;
+        entry["listed"] = worker.listed;
+        entry["failed_looks"] = worker.failedLooks;
+        entry["reserved"] = worker.reserved;
+        for (const auto &[name, run] : worker.runs)
+            entry["runs"][name.task.text()] = std::string(runPhaseNames.nameOf(run.phase));
+        state["workers"][id] = std::move(entry);
+    }
+    return writeIndentedJson(state);
 }
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "JobFrontend.h"
+#include "JobMetrics.h"
 #include "PlatformPorts.h"
 #include "SchedulerSession.h"
 #include <Kernel/Membership/LeaseKeeper.h>
@@ -34,6 +35,11 @@
 
     void handle(JobCall call, JobFrontend::Callback callback);
 
+    /// Metrics in the text exposition format. Any thread.
+    std::string metrics() const { return m_metrics.serialize(); }
+    /// What the process knows and does, as JSON.
+    std::string state() const;
+
     /// Newest configuration, or null. Any thread.
     std::shared_ptr<const JobConfiguration> configuration() const;
     /// Whether callers should be sent here: the store was reached lately. Any thread.
@@ -54,6 +60,7 @@
     JobServiceSettings m_settings;
     PlatformPorts m_ports;
     std::function<TimePoint()> m_clock;
+    JobMetrics m_metrics;
     JobFrontend m_frontend;
     ConfigurationState m_configuration;
     std::atomic<std::shared_ptr<const JobConfiguration>> m_published;
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -21,9 +21,9 @@
 } // namespace
 
 SchedulerSession::SchedulerSession(asio::io_context &context, const PlatformPorts &ports,
-                                   std::uint64_t epoch, SchedulerTiming timing,
+                                   JobMetrics &metrics, std::uint64_t epoch, SchedulerTiming timing,
                                    HostSessionTiming hostTiming, Hooks hooks)
-    : m_context(context), m_ports(ports), m_epoch(epoch), m_timing(timing),
+    : m_context(context), m_ports(ports), m_metrics(metrics), m_epoch(epoch), m_timing(timing),
       m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_claimTimer(context),
       m_tickTimer(context), m_workerTimer(context), m_countTimer(context)
 {
@@ -158,7 +158,8 @@
     hooks.deposed = [this] {
         reportDeposed();
     };
-    hooks.observe = [](const SchedulerEvent &event) {
+    hooks.observe = [this](const SchedulerEvent &event) {
+        m_metrics.event(event.kind);
         logEvent(LogLevel::Info, event.kind,
                  {{"job", event.run.task.job},
                   {"task", event.run.run == 0 ? std::string() : event.run.task.text()},
@@ -194,6 +195,9 @@
     hooks.storeTime = [this] {
         return storeTime();
     };
+    hooks.observe = [this](std::string_view kind) {
+        m_metrics.event(kind);
+    };
     hooks.listChanged = [this] {
         if (!m_readingWorkers)
             readWorkers({});
@@ -340,6 +344,8 @@
     value["store_ms"] = static_cast<Json::Int64>(storeTime());
     for (const auto &[queue, count] : counts)
         value["queues"][queue] = count;
+    for (const auto &[queue, count] : counts)
+        m_metrics.setWaitingJobs(queue, count);
     Transaction transaction;
     transaction.operationId
         = "pending/" + std::to_string(m_epoch) + '/' + std::to_string(storeTime());
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "HostSession.h"
+#include "JobMetrics.h"
 #include "PlatformPorts.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
@@ -27,8 +28,9 @@
         std::function<void()> deposed;
     };
 
-    SchedulerSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
-                     SchedulerTiming timing, HostSessionTiming hostTiming, Hooks hooks);
+    SchedulerSession(asio::io_context &context, const PlatformPorts &ports, JobMetrics &metrics,
+                     std::uint64_t epoch, SchedulerTiming timing, HostSessionTiming hostTiming,
+                     Hooks hooks);
     ~SchedulerSession();
     SchedulerSession(const SchedulerSession &) = delete;
     SchedulerSession &operator=(const SchedulerSession &) = delete;
@@ -66,6 +68,7 @@
 
     asio::io_context &m_context;
     const PlatformPorts &m_ports;
+    JobMetrics &m_metrics;
     std::uint64_t m_epoch;
     SchedulerTiming m_timing;
     HostSessionTiming m_hostTiming;
