Kernel/Jobs: Keep half of the hosts of pools before their first burst

Cause: idle hosts of such pools were the largest price, and growth at the rate of arrivals brings the rest in two seconds.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds waveReserve{5000};
 // Short tasks on a host that is due are stopped when less than this is left of the period.
 constexpr std::chrono::milliseconds waveUrgent{4000};
+// A pool that had no burst yet keeps this part of its first hosts ready, and a smaller one while
+// another pool lacks hosts: the rest comes within two seconds of a burst.
+constexpr unsigned readyDivisor = 2;
+constexpr unsigned starvedDivisor = 3;
 // Pools without a burst keep fewer hosts for this long after another pool lacked some.
 constexpr std::chrono::milliseconds starvedDelay{1000};
 // A host goes back to the spare pool when nobody had a use for it for so long. Each move costs as
@@ -367,7 +371,8 @@
     const bool due = !pool.spare && !m_hadBurst.contains(pool.name);
     if (!due || first == m_firstHosts.end())
         return 0;
-    return now < m_starvedUntil ? (first->second + 1) / 2 : first->second;
+    const unsigned divisor = now < m_starvedUntil ? starvedDivisor : readyDivisor;
+    return (first->second + divisor - 1) / divisor;
 }
 
 unsigned HostPlanner::keptHosts(TimePoint now, const PoolSettings &pool, bool forGood) const
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -227,7 +227,7 @@
     });
 }
 
-void HostSession::writeWave(std::uint64_t wave, std::vector<RowWrite> status)
+void HostSession::writeWave(std::uint64_t wave, const std::vector<RowWrite> &status)
 {
     Transaction transaction;
     transaction.operationId = waveKey(wave) + '/' + std::to_string(++m_operations);
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -56,7 +56,7 @@
     void beginWave(const MaintenanceWave &wave);
     /// Writes the hosts that are done, and \a status beside them; repeats a status until it is
     /// known to be written.
-    void writeWave(std::uint64_t wave, std::vector<RowWrite> status);
+    void writeWave(std::uint64_t wave, const std::vector<RowWrite> &status);
     HostPlannerHooks plannerHooks();
 
     const PlatformPorts &m_ports;
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -227,7 +227,7 @@
     });
 }
 
-void JobFrontend::readRows(const PendingPointer &pending, std::vector<std::string> keys,
+void JobFrontend::readRows(const PendingPointer &pending, const std::vector<std::string> &keys,
                            std::function<void(const ReadResult &)> next)
 {
     m_store.read(keys, [this, pending, keys, next = std::move(next),
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -53,7 +53,7 @@
     void cancelFinished(const PendingPointer &pending);
     void count(const PendingPointer &pending);
 
-    void readRows(const PendingPointer &pending, std::vector<std::string> keys,
+    void readRows(const PendingPointer &pending, const std::vector<std::string> &keys,
                   std::function<void(const ReadResult &)> next);
     /// Runs \a step after a pause, or gives up when the caller's patience or \a limit is over.
     void again(const PendingPointer &pending, std::function<void()> step);
--- a/Tests/Kernel/Jobs/JobWorld.cpp
+++ b/Tests/Kernel/Jobs/JobWorld.cpp
@@ -322,7 +322,7 @@
             [this, order](SimulatedWorker &worker) { return stop(worker, order); },
             &JobScheduler::stopFinished);
     };
-    hooks.orders.look = [this, weak](LookOrder order) {
+    hooks.orders.look = [this, weak](const LookOrder &order) {
         // The wait for an end is not simulated: a look is answered at once, and comes again soon.
         deliver<LookOrder, LookReply>(
             weak.lock(), order,
