--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -198,6 +198,7 @@
     fields.member("priority", job.queue.priority);
     fields.member("attempts", job.queue.maximumAttempts);
     fields.member("allowance_ms", job.queue.latencyAllowance);
+    fields.member("advice_validity_ms", job.queue.adviceValidity);
     fields.member("accepted_ms", job.acceptedAt);
     fields.member("stretch_percent", stretch);
     fields.member("payload", job.specification.payload);
--- a/Kernel/Jobs/JobSchedulerLooks.cpp
+++ b/Kernel/Jobs/JobSchedulerLooks.cpp
@@ -40,16 +40,29 @@
         return;
     case OrderOutcome::OtherWorker:
         return endLife(now, worker, worker.description.startedAt);
+    case OrderOutcome::NoPermit:
+        m_advice[{order.run.task.job, order.run.task.occurrence, order.run.task.step, 0}].rejected(
+            order.worker);
+        break;
     default:
+        worker.avoidUntil = now + refusedPause;
         break;
     }
-    worker.avoidUntil = now + refusedPause;
     // A copy of the order without an answer may yet be carried out; a stop prevents it.
     if (run.orderedBefore)
         return stopRun(now, worker, order.run);
     dropRun(now, worker, order.run);
 }
 
+void JobScheduler::adviceFinished(TimePoint now, const AdviceRequest &request,
+                                  const AdviceReply &reply)
+{
+    const Job *job = jobOf(request.step);
+    const auto advice = m_advice.find(request.step);
+    if (job != nullptr && advice != m_advice.end())
+        advice->second.finished(now, request, reply, queueOf(*job).adviceValidity);
+}
+
 void JobScheduler::stopFinished(TimePoint now, const StopOrder &order, const OrderReply &reply)
 {
     observe("stop-answered", order.run, order.worker,
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -96,6 +96,7 @@
         if (!isFinished(job.phase()) || m_dirty.contains(id))
             continue;
         m_retained.emplace(id, now + m_timing.statusRetention);
+        std::erase_if(m_advice, [&](const auto &entry) { return entry.first.job == id; });
         m_jobs.erase(id);
     }
     for (const auto &id : flush.expired)
@@ -162,6 +163,9 @@
     order.saved = savedOf(*job, name.task);
     order.leaseEnd = worker.extendLease(now, m_timing.workerLease);
     order.fencingEpoch = m_epoch;
+    const auto advice = m_advice.find({name.task.job, name.task.occurrence, name.task.step, 0});
+    if (advice != m_advice.end())
+        order.ticket = advice->second.ticket(order.worker, now).value_or(std::string());
     run.orderInFlight = true;
     ++run.attempts;
     m_hooks.orders.start(order);
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -98,12 +98,35 @@
     return places;
 }
 
+std::vector<Worker *> JobScheduler::advised(TimePoint now, const Job &job, const TaskName &step,
+                                            const std::vector<Worker *> &workers)
+{
+    if (queueOf(job).adviceValidity.count() == 0 || !m_hooks.orders.advise)
+        return workers;
+    StepAdvice &advice = m_advice[step];
+    std::vector<std::string> usable;
+    std::vector<Worker *> allowed;
+    for (Worker *worker : workers) {
+        usable.push_back(worker->description.id);
+        if (advice.ticket(worker->description.id, now))
+            allowed.push_back(worker);
+    }
+    const std::vector<std::string> unknown = advice.toAsk(usable, now);
+    if (!unknown.empty()) {
+        advice.asked();
+        m_hooks.orders.advise({step, unknown});
+    }
+    return allowed;
+}
+
 void JobScheduler::placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                             const std::vector<Worker *> &workers)
+                             const std::vector<Worker *> &usable)
 {
     Job::Step &state = job.occurrences().at(occurrence).steps[step];
     if (state.ready == 0)
         return;
+    const std::vector<Worker *> workers
+        = advised(now, job, {job.id(), occurrence, step, 0}, usable);
     if (job.step(step).gang)
         return placeGang(now, job, occurrence, step, workers);
     for (unsigned index = 0; index < state.tasks.size(); ++index) {
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -3,6 +3,7 @@
 #include <Kernel/Jobs/Job.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
 #include <Kernel/Jobs/RuntimeModel.h>
+#include <Kernel/Jobs/StepAdvice.h>
 #include <Kernel/Jobs/Worker.h>
 #include <LibStore/Transaction.h>
 #include <functional>
@@ -82,6 +83,7 @@
     void stopFinished(TimePoint now, const StopOrder &order, const OrderReply &reply);
     void paceFinished(TimePoint now, const PaceOrder &order, const OrderReply &reply);
     void lookFinished(TimePoint now, const LookOrder &order, const LookReply &reply);
+    void adviceFinished(TimePoint now, const AdviceRequest &request, const AdviceReply &reply);
 
     /// Places tasks, and sends the orders that are due.
     void plan(TimePoint now);
@@ -155,6 +157,9 @@
     std::map<std::string, std::vector<PoolQueueEntry>> queuesByPool(TimePoint now);
     void placeTasks(TimePoint now);
     std::vector<Worker *> candidates(TimePoint now, const std::string &pool);
+    /// Workers that may run the step; asks the placement advice about others where it is needed.
+    std::vector<Worker *> advised(TimePoint now, const Job &job, const TaskName &step,
+                                  const std::vector<Worker *> &workers);
     std::vector<PlacementCandidate> placesFor(const Job &job, const TaskName &name,
                                               const std::vector<Worker *> &workers) const;
     void placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
@@ -189,6 +194,7 @@
     std::shared_ptr<const JobConfiguration> m_configuration;
     std::unique_ptr<PlacementPolicy> m_placement;
     std::map<std::string, RuntimeModel> m_runtimes; ///< by queue
+    std::map<TaskName, StepAdvice> m_advice; ///< by the first task of the step
     std::map<std::string, Job> m_jobs; ///< not finished, or finished and not yet written so
     std::map<std::string, Worker> m_workers;
     std::set<std::string> m_dirty; ///< jobs whose rows are older than their state
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -135,6 +135,8 @@
     unsigned maximumAttempts = 1;
     double stretch = 1; ///< of the longest chain of work, in the latency objective
     Duration latencyAllowance{0}; ///< added to the stretched chain
+    /// How long a permission of the placement advice lasts; 0: the queue needs none.
+    Duration adviceValidity{0};
 
     bool operator==(const QueueSettings &) const = default;
 };
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/JobTypes.h>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -120,6 +121,19 @@
     std::vector<EndedRun> ended;
 };
 
+/// Asks the placement advice which of these workers may run a step.
+struct AdviceRequest
+{
+    TaskName step; ///< any task of it
+    std::vector<std::string> workers;
+};
+
+struct AdviceReply
+{
+    bool answered = false;
+    std::map<std::string, std::string> tickets; ///< by worker; the others may not run the step
+};
+
 /// Sends orders to workers. Each call reports once, later, to the scheduler's event of its kind.
 struct WorkerOrderHooks
 {
@@ -127,6 +141,7 @@
     std::function<void(const StopOrder &)> stop;
     std::function<void(const PaceOrder &)> pace;
     std::function<void(const LookOrder &)> look;
+    std::function<void(const AdviceRequest &)> advise = {};
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/PlatformPorts.h
+++ b/Services/Jobs/PlatformPorts.h
@@ -19,6 +19,7 @@
     std::function<void(const StopOrder &, const OrderReply &)> stopped;
     std::function<void(const PaceOrder &, const OrderReply &)> paced;
     std::function<void(const LookOrder &, const LookReply &)> looked;
+    std::function<void(const AdviceRequest &, const AdviceReply &)> advised;
 };
 
 /// What the job service needs of the platform that it runs on.
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -297,7 +297,8 @@
         };
     };
     return {guarded(&JobScheduler::startFinished), guarded(&JobScheduler::stopFinished),
-            guarded(&JobScheduler::paceFinished), guarded(&JobScheduler::lookFinished)};
+            guarded(&JobScheduler::paceFinished), guarded(&JobScheduler::lookFinished),
+            guarded(&JobScheduler::adviceFinished)};
 }
 
 void SchedulerSession::planSoon()
