--- a/Tests/platform/TestDecoding.cpp
+++ b/Tests/platform/TestDecoding.cpp
@@ -114,7 +114,7 @@
 
 TEST_CASE("Answers say whether a job was accepted")
 {
-    const auto status = [](Jobs::CallAnswer answer) {
+    const auto status = [](const Jobs::CallAnswer &answer) {
         return encodeAnswer(answer).status;
     };
     using enum Jobs::CallOutcome;
