--- a/Tests/Kernel/Jobs/JobWorld.cpp
+++ b/Tests/Kernel/Jobs/JobWorld.cpp
@@ -369,15 +369,16 @@
     }
     m_leader = leader;
     listWorkers(*leader);
-    const auto tick = std::make_shared<std::function<void()>>();
-    *tick = [this, leader, tick] {
-        if (!leader->alive)
-            return;
-        listWorkers(*leader);
-        drive(leader);
-        at(m_now + 50ms, *tick);
-    };
-    at(m_now, *tick);
+    tick(leader);
+}
+
+void JobWorld::tick(const std::shared_ptr<Leader> &leader)
+{
+    if (!leader->alive)
+        return;
+    listWorkers(*leader);
+    drive(leader);
+    at(m_now + 50ms, [this, leader] { tick(leader); });
 }
 
 void JobWorld::listWorkers(Leader &leader)
--- a/Tests/Kernel/Jobs/JobWorld.h
+++ b/Tests/Kernel/Jobs/JobWorld.h
@@ -90,6 +90,7 @@
     void submitJob();
     void scheduleFaults(TimePoint until);
     void newLeader();
+    void tick(const std::shared_ptr<Leader> &leader);
     void drive(const std::shared_ptr<Leader> &leader);
     void listWorkers(Leader &leader);
     template <typename Order, typename Reply>
