Kernel/Jobs: Ask a worker for its labels in one place

The same function stood in the placement and in its policies. Behaviour is unchanged; TestJobs, TestJobsService, the end-to-end test of the job service, format and lint of the changed files pass.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -7,16 +7,6 @@
 
 namespace Peridot::Jobs {
 
-namespace {
-
-bool hasLabel(const Worker &worker, const std::string &label)
-{
-    const auto &labels = worker.description.labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
-} // namespace
-
 std::map<std::string, std::vector<JobScheduler::PoolQueueEntry>>
 JobScheduler::queuesByPool(TimePoint now)
 {
@@ -87,7 +77,7 @@
     const TaskSize size = reservedSize(step);
     std::vector<PlacementCandidate> places;
     for (Worker *worker : workers) {
-        if (!step.requiredLabel.empty() && !hasLabel(*worker, step.requiredLabel))
+        if (!step.requiredLabel.empty() && !worker->hasLabel(step.requiredLabel))
             continue;
         if (!fitsInto(size, worker->free()) && !m_hooks.defects.ignoreCapacity)
             continue;
@@ -161,7 +151,7 @@
         auto places = placesFor(job, name, workers);
         if (!rack.empty()) {
             std::erase_if(places, [&](const PlacementCandidate &place) {
-                return !hasLabel(*place.worker, rack);
+                return !place.worker->hasLabel(rack);
             });
         }
         if (places.empty())
--- a/Kernel/Jobs/PlacementPolicies.cpp
+++ b/Kernel/Jobs/PlacementPolicies.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-bool hasLabel(const Worker &worker, const std::string &label)
-{
-    const auto &labels = worker.description.labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 unsigned servingRuns(const Worker &worker)
 {
     return static_cast<unsigned>(
@@ -30,7 +24,7 @@
     {
         const auto rank = [&](const PlacementCandidate &candidate) {
             const Worker &worker = *candidate.worker;
-            const bool far = !step.affinityRack.empty() && !hasLabel(worker, step.affinityRack);
+            const bool far = !step.affinityRack.empty() && !worker.hasLabel(step.affinityRack);
             const std::int64_t free = worker.free().milliProcessors;
             // Tasks that fill slow the serving ones beside them.
             const unsigned served = step.fills ? servingRuns(worker) : 0;
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -54,6 +54,12 @@
     m_leasesEnd = std::max(m_leasesEnd, end);
 }
 
+bool Worker::hasLabel(const std::string &label) const
+{
+    const auto &labels = description.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 TaskSize Worker::used() const
 {
     TaskSize sum;
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -69,6 +69,7 @@
     /// Bound for the leases that an earlier process may have asked for.
     void assumeLeasesUntil(TimePoint end);
 
+    bool hasLabel(const std::string &label) const;
     bool clockKnown() const { return m_clockKnown; }
     TaskSize used() const;
     TaskSize free() const { return minus(description.capacity, used()); }
