Kernel/Jobs: Plan in time that grows with the change, not with the fleet

WorkerRuns keeps the sum of reservations; leases, stalls and due times are looked over each 50 ms; places of a step are computed once; events that arrive while planning would take over a quarter of the processor share a pass. The events of the three orders find their worker in one place.

--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -6,7 +6,7 @@
 namespace Peridot::Jobs {
 
 Job::Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now)
-    : seenAt(now), m_submitted(std::move(submitted))
+    : seenAt(now), m_submitted(std::move(submitted)), m_chainEstimate(longestChain())
 {
     if (progress)
         restore(*progress);
@@ -223,15 +223,20 @@
     return m_occurrences.empty() && m_nextOccurrence >= occurrenceCount();
 }
 
-unsigned Job::activeOn(unsigned occurrence, unsigned step, const std::string &worker) const
+std::map<std::string, unsigned> Job::activeByWorker(unsigned occurrence, unsigned step) const
 {
-    const auto &tasks = m_occurrences.at(occurrence).steps[step].tasks;
-    return static_cast<unsigned>(std::count_if(tasks.begin(), tasks.end(), [&](const Task &task) {
-        return task.phase == TaskPhase::Active && task.worker == worker;
-    }));
+    std::map<std::string, unsigned> active;
+    const Step &state = m_occurrences.at(occurrence).steps[step];
+    if (state.active == 0)
+        return active;
+    for (const Task &task : state.tasks) {
+        if (task.phase == TaskPhase::Active)
+            ++active[task.worker];
+    }
+    return active;
 }
 
-Duration Job::chainEstimate() const
+Duration Job::longestChain() const
 {
     const auto &steps = m_submitted.specification.steps;
     std::vector<Duration> ends(steps.size(), Duration{0});
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -88,6 +88,7 @@
         const Job::Task &task = tasks[index];
         if (task.phase != TaskPhase::Active)
             continue;
+        job.begun = true;
         // The worker may not be listed: its entry can lapse while it runs on.
         WorkerDescription placeholder;
         placeholder.id = task.worker;
@@ -95,7 +96,7 @@
         WorkerRun run = newRun(job.step(step), now);
         run.phase = RunPhase::Running;
         run.confirmedAt = m_begunAt;
-        worker.runs.emplace(RunName{{job.id(), occurrence, step, index}, task.run}, run);
+        worker.runs.add({{job.id(), occurrence, step, index}, task.run}, run);
     }
 }
 
@@ -125,10 +126,9 @@
     for (auto &[id, worker] : m_workers) {
         // Copied, because a run that was not started yet is erased at once.
         std::vector<RunName> names;
-        for (const auto &[name, run] : worker.runs) {
-            if (name.task.job == job)
-                names.push_back(name);
-        }
+        const auto end = std::as_const(worker.runs).end();
+        for (auto run = worker.runs.firstOf(job); run != end && run->first.task.job == job; ++run)
+            names.push_back(run->first);
         for (const RunName &name : names)
             stopRun(now, worker, name);
     }
@@ -136,16 +136,14 @@
 
 void JobScheduler::stopRun(TimePoint now, Worker &worker, const RunName &name)
 {
-    const auto found = worker.runs.find(name);
-    if (found == worker.runs.end() || found->second.phase == RunPhase::Stopping)
+    WorkerRun *run = worker.runs.find(name);
+    if (run == nullptr || run->phase == RunPhase::Stopping)
         return;
-    if (found->second.phase == RunPhase::Recording) {
-        worker.runs.erase(found);
-        return;
-    }
-    found->second.phase = RunPhase::Stopping;
-    found->second.attempts = 0;
-    found->second.nextAttempt = now;
+    if (run->phase == RunPhase::Recording)
+        return worker.runs.remove(name);
+    run->phase = RunPhase::Stopping;
+    run->attempts = 0;
+    run->nextAttempt = now;
 }
 
 Job *JobScheduler::jobOf(const TaskName &name)
@@ -198,11 +196,14 @@
 
 void JobScheduler::plan(TimePoint now)
 {
-    for (auto &[id, job] : m_jobs)
-        job.beginDue(now);
-    writeOffExpired(now);
-    restartStalled(now);
-    evacuate(now);
+    if (now >= m_nextCheck) {
+        m_nextCheck = now + checkPeriod;
+        for (auto &[id, job] : m_jobs)
+            job.beginDue(now);
+        writeOffExpired(now);
+        restartStalled(now);
+        evacuate(now);
+    }
     placeTasks(now);
     sendDueOrders(now);
 }
@@ -213,7 +214,8 @@
     for (const auto &queue : m_configuration->queues)
         pending[queue.name] = 0;
     for (const auto &[id, job] : m_jobs) {
-        if (job.phase() == JobPhase::Queued && job.submitted().specification.occurrences == 0)
+        if (!isFinished(job.phase()) && !job.begun
+            && job.submitted().specification.occurrences == 0)
             ++pending[job.submitted().queue.name];
     }
     return pending;
--- a/Kernel/Jobs/JobSchedulerLooks.cpp
+++ b/Kernel/Jobs/JobSchedulerLooks.cpp
@@ -7,22 +7,35 @@
 
 namespace Peridot::Jobs {
 
-void JobScheduler::startFinished(TimePoint now, const StartOrder &order, const OrderReply &reply)
+Worker *JobScheduler::answeringWorker(TimePoint now, const std::string &id, const OrderReply &reply)
 {
-    observe("start-answered", order.run, order.worker,
-            std::string(orderOutcomeNames.nameOf(reply.outcome)));
-    const auto found = m_workers.find(order.worker);
+    if (reply.outcome == OrderOutcome::Fenced) {
+        m_hooks.deposed();
+        return nullptr;
+    }
+    const auto found = m_workers.find(id);
     if (found == m_workers.end())
-        return;
+        return nullptr;
     Worker &worker = found->second;
+    if (reply.outcome == OrderOutcome::OtherWorker) {
+        endLife(now, worker, worker.description.startedAt);
+        return nullptr;
+    }
     if (reply.clock)
         worker.noteClock(*reply.clock, now);
-    if (reply.outcome == OrderOutcome::Fenced)
-        return m_hooks.deposed();
-    const auto entry = worker.runs.find(order.run);
-    if (entry == worker.runs.end())
+    return &worker;
+}
+
+void JobScheduler::startFinished(TimePoint now, const StartOrder &order, const OrderReply &reply)
+{
+    observe("start-answered", order.run, order.worker,
+            std::string(orderOutcomeNames.nameOf(reply.outcome)));
+    Worker *answering = answeringWorker(now, order.worker, reply);
+    WorkerRun *ordered = answering == nullptr ? nullptr : answering->runs.find(order.run);
+    if (ordered == nullptr)
         return;
-    WorkerRun &run = entry->second;
+    Worker &worker = *answering;
+    WorkerRun &run = *ordered;
     run.orderInFlight = false;
     switch (reply.outcome) {
     case OrderOutcome::Accepted:
@@ -31,6 +44,7 @@
         run.changedAt = now;
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
+        noteBegun(order.run.task);
         return;
     case OrderOutcome::Unknown:
         run.orderedBefore = true;
@@ -38,8 +52,6 @@
         if (run.phase == RunPhase::Starting && run.attempts >= startAttempts)
             stopRun(now, worker, order.run);
         return;
-    case OrderOutcome::OtherWorker:
-        return endLife(now, worker, worker.description.startedAt);
     case OrderOutcome::NoPermit:
         m_advice[{order.run.task.job, order.run.task.occurrence, order.run.task.step, 0}].rejected(
             order.worker);
@@ -54,6 +66,12 @@
     dropRun(now, worker, order.run);
 }
 
+void JobScheduler::noteBegun(const TaskName &name)
+{
+    if (Job *job = jobOf(name))
+        job->begun = true;
+}
+
 void JobScheduler::adviceFinished(TimePoint now, const AdviceRequest &request,
                                   const AdviceReply &reply)
 {
@@ -67,38 +85,28 @@
 {
     observe("stop-answered", order.run, order.worker,
             std::string(orderOutcomeNames.nameOf(reply.outcome)));
-    const auto found = m_workers.find(order.worker);
-    if (found == m_workers.end())
+    Worker *worker = answeringWorker(now, order.worker, reply);
+    WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(order.run);
+    if (run == nullptr)
         return;
-    Worker &worker = found->second;
-    if (reply.clock)
-        worker.noteClock(*reply.clock, now);
-    if (reply.outcome == OrderOutcome::Fenced)
-        return m_hooks.deposed();
-    if (reply.outcome == OrderOutcome::OtherWorker)
-        return endLife(now, worker, worker.description.startedAt);
-    const auto entry = worker.runs.find(order.run);
-    if (entry == worker.runs.end())
-        return;
-    entry->second.orderInFlight = false;
-    entry->second.nextAttempt = now + orderRetryPause;
+    run->orderInFlight = false;
+    run->nextAttempt = now + orderRetryPause;
     if (reply.outcome != OrderOutcome::Accepted)
         return;
-    entry->second.stopAccepted = true;
-    entry->second.confirmedAt = now;
+    run->stopAccepted = true;
+    run->confirmedAt = now;
 }
 
 void JobScheduler::lookFinished(TimePoint now, const LookOrder &order, const LookReply &reply)
 {
     const auto found = m_workers.find(order.worker);
-    if (found == m_workers.end())
+    if (found != m_workers.end())
+        found->second.lookInFlight = false;
+    // The clock is noted below, when the life that answers is known.
+    Worker *answering = answeringWorker(now, order.worker, {reply.outcome, std::nullopt});
+    if (answering == nullptr)
         return;
-    Worker &worker = found->second;
-    worker.lookInFlight = false;
-    if (reply.outcome == OrderOutcome::Fenced)
-        return m_hooks.deposed();
-    if (reply.outcome == OrderOutcome::OtherWorker)
-        return endLife(now, worker, worker.description.startedAt);
+    Worker &worker = *answering;
     if (reply.outcome != OrderOutcome::Accepted) {
         ++worker.failedLooks;
         const auto doublings = std::min(worker.failedLooks, 4U);
@@ -131,7 +139,7 @@
 void JobScheduler::endLife(TimePoint now, Worker &worker, std::int64_t nextLife)
 {
     observe("worker-life-ended", {}, worker.description.id, std::to_string(nextLife));
-    const auto runs = std::exchange(worker.runs, {});
+    const auto runs = worker.runs.takeAll();
     const bool sameLife = nextLife == worker.description.startedAt;
     worker.beginLife(nextLife);
     if (sameLife) // another worker answers at the address
@@ -146,16 +154,17 @@
         return;
     worker.processedEnds = end.number;
     observe("run-ended", end.run, worker.description.id, std::string(runEndNames.nameOf(end.how)));
-    const auto ended = worker.runs.extract(end.run);
+    const auto ended = worker.runs.take(end.run);
     worker.foreignRuns.erase(end.run);
     if (end.how == RunEnd::Done)
         worker.failedRunsInSuccession = 0;
     Job *job = jobOf(end.run.task);
     if (job != nullptr && end.how == RunEnd::Done && ended)
-        learnRuntime(now, *job, end.run, ended.mapped());
+        learnRuntime(now, *job, end.run, *ended);
     Job::Task *task = job == nullptr ? nullptr : job->task(end.run.task);
     if (task == nullptr || task->phase == TaskPhase::Done)
         return;
+    job->begun = true;
     if (!end.saved.empty())
         task->saved = end.saved;
     touch(*job);
@@ -231,9 +240,8 @@
         const auto worker = m_workers.find(workerId);
         if (worker == m_workers.end())
             continue;
-        const auto entry = worker->second.runs.find({member, run.run});
-        const bool recording
-            = entry != worker->second.runs.end() && entry->second.phase == RunPhase::Recording;
+        const WorkerRun *entry = worker->second.runs.find({member, run.run});
+        const bool recording = entry != nullptr && entry->phase == RunPhase::Recording;
         stopRun(now, worker->second, {member, run.run});
         if (recording)
             job.makeReady(member);
@@ -242,19 +250,19 @@
 
 void JobScheduler::dropRun(TimePoint now, Worker &worker, const RunName &name)
 {
-    worker.runs.erase(name);
+    worker.runs.remove(name);
     runOver(now, name, RunEnd::Stopped, worker.description.id);
 }
 
 void JobScheduler::processActive(TimePoint now, Worker &worker, const ActiveRun &active)
 {
-    const auto found = worker.runs.find(active.run);
-    if (found == worker.runs.end()) {
+    WorkerRun *found = worker.runs.find(active.run);
+    if (found == nullptr) {
         if (worker.foreignRuns.emplace(active.run, TimePoint{}).second)
             observe("foreign-run", active.run, worker.description.id);
         return;
     }
-    WorkerRun &run = found->second;
+    WorkerRun &run = *found;
     if (run.percent != active.percent)
         run.changedAt = now;
     run.percent = active.percent;
@@ -268,6 +276,7 @@
     if (run.phase == RunPhase::Starting && run.orderedBefore) {
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
+        noteBegun(active.run.task);
     }
 }
 
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -19,13 +19,13 @@
     for (const auto &id : flush.jobs)
         m_dirty.erase(id);
     if (m_dirty.empty()) {
-        for (auto &[id, worker] : m_workers)
-            flush.ends.emplace(id, worker.processedEnds);
-    }
-    for (const auto &[id, until] : m_retained) {
-        if (now >= until && flush.expired.size() < jobsPerTransaction)
-            flush.expired.push_back(id);
+        for (const auto &[id, worker] : m_workers) {
+            if (worker.processedEnds > worker.durableEnds)
+                flush.ends.emplace_back(id, worker.processedEnds);
+        }
     }
+    if (now >= m_nextExpiry)
+        flush.expired = expiredJobs(now);
     if (flush.jobs.empty() && flush.expired.empty()) {
         applyDurableEnds(flush);
         return std::nullopt;
@@ -42,6 +42,18 @@
     return transaction;
 }
 
+std::vector<std::string> JobScheduler::expiredJobs(TimePoint now)
+{
+    std::vector<std::string> expired;
+    for (const auto &[id, until] : m_retained) {
+        if (now >= until && expired.size() < jobsPerTransaction)
+            expired.push_back(id);
+    }
+    // Those that are left over go with the next transaction.
+    m_nextExpiry = expired.size() < jobsPerTransaction ? now + expiryPeriod : now;
+    return expired;
+}
+
 Transaction JobScheduler::transactionOf(const Flush &flush, TimePoint now) const
 {
     Transaction transaction;
@@ -106,11 +118,11 @@
         const auto worker = m_workers.find(workerId);
         if (worker == m_workers.end())
             continue;
-        const auto run = worker->second.runs.find(name);
-        if (run == worker->second.runs.end() || run->second.phase != RunPhase::Recording)
+        WorkerRun *run = worker->second.runs.find(name);
+        if (run == nullptr || run->phase != RunPhase::Recording)
             continue;
-        run->second.phase = RunPhase::Starting;
-        run->second.nextAttempt = now;
+        run->phase = RunPhase::Starting;
+        run->nextAttempt = now;
     }
     sendDueOrders(now);
 }
@@ -254,19 +266,13 @@
 
 void JobScheduler::paceFinished(TimePoint now, const PaceOrder &order, const OrderReply &reply)
 {
-    if (reply.outcome == OrderOutcome::Fenced)
-        return m_hooks.deposed();
-    const auto worker = m_workers.find(order.worker);
-    if (worker == m_workers.end())
-        return;
-    if (reply.clock)
-        worker->second.noteClock(*reply.clock, now);
-    const auto run = worker->second.runs.find(order.run);
-    if (run == worker->second.runs.end() || reply.outcome == OrderOutcome::Accepted)
+    Worker *worker = answeringWorker(now, order.worker, reply);
+    WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(order.run);
+    if (run == nullptr || reply.outcome == OrderOutcome::Accepted)
         return;
     // Sent again with the next look that calls for it.
-    run->second.nextPace = now;
-    run->second.pace = 100;
+    run->nextPace = now;
+    run->pace = 100;
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -37,14 +37,19 @@
 
 void JobScheduler::placeTasks(TimePoint now)
 {
-    for (auto &[pool, queue] : queuesByPool(now)) {
+    auto queues = queuesByPool(now);
+    if (queues.empty())
+        return;
+    const auto workersByPool = candidatesByPool(now);
+    for (auto &[pool, queue] : queues) {
+        const auto found = workersByPool.find(pool);
+        if (found == workersByPool.end())
+            continue;
+        const std::vector<Worker *> &workers = found->second;
         std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
             return std::tie(left.priority, left.late, left.objective)
                    < std::tie(right.priority, right.late, right.objective);
         });
-        std::vector<Worker *> workers = candidates(now, pool);
-        if (workers.empty())
-            continue;
         for (const PoolQueueEntry &entry : queue) {
             for (auto &[number, occurrence] : entry.job->occurrences()) {
                 for (unsigned step = 0; step < occurrence.steps.size(); ++step)
@@ -54,36 +59,45 @@
     }
 }
 
-std::vector<Worker *> JobScheduler::candidates(TimePoint now, const std::string &pool)
+bool JobScheduler::acceptsRuns(TimePoint now, const Worker &worker)
 {
-    std::vector<Worker *> result;
+    const bool probing
+        = worker.failedRunsInSuccession >= failuresBeforeProbing && !worker.runs.empty();
+    return worker.listed && worker.seen && worker.clockKnown() && worker.failedLooks == 0
+           && !worker.reserved && !worker.description.draining && !worker.hasForeignRuns()
+           && now >= worker.avoidUntil && !probing;
+}
+
+std::map<std::string, std::vector<Worker *>> JobScheduler::candidatesByPool(TimePoint now)
+{
+    std::map<std::string, std::vector<Worker *>> result;
     for (auto &[id, worker] : m_workers) {
-        const bool usable = worker.listed && worker.seen && worker.clockKnown()
-                            && worker.failedLooks == 0 && !worker.reserved
-                            && !worker.description.draining && !worker.hasForeignRuns()
-                            && now >= worker.avoidUntil;
-        const bool probing
-            = worker.failedRunsInSuccession >= failuresBeforeProbing && !worker.runs.empty();
-        if (usable && !probing && worker.description.pool == pool)
-            result.push_back(&worker);
+        if (acceptsRuns(now, worker))
+            result[worker.description.pool].push_back(&worker);
     }
     return result;
 }
 
+bool JobScheduler::canTake(const StepSpecification &step, const PlacementCandidate &place) const
+{
+    if (!fitsInto(reservedSize(step), place.worker->free()) && !m_hooks.defects.ignoreCapacity)
+        return false;
+    return step.maximumPerWorker == 0 || place.runsOfStep < step.maximumPerWorker;
+}
+
 std::vector<PlacementCandidate> JobScheduler::placesFor(const Job &job, const TaskName &name,
                                                         const std::vector<Worker *> &workers) const
 {
     const StepSpecification &step = job.step(name.step);
-    const TaskSize size = reservedSize(step);
+    const auto active = job.activeByWorker(name.occurrence, name.step);
     std::vector<PlacementCandidate> places;
     for (Worker *worker : workers) {
         if (!step.requiredLabel.empty() && !worker->hasLabel(step.requiredLabel))
             continue;
-        if (!fitsInto(size, worker->free()) && !m_hooks.defects.ignoreCapacity)
-            continue;
-        const unsigned active = job.activeOn(name.occurrence, name.step, worker->description.id);
-        if (step.maximumPerWorker == 0 || active < step.maximumPerWorker)
-            places.push_back({worker, active});
+        const auto runs = active.find(worker->description.id);
+        const PlacementCandidate place{worker, runs == active.end() ? 0 : runs->second};
+        if (canTake(step, place))
+            places.push_back(place);
     }
     return places;
 }
@@ -115,28 +129,39 @@
     Job::Step &state = job.occurrences().at(occurrence).steps[step];
     if (state.ready == 0)
         return;
-    const std::vector<Worker *> workers
-        = advised(now, job, {job.id(), occurrence, step, 0}, usable);
+    const TaskName first{job.id(), occurrence, step, 0};
+    const std::vector<Worker *> workers = advised(now, job, first, usable);
     if (job.step(step).gang)
         return placeGang(now, job, occurrence, step, workers);
-    for (unsigned index = 0; index < state.tasks.size(); ++index) {
-        Job::Task &task = state.tasks[index];
+    // All tasks of the step are of one size, so that a run changes the places of its worker only.
+    auto places = placesFor(job, first, workers);
+    for (unsigned index = 0; index < state.tasks.size() && !places.empty(); ++index) {
+        const Job::Task &task = state.tasks[index];
         if (task.phase != TaskPhase::Ready)
             continue;
-        const TaskName name{job.id(), occurrence, step, index};
-        auto places = placesFor(job, name, workers);
-        if (places.size() > 1 && !task.avoidedWorker.empty()) {
-            std::erase_if(places, [&](const PlacementCandidate &place) {
-                return place.worker->description.id == task.avoidedWorker;
-            });
-        }
-        if (places.empty())
-            return; // the other tasks of the step are of the same size
-        const std::size_t chosen = m_placement->choose(job.step(step), places);
-        assign(now, job, name, task.run + 1, *places[chosen].worker);
+        const auto chosen = choosePlace(job.step(step), task, places);
+        assign(now, job, {job.id(), occurrence, step, index}, task.run + 1, *chosen->worker);
+        ++chosen->runsOfStep;
+        if (!canTake(job.step(step), *chosen))
+            places.erase(chosen);
     }
 }
 
+std::vector<PlacementCandidate>::iterator
+JobScheduler::choosePlace(const StepSpecification &step, const Job::Task &task,
+                          std::vector<PlacementCandidate> &places) const
+{
+    if (task.avoidedWorker.empty() || places.size() == 1)
+        return places.begin() + static_cast<std::ptrdiff_t>(m_placement->choose(step, places));
+    auto others = places;
+    std::erase_if(others, [&](const PlacementCandidate &place) {
+        return place.worker->description.id == task.avoidedWorker;
+    });
+    const Worker *worker = others[m_placement->choose(step, others)].worker;
+    return std::find_if(places.begin(), places.end(),
+                        [&](const PlacementCandidate &place) { return place.worker == worker; });
+}
+
 void JobScheduler::placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                              const std::vector<Worker *> &workers)
 {
@@ -164,7 +189,7 @@
         return;
     for (const TaskName &name : placed) {
         const std::string worker = job.task(name)->worker;
-        m_workers.at(worker).runs.erase({name, run});
+        m_workers.at(worker).runs.remove({name, run});
         job.makeReady(name);
     }
 }
@@ -206,7 +231,7 @@
 {
     job.activate(name, run, worker.description.id, now);
     const RunName runName{name, run};
-    worker.runs.emplace(runName, newRun(job.step(name.step), now));
+    worker.runs.add(runName, newRun(job.step(name.step), now));
     m_recording.emplace_back(worker.description.id, runName);
     touch(job);
     observe("run-placed", runName, worker.description.id);
@@ -221,11 +246,8 @@
         const auto worker = m_workers.find(task.worker);
         const WorkerRun *run = nullptr;
         const bool reachable = worker != m_workers.end() && worker->second.failedLooks == 0;
-        if (task.phase == TaskPhase::Active && reachable) {
-            const auto found
-                = worker->second.runs.find({{job.id(), occurrence, step, index}, task.run});
-            run = found == worker->second.runs.end() ? nullptr : &found->second;
-        }
+        if (task.phase == TaskPhase::Active && reachable)
+            run = worker->second.runs.find({{job.id(), occurrence, step, index}, task.run});
         if (run == nullptr || run->phase != RunPhase::Running || run->percent != 100)
             ++unavailable;
     }
@@ -241,7 +263,8 @@
         for (const auto &[name, run] : worker.runs)
             names.push_back(name);
         for (const RunName &name : names) {
-            if (isCurrent(name, id) && worker.runs.at(name).phase == RunPhase::Running)
+            const WorkerRun *run = worker.runs.find(name);
+            if (run != nullptr && run->phase == RunPhase::Running && isCurrent(name, id))
                 evacuateRun(now, worker, name);
         }
     }
@@ -253,20 +276,18 @@
     const StepSpecification &step = job.step(name.task.step);
     if (!step.longRunning && !step.savesProgress)
         return; // it ends by itself, and a stop would lose its work
-    if (!step.longRunning && placesFor(job, name.task, candidates(now, queueOf(job).pool)).empty())
-        return;
+    const auto workers = candidatesByPool(now)[queueOf(job).pool];
+    if (placesFor(job, name.task, workers).empty())
+        return; // it would only wait
     if (!step.longRunning) {
         observe("run-evacuated", name, worker.description.id);
         return stopRun(now, worker, name);
     }
     const unsigned allowed = std::max(1U, step.maximumUnavailable.value_or(1));
     const unsigned away = unavailableTasks(job, name.task.occurrence, name.task.step);
-    const bool ownIsAway = worker.runs.at(name).percent != 100;
+    const bool ownIsAway = worker.runs.find(name)->percent != 100;
     if (away - (ownIsAway ? 1 : 0) >= allowed)
         return;
-    const auto workers = candidates(now, queueOf(job).pool);
-    if (placesFor(job, name.task, workers).empty())
-        return; // it would only wait
     observe("run-evacuated", name, worker.description.id);
     stopRun(now, worker, name);
 }
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -39,6 +39,13 @@
 /// Latencies cover the last half second, so the effect of a change shows after that.
 constexpr std::chrono::milliseconds pacePause{600};
 
+/// Leases, stalls and workers that leave are looked over this often: their limits are seconds, and
+/// each look visits every run.
+constexpr std::chrono::milliseconds checkPeriod{50};
+
+/// Rows of finished jobs are removed up to this much late.
+constexpr std::chrono::milliseconds expiryPeriod{1000};
+
 /// Most ends in one answer of a worker.
 constexpr std::size_t endsPerLook = 500;
 
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -15,7 +15,7 @@
 void Worker::beginLife(std::int64_t startedAt)
 {
     description.startedAt = startedAt;
-    runs.clear();
+    runs.takeAll();
     foreignRuns.clear();
     processedEnds = 0;
     durableEnds = 0;
@@ -60,14 +60,6 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-TaskSize Worker::used() const
-{
-    TaskSize sum;
-    for (const auto &[name, run] : runs)
-        sum = plus(sum, run.reserved);
-    return sum;
-}
-
 bool Worker::hasFillersBesideServing() const
 {
     const auto has = [&](auto &&predicate) {
--- /dev/null
+++ b/Kernel/Jobs/WorkerRuns.cpp
@@ -0,0 +1,45 @@
+#include <Kernel/Jobs/WorkerRuns.h>
+
+#include <utility>
+
+namespace Peridot::Jobs {
+
+void WorkerRuns::add(const RunName &name, const WorkerRun &run)
+{
+    if (m_runs.emplace(name, run).second)
+        m_reserved = plus(m_reserved, run.reserved);
+}
+
+std::optional<WorkerRun> WorkerRuns::take(const RunName &name)
+{
+    const auto node = m_runs.extract(name);
+    if (!node)
+        return std::nullopt;
+    m_reserved = minus(m_reserved, node.mapped().reserved);
+    return node.mapped();
+}
+
+WorkerRuns::Map WorkerRuns::takeAll()
+{
+    m_reserved = {};
+    return std::exchange(m_runs, {});
+}
+
+WorkerRun *WorkerRuns::find(const RunName &name)
+{
+    const auto found = m_runs.find(name);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+const WorkerRun *WorkerRuns::find(const RunName &name) const
+{
+    const auto found = m_runs.find(name);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+WorkerRuns::Map::const_iterator WorkerRuns::firstOf(const std::string &job) const
+{
+    return m_runs.lower_bound({{job, 0, 0, 0}, 0});
+}
+
+} // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -73,16 +73,17 @@
 
     void finish(JobPhase phase);
     bool allDone() const;
-    /// Tasks of a step that are active on \a worker.
-    unsigned activeOn(unsigned occurrence, unsigned step, const std::string &worker) const;
+    /// Active tasks of a step by the worker that runs them.
+    std::map<std::string, unsigned> activeByWorker(unsigned occurrence, unsigned step) const;
 
     /// Longest chain of estimated work of one occurrence.
-    Duration chainEstimate() const;
+    Duration chainEstimate() const { return m_chainEstimate; }
     JobProgress progress(TimePoint now) const;
 
     /// Version of the progress row; absentVersion before the first write.
     Version rowVersion = absentVersion;
     TimePoint seenAt; ///< when this process first learned of the job
+    bool begun = false; ///< a worker has confirmed a run, or an earlier scheduler had placed one
 
 private:
     void setPhase(Step &step, Task &task, TaskPhase phase);
@@ -92,8 +93,10 @@
     void closeFinishedOccurrence(unsigned number);
     TimePoint dueTime(unsigned occurrence) const;
     unsigned occurrenceCount() const;
+    Duration longestChain() const;
 
     SubmittedJob m_submitted;
+    Duration m_chainEstimate;
     JobPhase m_phase = JobPhase::Queued;
     std::map<unsigned, Occurrence> m_occurrences; ///< begun and not finished
     std::set<unsigned> m_finished;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -115,7 +115,7 @@
         std::vector<std::string> jobs;
         std::vector<std::string> expired; ///< finished jobs whose rows are removed
         std::vector<std::pair<std::string, RunName>> starts; ///< worker and run
-        std::map<std::string, std::uint64_t> ends; ///< newest by worker
+        std::vector<std::pair<std::string, std::uint64_t>> ends; ///< newest by worker
     };
     struct PoolQueueEntry
     {
@@ -139,6 +139,10 @@
     void stopRun(TimePoint now, Worker &worker, const RunName &name);
 
     // JobSchedulerLooks.cpp
+    /// Worker that answered an order, after its clock was noted. Null when it is not known, when
+    /// another worker answered in its place, and when this scheduler is deposed.
+    Worker *answeringWorker(TimePoint now, const std::string &id, const OrderReply &reply);
+    void noteBegun(const TaskName &name);
     void endLife(TimePoint now, Worker &worker, std::int64_t nextLife);
     void processEnd(TimePoint now, Worker &worker, const EndedRun &end);
     void learnRuntime(TimePoint now, const Job &job, const RunName &run, const WorkerRun &ended);
@@ -156,12 +160,19 @@
     // JobSchedulerPlacement.cpp
     std::map<std::string, std::vector<PoolQueueEntry>> queuesByPool(TimePoint now);
     void placeTasks(TimePoint now);
-    std::vector<Worker *> candidates(TimePoint now, const std::string &pool);
+    static bool acceptsRuns(TimePoint now, const Worker &worker);
+    std::map<std::string, std::vector<Worker *>> candidatesByPool(TimePoint now);
     /// Workers that may run the step; asks the placement advice about others where it is needed.
     std::vector<Worker *> advised(TimePoint now, const Job &job, const TaskName &step,
                                   const std::vector<Worker *> &workers);
+    /// Workers that can take a task of the step now.
     std::vector<PlacementCandidate> placesFor(const Job &job, const TaskName &name,
                                               const std::vector<Worker *> &workers) const;
+    /// Place for one task of the step; \a places is not empty.
+    std::vector<PlacementCandidate>::iterator
+    choosePlace(const StepSpecification &step, const Job::Task &task,
+                std::vector<PlacementCandidate> &places) const;
+    bool canTake(const StepSpecification &step, const PlacementCandidate &place) const;
     void placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                    const std::vector<Worker *> &workers);
     void placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
@@ -173,6 +184,7 @@
     void evacuateRun(TimePoint now, Worker &worker, const RunName &name);
 
     // JobSchedulerOrders.cpp
+    std::vector<std::string> expiredJobs(TimePoint now);
     Transaction transactionOf(const Flush &flush, TimePoint now) const;
     void committed(TimePoint now, const Flush &flush, Version revision);
     void applyDurableEnds(const Flush &flush);
@@ -202,6 +214,8 @@
     std::map<std::string, TimePoint> m_retained; ///< finished jobs; their rows stay until then
     std::optional<Flush> m_flush;
     TimePoint m_nextFlush;
+    TimePoint m_nextCheck; ///< of leases, stalls, due times and workers that leave
+    TimePoint m_nextExpiry; ///< of rows of finished jobs
 };
 
 } // namespace Peridot::Jobs
--- /dev/null
+++ b/Kernel/include/Kernel/Jobs/WorkerRuns.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <Kernel/Jobs/WorkerRun.h>
+#include <map>
+#include <optional>
+
+namespace Peridot::Jobs {
+
+/// The runs of one worker by name, with the sum of what they reserve.
+class WorkerRuns
+{
+public:
+    using Map = std::map<RunName, WorkerRun>;
+
+    /// A run that is there already stays as it is.
+    void add(const RunName &name, const WorkerRun &run);
+    void remove(const RunName &name) { take(name); }
+    /// Removes the run and returns it; nothing when there is none of this name.
+    std::optional<WorkerRun> take(const RunName &name);
+    Map takeAll();
+
+    WorkerRun *find(const RunName &name);
+    const WorkerRun *find(const RunName &name) const;
+    bool empty() const { return m_runs.empty(); }
+    std::size_t size() const { return m_runs.size(); }
+    const TaskSize &reserved() const { return m_reserved; }
+
+    Map::iterator begin() { return m_runs.begin(); }
+    Map::iterator end() { return m_runs.end(); }
+    Map::const_iterator begin() const { return m_runs.begin(); }
+    Map::const_iterator end() const { return m_runs.end(); }
+    /// First run of \a job, in the order of names.
+    Map::const_iterator firstOf(const std::string &job) const;
+
+private:
+    Map m_runs;
+    TaskSize m_reserved;
+};
+
+} // namespace Peridot::Jobs
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds workerPeriod{500};
 // The count may be two seconds old.
 constexpr std::chrono::milliseconds countPeriod{1000};
+// Planning takes at most a quarter of the processor: the events of a pause share one pass.
+constexpr int planPauseFactor = 3;
+constexpr std::chrono::milliseconds longestPlanPause{20};
 constexpr std::chrono::milliseconds retryPause{100};
 constexpr std::size_t scanPage = 500; ///< rows
 
@@ -25,14 +28,14 @@
                                    HostSessionTiming hostTiming, Hooks hooks)
     : m_context(context), m_ports(ports), m_metrics(metrics), m_epoch(epoch), m_timing(timing),
       m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_claimTimer(context),
-      m_tickTimer(context), m_workerTimer(context), m_countTimer(context)
+      m_tickTimer(context), m_planTimer(context), m_workerTimer(context), m_countTimer(context)
 {
 }
 
 SchedulerSession::~SchedulerSession() = default;
 
 template <typename Step>
-void SchedulerSession::after(asio::steady_timer &timer, std::chrono::milliseconds pause, Step step)
+void SchedulerSession::after(asio::steady_timer &timer, Duration pause, Step step)
 {
     timer.expires_after(pause);
     timer.async_wait([step = std::move(step)](const asio::error_code &error) {
@@ -305,11 +308,15 @@
 {
     if (std::exchange(m_planPosted, true))
         return;
-    asio::post(m_context, [this, alive = std::weak_ptr(m_alive)] {
-        if (alive.expired())
-            return;
+    const auto planPosted = [this] {
         m_planPosted = false;
         plan();
+    };
+    if (m_hooks.clock() < m_nextPlan)
+        return after(m_planTimer, m_nextPlan - m_hooks.clock(), planPosted);
+    asio::post(m_context, [planPosted, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            planPosted();
     });
 }
 
@@ -317,10 +324,13 @@
 {
     if (m_deposedReported)
         return;
+    const TimePoint begin = m_hooks.clock();
     if (m_configuration)
         m_hostSession->plan(*m_scheduler, *m_configuration);
     m_scheduler->plan(m_hooks.clock());
     writeRows();
+    const TimePoint end = m_hooks.clock();
+    m_nextPlan = end + std::min<Duration>((end - begin) * planPauseFactor, longestPlanPause);
 }
 
 void SchedulerSession::writeRows()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -64,7 +64,7 @@
     void reportDeposed();
     WorkerReplyHooks replyHooks();
     template <typename Step>
-    void after(asio::steady_timer &timer, std::chrono::milliseconds pause, Step step);
+    void after(asio::steady_timer &timer, Duration pause, Step step);
 
     asio::io_context &m_context;
     const PlatformPorts &m_ports;
@@ -85,9 +85,11 @@
     TimePoint m_storeTimeNotedAt;
     asio::steady_timer m_claimTimer;
     asio::steady_timer m_tickTimer;
+    asio::steady_timer m_planTimer;
     asio::steady_timer m_workerTimer;
     asio::steady_timer m_countTimer;
     bool m_planPosted = false;
+    TimePoint m_nextPlan; ///< events before it share the pass at that time
     bool m_readingWorkers = false;
     bool m_deposedReported = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/Tests/Kernel/Jobs/TestPendingJobs.cpp
@@ -0,0 +1,92 @@
+#include <Kernel/Jobs/JobScheduler.h>
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A scheduler with one worker, whose start orders are kept until the test answers them.
+struct PendingFixture
+{
+    PendingFixture() : scheduler(1, 1, {}, hooks(), now)
+    {
+        JobConfiguration configuration;
+        configuration.queues = {{"queue", "h", "/q/", "pool", 0, 3, 1.6, 600ms}};
+        configuration.pools = {{"pool", false, false}};
+        scheduler.setConfiguration(std::make_shared<JobConfiguration>(configuration));
+        WorkerDescription worker;
+        worker.id = "w";
+        worker.address = "10.0.0.1";
+        worker.pool = "pool";
+        worker.capacity = {4000, 4096, 0};
+        scheduler.setWorkers(now, {worker});
+        LookOrder look;
+        look.worker = "w";
+        look.sentAt = now;
+        LookReply reply;
+        reply.outcome = OrderOutcome::Accepted;
+        reply.clock = 1;
+        scheduler.lookFinished(now, look, reply);
+        SubmittedJob job;
+        job.id = "0000000000000001";
+        job.queue = configuration.queues.front();
+        job.specification.steps = {StepSpecification{}};
+        scheduler.addJob(now, job, std::nullopt, absentVersion);
+    }
+
+    SchedulerHooks hooks()
+    {
+        SchedulerHooks hooks;
+        hooks.orders.start = [this](const StartOrder &order) {
+            starts.push_back(order);
+        };
+        hooks.orders.stop = [](const StopOrder &) {
+        };
+        hooks.orders.pace = [](const PaceOrder &) {
+        };
+        hooks.orders.look = [](const LookOrder &) {
+        };
+        return hooks;
+    }
+
+    void writeRows()
+    {
+        REQUIRE(scheduler.takeTransaction(now));
+        CommitResult result;
+        result.status = CommitStatus::Committed;
+        result.revision = 2;
+        scheduler.transactionFinished(now, result);
+    }
+
+    TimePoint now{1h};
+    std::vector<StartOrder> starts;
+    JobScheduler scheduler;
+};
+
+} // namespace
+
+TEST_CASE("A job waits until a worker has begun one of its tasks")
+{
+    // Guards against a count that leaves out jobs whose start orders wait behind others.
+    PendingFixture fixture;
+    REQUIRE(fixture.scheduler.pendingJobs().at("queue") == 1);
+    fixture.scheduler.plan(fixture.now);
+    fixture.writeRows();
+    REQUIRE(fixture.starts.size() == 1);
+    REQUIRE(fixture.scheduler.pendingJobs().at("queue") == 1);
+
+    SECTION("the answer to the start order ends the wait")
+    {
+        fixture.scheduler.startFinished(fixture.now, fixture.starts.front(),
+                                        {OrderOutcome::Accepted, 2});
+        REQUIRE(fixture.scheduler.pendingJobs().at("queue") == 0);
+    }
+    SECTION("a start that was refused leaves the job waiting")
+    {
+        fixture.scheduler.startFinished(fixture.now, fixture.starts.front(),
+                                        {OrderOutcome::NoRoom, 2});
+        REQUIRE(fixture.scheduler.pendingJobs().at("queue") == 1);
+    }
+}
--- /dev/null
+++ b/Utilities/Measure/SchedulingMeasurement.cpp
@@ -0,0 +1,261 @@
+#include "Measurement.h"
+#include "ProcessUsage.h"
+
+#include <Kernel/Jobs/JobScheduler.h>
+#include <LibBase/Random.h>
+#include <fmt/core.h>
+#include <unistd.h>
+#include <utility>
+
+namespace Peridot {
+
+namespace {
+
+using namespace Jobs;
+
+constexpr std::uint64_t seed = 5;
+constexpr unsigned pools = 5;
+constexpr std::chrono::milliseconds orderDelay{5}; ///< there and back
+constexpr std::chrono::milliseconds commitDelay{12};
+constexpr std::chrono::milliseconds tickPeriod{50};
+constexpr std::chrono::milliseconds planPause{2}; ///< events within it share one planning pass
+constexpr std::chrono::seconds simulated{20};
+constexpr unsigned hostProcessors = 32;
+constexpr unsigned tasksPerStep = 8;
+constexpr std::chrono::milliseconds taskRuntime{800};
+constexpr std::int64_t taskMilliProcessors = 3000;
+
+/// A scheduler with workers that carry out every order, on a fake clock.
+class SchedulingModel
+{
+public:
+    SchedulingModel(unsigned workers, double jobsPerSecond);
+
+    void run();
+    std::uint64_t startedTasks() const { return m_started; }
+    std::uint64_t events() const { return m_handled; }
+    std::uint64_t finishedJobs() const { return m_finished; }
+
+private:
+    struct SimulatedWorker
+    {
+        std::map<RunName, TimePoint> active; ///< with the end of each run
+        std::vector<EndedRun> ended;
+        std::uint64_t ends = 0;
+        std::optional<LookOrder> waiting;
+    };
+
+    void at(TimePoint time, std::function<void()> event)
+    {
+        m_events.emplace(time, std::move(event));
+    }
+    SchedulerHooks hooks();
+    void submit();
+    void drive();
+    void driveSoon();
+    void start(const StartOrder &order);
+    void endRun(const std::string &worker, const RunName &run);
+    void look(const LookOrder &order);
+    void answerLook(const std::string &worker);
+
+    RandomSource m_random{seed};
+    double m_jobsPerSecond;
+    TimePoint m_now{std::chrono::hours(1)};
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<std::string, SimulatedWorker> m_workers;
+    std::unique_ptr<JobScheduler> m_scheduler;
+    JobConfiguration m_configuration;
+    bool m_drivePlanned = false;
+    std::uint64_t m_jobCount = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_handled = 0;
+    std::uint64_t m_finished = 0;
+};
+
+SchedulingModel::SchedulingModel(unsigned workers, double jobsPerSecond)
+    : m_jobsPerSecond(jobsPerSecond)
+{
+    for (unsigned pool = 0; pool < pools; ++pool) {
+        const std::string name = "pool-" + std::to_string(pool);
+        m_configuration.pools.push_back({name, false, false});
+        QueueSettings queue;
+        queue.name = "queue-" + std::to_string(pool);
+        queue.pool = name;
+        queue.maximumAttempts = 3;
+        m_configuration.queues.push_back(queue);
+    }
+    m_scheduler = std::make_unique<JobScheduler>(1, 1, SchedulerTiming{}, hooks(), m_now);
+    m_scheduler->setConfiguration(std::make_shared<JobConfiguration>(m_configuration));
+    std::vector<WorkerDescription> descriptions;
+    for (unsigned index = 0; index < workers; ++index) {
+        WorkerDescription worker;
+        worker.id = "worker-" + std::to_string(index);
+        worker.address = "address";
+        worker.pool = m_configuration.pools[index % pools].name;
+        worker.capacity = {hostProcessors * 1000, 131072, 0};
+        worker.labels = {"rack-" + std::to_string(index / 8)};
+        worker.startedAt = 1;
+        descriptions.push_back(worker);
+        m_workers[worker.id];
+    }
+    m_scheduler->setWorkers(m_now, descriptions);
+}
+
+SchedulerHooks SchedulingModel::hooks()
+{
+    SchedulerHooks hooks;
+    hooks.orders.start = [this](const StartOrder &order) {
+        at(m_now + orderDelay, [this, order] { start(order); });
+    };
+    hooks.orders.stop = [this](const StopOrder &order) {
+        at(m_now + orderDelay, [this, order] {
+            m_scheduler->stopFinished(m_now, order, {OrderOutcome::Accepted, 1});
+            driveSoon();
+        });
+    };
+    hooks.orders.pace = [](const PaceOrder &) {
+    };
+    hooks.orders.look = [this](const LookOrder &order) {
+        at(m_now + orderDelay, [this, order] { look(order); });
+    };
+    hooks.observe = [this](const SchedulerEvent &event) {
+        if (event.kind == "job-finished")
+            ++m_finished;
+    };
+    return hooks;
+}
+
+void SchedulingModel::submit()
+{
+    SubmittedJob job;
+    job.id = fmt::format("{:016x}", ++m_jobCount);
+    job.queue = m_configuration.queues[m_random.below(pools)];
+    StepSpecification step;
+    step.count = tasksPerStep;
+    step.size = {taskMilliProcessors, 1024, 0};
+    step.estimatedRuntime = taskRuntime;
+    job.specification.steps = {step};
+    m_scheduler->addJob(m_now, job, std::nullopt, absentVersion);
+    driveSoon();
+    const auto pause = std::chrono::duration<double>(m_random.exponential(1 / m_jobsPerSecond));
+    at(m_now + std::chrono::duration_cast<Duration>(pause), [this] { submit(); });
+}
+
+void SchedulingModel::driveSoon()
+{
+    if (std::exchange(m_drivePlanned, true))
+        return;
+    at(m_now + planPause, [this] { drive(); });
+}
+
+void SchedulingModel::drive()
+{
+    m_drivePlanned = false;
+    m_scheduler->plan(m_now);
+    if (!m_scheduler->takeTransaction(m_now))
+        return;
+    at(m_now + commitDelay, [this] {
+        CommitResult result;
+        result.status = CommitStatus::Committed;
+        result.revision = m_handled + 1;
+        m_scheduler->transactionFinished(m_now, result);
+        driveSoon();
+    });
+}
+
+void SchedulingModel::start(const StartOrder &order)
+{
+    ++m_started;
+    m_workers[order.worker].active[order.run] = m_now + taskRuntime;
+    m_scheduler->startFinished(m_now, order, {OrderOutcome::Accepted, 1});
+    driveSoon();
+    at(m_now + taskRuntime, [this, order] { endRun(order.worker, order.run); });
+}
+
+void SchedulingModel::endRun(const std::string &id, const RunName &run)
+{
+    SimulatedWorker &worker = m_workers[id];
+    worker.active.erase(run);
+    worker.ended.push_back({++worker.ends, run, RunEnd::Done, {}});
+    answerLook(id);
+}
+
+void SchedulingModel::look(const LookOrder &order)
+{
+    SimulatedWorker &worker = m_workers[order.worker];
+    std::erase_if(worker.ended,
+                  [&](const EndedRun &end) { return end.number <= order.acknowledgedEnds; });
+    worker.waiting = order;
+    if (!worker.ended.empty() || order.wait.count() == 0)
+        return answerLook(order.worker);
+    const TimePoint until = m_now + order.wait;
+    at(until, [this, id = order.worker, sentAt = order.sentAt] {
+        if (m_workers[id].waiting && m_workers[id].waiting->sentAt == sentAt)
+            answerLook(id);
+    });
+}
+
+void SchedulingModel::answerLook(const std::string &id)
+{
+    SimulatedWorker &worker = m_workers[id];
+    if (!worker.waiting)
+        return;
+    const LookOrder order = *std::exchange(worker.waiting, std::nullopt);
+    LookReply reply;
+    reply.outcome = OrderOutcome::Accepted;
+    reply.clock = 1;
+    reply.startedAt = 1;
+    reply.ended = worker.ended;
+    for (const auto &[run, end] : worker.active)
+        reply.active.push_back({run, {}, 50, std::nullopt});
+    m_scheduler->lookFinished(m_now, order, reply);
+    driveSoon();
+}
+
+void SchedulingModel::run()
+{
+    at(m_now, [this] { submit(); });
+    const TimePoint end = m_now + simulated;
+    for (TimePoint time = m_now; time < end; time += tickPeriod)
+        at(time, [this] { driveSoon(); });
+    while (!m_events.empty() && m_events.begin()->first < end) {
+        const auto next = m_events.extract(m_events.begin());
+        m_now = next.key();
+        ++m_handled;
+        next.mapped()();
+    }
+}
+
+/// Processor time of the scheduler by numbers of workers and jobs.
+class SchedulingMeasurement final : public Measurement
+{
+public:
+    int run(const std::vector<std::string> &arguments) override;
+};
+
+int SchedulingMeasurement::run(const std::vector<std::string> &)
+{
+    const std::string self = std::to_string(getpid());
+    for (const auto &[workers, jobsPerSecond] :
+         {std::pair{50U, 20.0}, std::pair{350U, 60.0}, std::pair{3000U, 60.0}}) {
+        SchedulingModel model(workers, jobsPerSecond);
+        const double before = processorSeconds(self);
+        model.run();
+        const double used = processorSeconds(self) - before;
+        fmt::print("measure=scheduling workers={} jobs_per_s={} started_tasks={} finished_jobs={} "
+                   "events={} cores={:.4f} us_per_task={:.1f}\n",
+                   workers, jobsPerSecond, model.startedTasks(), model.finishedJobs(),
+                   model.events(), used / toSeconds(simulated),
+                   1e6 * used
+                       / static_cast<double>(std::max<std::uint64_t>(1, model.startedTasks())));
+    }
+    return 0;
+}
+
+const PluginRegistrar<MeasurementRegistry> scheduling("scheduling", [] {
+    return std::make_unique<SchedulingMeasurement>();
+});
+
+} // namespace
+
+} // namespace Peridot
