--- a/Libraries/LibHttp/BackendTransfer.cpp
+++ b/Libraries/LibHttp/BackendTransfer.cpp
@@ -28,6 +28,7 @@
 BackendTransfer::BackendTransfer(const BackendClientSettings &settings)
     : m_settings(settings), m_easy(curl_easy_init())
 {
+    setConstantOptions();
 }
 
 BackendTransfer::~BackendTransfer()
@@ -46,14 +47,23 @@
     m_headersEnded = false;
     m_delimited = false;
 
-    curl_easy_reset(m_easy);
     const bool ipv6 = m_request.address.find(':') != std::string::npos;
     const std::string host = ipv6 ? '[' + m_request.address + ']' : m_request.address;
     const std::string url = "http://" + host + ':' + std::to_string(m_request.port) + '/';
-    curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
     // The target reaches the backend server byte for byte, without normalisation by libcurl.
     curl_easy_setopt(m_easy, CURLOPT_REQUEST_TARGET, m_request.message->target.c_str());
+    curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 0L);
+    // libcurl reads 0 as no limit.
+    const auto timeout = std::max<std::int64_t>(m_request.timeout.count(), 1);
+    curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout));
+    setMethodAndBody();
+    setHeaders();
+}
+
+void BackendTransfer::setConstantOptions()
+{
+    curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
     curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
     // An empty proxy keeps libcurl from reading proxy variables of the environment.
@@ -63,23 +73,21 @@
                      static_cast<long>(m_settings.idleConnectionLimit.count()));
     curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(m_settings.connectTimeout.count()));
-    // libcurl reads 0 as no limit.
-    const auto timeout = std::max<std::int64_t>(m_request.timeout.count(), 1);
-    curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout));
     curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, &BackendTransfer::onBeforeRequest);
     curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &BackendTransfer::onHeader);
     curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &BackendTransfer::onBody);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
-    setMethodAndBody();
-    setHeaders();
 }
 
 void BackendTransfer::setMethodAndBody()
 {
     const RequestMessage &message = *m_request.message;
     const bool hasBody = !message.body.empty();
+    // A GET without a body undoes what the method of an earlier request has set.
+    curl_easy_setopt(m_easy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, nullptr);
     if (message.method == "HEAD") {
         curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
         return;
--- a/Libraries/LibHttp/BackendTransfer.h
+++ b/Libraries/LibHttp/BackendTransfer.h
@@ -22,6 +22,7 @@
     BackendClient::Callback takeCallback() { return std::move(m_callback); }
 
 private:
+    void setConstantOptions();
     static int onBeforeRequest(void *self, char *, char *, int, int);
     static std::size_t onHeader(char *data, std::size_t, std::size_t size, void *self);
     static std::size_t onBody(char *data, std::size_t, std::size_t size, void *self);
--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -1,11 +1,14 @@
 #include <LibHttp/ClientConnection.h>
 
+#include <algorithm>
 #include <asio/write.hpp>
+#include <utility>
 
 namespace Peridot {
 
-ClientConnection::ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint server)
-    : m_server(std::move(server)), m_socket(context), m_timer(context),
+ClientConnection::ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint server,
+                                   ClientConnectionSettings settings)
+    : m_server(std::move(server)), m_settings(settings), m_socket(context), m_timer(context),
       m_parser(MessageParser::Kind::Response)
 {
 }
@@ -29,17 +32,23 @@
     m_callback = std::move(callback);
     m_parser.reset(answersHead);
     m_busy = true;
-    ++m_generation;
-    m_timer.expires_after(timeout);
+    ++m_exchangeNumber;
+    m_deadline = std::chrono::steady_clock::now() + timeout;
+    if (!m_connected)
+        return connect();
+    armTimer(m_deadline);
+    write();
+}
+
+void ClientConnection::armTimer(std::chrono::steady_clock::time_point expiry)
+{
+    m_timer.expires_at(expiry);
     m_timer.async_wait(
-        [self = shared_from_this(), generation = m_generation](const asio::error_code &error) {
-            if (!error && generation == self->m_generation && self->m_busy)
-                self->finish(ExchangeEnd::TimedOut);
+        [self = shared_from_this(), exchange = m_exchangeNumber](const asio::error_code &error) {
+            if (error || exchange != self->m_exchangeNumber || !self->m_busy)
+                return;
+            self->finish(self->m_connected ? ExchangeEnd::TimedOut : ExchangeEnd::NotConnected);
         });
-    if (m_connected)
-        write();
-    else
-        connect();
 }
 
 void ClientConnection::close()
@@ -47,19 +56,25 @@
     asio::error_code ignored;
     m_socket.close(ignored);
     m_connected = false;
+    m_reading = false;
+    ++m_connectionNumber;
 }
 
 void ClientConnection::connect()
 {
-    m_socket.async_connect(m_server, [self = shared_from_this(),
-                                      generation = m_generation](const asio::error_code &error) {
-        if (generation != self->m_generation || !self->m_busy)
+    const bool limited = m_settings.connectTimeout.count() > 0;
+    const auto limit = std::chrono::steady_clock::now() + m_settings.connectTimeout;
+    armTimer(limited ? std::min(limit, m_deadline) : m_deadline);
+    m_socket.async_connect(m_server, [self = shared_from_this(), connection = m_connectionNumber](
+                                         const asio::error_code &error) {
+        if (connection != self->m_connectionNumber || !self->m_busy)
             return;
         if (error)
             return self->finish(ExchangeEnd::NotConnected);
         self->m_connected = true;
         asio::error_code ignored;
         self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->armTimer(self->m_deadline);
         self->write();
     });
 }
@@ -74,20 +89,31 @@
 
 void ClientConnection::read()
 {
-    m_socket.async_read_some(
-        asio::buffer(m_buffer), [self = shared_from_this(), generation = m_generation](
-                                    const asio::error_code &error, std::size_t length) {
-            if (generation != self->m_generation || !self->m_busy)
-                return;
-            if (!error)
-                return self->received({self->m_buffer.data(), length});
-            const bool started = self->m_parser.started();
-            self->m_parser.feedEnd();
-            // Without a stated length, a truncated body would look whole.
-            if (self->m_parser.complete() && self->m_parser.delimited())
-                return self->finish(ExchangeEnd::Complete);
-            self->finish(started ? ExchangeEnd::Incomplete : ExchangeEnd::Closed);
-        });
+    if (std::exchange(m_reading, true))
+        return;
+    m_socket.async_read_some(asio::buffer(m_buffer),
+                             [self = shared_from_this(), connection = m_connectionNumber](
+                                 const asio::error_code &error, std::size_t length) {
+                                 if (connection != self->m_connectionNumber)
+                                     return;
+                                 self->m_reading = false;
+                                 self->readEnded(error, length);
+                             });
+}
+
+void ClientConnection::readEnded(const asio::error_code &error, std::size_t length)
+{
+    // Between exchanges a server has nothing to say; bytes would belong to no request.
+    if (!m_busy)
+        return close();
+    if (!error)
+        return received({m_buffer.data(), length});
+    const bool started = m_parser.started();
+    m_parser.feedEnd();
+    // Without a stated length, a truncated body would look whole.
+    if (m_parser.complete() && m_parser.delimited())
+        return finish(ExchangeEnd::Complete);
+    finish(started ? ExchangeEnd::Incomplete : ExchangeEnd::Closed);
 }
 
 void ClientConnection::received(std::string_view bytes)
@@ -104,7 +130,7 @@
 void ClientConnection::finish(ExchangeEnd end)
 {
     m_busy = false;
-    ++m_generation;
+    ++m_exchangeNumber;
     m_timer.cancel();
     Exchange result;
     result.end = end;
@@ -115,6 +141,8 @@
     }
     if (end != ExchangeEnd::Complete || !m_parser.keepAlive())
         close();
+    else if (m_settings.watchIdle)
+        read();
     const Callback callback = std::move(m_callback);
     callback(std::move(result));
 }
--- /dev/null
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -0,0 +1,107 @@
+#include <LibHttp/ClientPool.h>
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <iterator>
+#include <utility>
+
+namespace Peridot {
+
+namespace {
+
+// Servers come and go; entries of those without a connection are removed once in so many requests.
+constexpr std::size_t requestsBetweenDrops = 1000;
+
+} // namespace
+
+ClientPool::ClientPool(asio::io_context &context, ClientPoolSettings settings)
+    : m_context(context), m_settings(settings)
+{
+}
+
+ClientPool::~ClientPool()
+{
+    for (auto &[endpoint, server] : m_servers) {
+        for (const auto &connection : server.idle)
+            connection->close();
+    }
+}
+
+void ClientPool::exchange(const asio::ip::tcp::endpoint &endpoint, std::string requestText,
+                          std::chrono::milliseconds timeout, ClientConnection::Callback callback)
+{
+    if (++m_requestsSinceDrop >= requestsBetweenDrops)
+        dropUnused();
+    Server &server = m_servers[endpoint];
+    Request request{std::move(requestText), std::chrono::steady_clock::now() + timeout,
+                    std::move(callback)};
+    if (server.busy >= m_settings.connectionsPerServer) {
+        server.waiting.push_back(std::move(request));
+        return;
+    }
+    ++server.busy;
+    send(endpoint, takeIdle(server), std::move(request));
+}
+
+ClientPool::Connection ClientPool::takeIdle(Server &server)
+{
+    while (!server.idle.empty()) {
+        const Connection connection = std::move(server.idle.back());
+        server.idle.pop_back();
+        if (connection->connected())
+            return connection;
+    }
+    return nullptr;
+}
+
+void ClientPool::send(const asio::ip::tcp::endpoint &endpoint, const Connection &idle,
+                      Request request)
+{
+    const Connection connection
+        = idle ? idle
+               : std::make_shared<ClientConnection>(
+                   m_context, endpoint, ClientConnectionSettings{m_settings.connectTimeout, true});
+    using std::chrono::milliseconds;
+    const auto left
+        = std::chrono::ceil<milliseconds>(request.deadline - std::chrono::steady_clock::now());
+    connection->exchange(std::move(request.text), false, std::max(left, milliseconds(1)),
+                         [this, endpoint, connection, callback = std::move(request.callback),
+                          alive = std::weak_ptr(m_alive)](Exchange result) {
+                             if (alive.expired())
+                                 return;
+                             ended(endpoint, connection);
+                             callback(std::move(result));
+                         });
+}
+
+void ClientPool::ended(const asio::ip::tcp::endpoint &endpoint, const Connection &connection)
+{
+    Server &server = m_servers[endpoint];
+    while (!server.waiting.empty()) {
+        Request next = std::move(server.waiting.front());
+        server.waiting.pop_front();
+        if (next.deadline > std::chrono::steady_clock::now())
+            return send(endpoint, connection, std::move(next));
+        asio::post(m_context,
+                   [callback = std::move(next.callback), alive = std::weak_ptr(m_alive)] {
+                       if (!alive.expired())
+                           callback({ExchangeEnd::NotConnected, {}});
+                   });
+    }
+    --server.busy;
+    if (connection->connected())
+        server.idle.push_back(connection);
+}
+
+void ClientPool::dropUnused()
+{
+    m_requestsSinceDrop = 0;
+    for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+        Server &server = entry->second;
+        std::erase_if(server.idle,
+                      [](const Connection &connection) { return !connection->connected(); });
+        entry = server.idle.empty() && server.busy == 0 ? m_servers.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace Peridot
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -35,15 +35,24 @@
     ResponseMessage response;
 };
 
-/// One plain HTTP/1.1 client connection for stand-ins, measurements and tests. It sends exactly the
-/// bytes it is given, one request at a time, never repeats one, and connects when it needs to.
-/// Single-threaded on its context.
+struct ClientConnectionSettings
+{
+    /// An exchange that has no connection after this time ends as NotConnected. 0: its own timeout.
+    std::chrono::milliseconds connectTimeout{0};
+    /// Closes the connection as soon as the server does, also between exchanges, so that the next
+    /// exchange connects anew instead of ending as Closed.
+    bool watchIdle = false;
+};
+
+/// One plain HTTP/1.1 client connection. It sends exactly the bytes it is given, one request at a
+/// time, never repeats one, and connects when it needs to. Single-threaded on its context.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
     using Callback = std::function<void(Exchange)>;
 
-    ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint server);
+    ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint server,
+                     ClientConnectionSettings settings = {});
 
     /// Text of a request with Content-Length.
     static std::string format(const RequestMessage &request);
@@ -57,19 +66,25 @@
     void connect();
     void write();
     void read();
+    void readEnded(const asio::error_code &error, std::size_t length);
     void received(std::string_view bytes);
+    void armTimer(std::chrono::steady_clock::time_point expiry);
     void finish(ExchangeEnd end);
 
     asio::ip::tcp::endpoint m_server;
+    ClientConnectionSettings m_settings;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     MessageParser m_parser;
-    std::array<char, 16UL * 1024> m_buffer{};
+    std::array<char, 4UL * 1024> m_buffer{};
     std::string m_requestText;
+    std::chrono::steady_clock::time_point m_deadline; ///< of the exchange
     Callback m_callback;
     bool m_connected = false;
     bool m_busy = false;
-    std::uint64_t m_generation = 0; ///< handlers of an earlier connection or exchange are ignored
+    bool m_reading = false; ///< a read of the current connection is pending
+    std::uint64_t m_exchangeNumber = 0; ///< handlers of an earlier exchange are ignored
+    std::uint64_t m_connectionNumber = 0; ///< handlers of an earlier connection are ignored
 };
 
 } // namespace Peridot
--- /dev/null
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibHttp/ClientConnection.h>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Peridot {
+
+struct ClientPoolSettings
+{
+    std::chrono::milliseconds connectTimeout{500};
+    std::size_t connectionsPerServer = 8;
+};
+
+/// Sends requests to many servers over reused plain connections. Requests to a server that has all
+/// its connections in use wait in order of arrival. Single-threaded on its context.
+class ClientPool
+{
+public:
+    ClientPool(asio::io_context &context, ClientPoolSettings settings);
+    ~ClientPool();
+    ClientPool(const ClientPool &) = delete;
+    ClientPool &operator=(const ClientPool &) = delete;
+
+    /// Calls \a callback once, later, unless this object is destroyed before. A request that waits
+    /// for its whole \a timeout ends as NotConnected.
+    void exchange(const asio::ip::tcp::endpoint &server, std::string requestText,
+                  std::chrono::milliseconds timeout, ClientConnection::Callback callback);
+
+private:
+    using Connection = std::shared_ptr<ClientConnection>;
+    struct Request
+    {
+        std::string text;
+        std::chrono::steady_clock::time_point deadline;
+        ClientConnection::Callback callback;
+    };
+    struct Server
+    {
+        std::vector<Connection> idle;
+        std::size_t busy = 0;
+        std::deque<Request> waiting;
+    };
+
+    Connection takeIdle(Server &server);
+    void send(const asio::ip::tcp::endpoint &endpoint, const Connection &connection,
+              Request request);
+    void ended(const asio::ip::tcp::endpoint &endpoint, const Connection &connection);
+    void dropUnused();
+
+    asio::io_context &m_context;
+    const ClientPoolSettings m_settings;
+    std::map<asio::ip::tcp::endpoint, Server> m_servers;
+    std::size_t m_requestsSinceDrop = 0;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(); ///< answers after it are ignored
+};
+
+} // namespace Peridot
--- /dev/null
+++ b/Tests/LibHttp/TestClientPool.cpp
@@ -0,0 +1,137 @@
+#include "HoldingServer.h"
+
+#include <LibHttp/ClientPool.h>
+#include <asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+
+namespace {
+
+constexpr std::chrono::seconds farTimeout{60}; // never reached unless a request is stuck
+
+/// Answers one request on each connection and closes it, although it said it would stay open.
+class ClosingServer
+{
+public:
+    explicit ClosingServer(asio::io_context &context)
+        : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        accept();
+    }
+    asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+                if (error)
+                    return;
+                serve(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+                accept();
+            });
+    }
+    void serve(const std::shared_ptr<asio::ip::tcp::socket> &socket)
+    {
+        const auto input = std::make_shared<std::string>();
+        asio::async_read_until(
+            *socket, asio::dynamic_buffer(*input), "\r\n\r\n",
+            [socket, input](const asio::error_code &error, std::size_t) {
+                if (error)
+                    return;
+                asio::write(*socket, asio::buffer(std::string(
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+                socket->close();
+            });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
+/// A pool and a count of the ends of its exchanges.
+struct PoolFixture
+{
+    void start(const asio::ip::tcp::endpoint &server)
+    {
+        pool->exchange(server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", farTimeout,
+                       [this](const Exchange &exchange) { ends.push_back(exchange.end); });
+    }
+    void runUntilEnded(std::size_t count)
+    {
+        while (ends.size() < count)
+            context.run_one();
+    }
+    void makePool(std::size_t connectionsPerServer)
+    {
+        ClientPoolSettings settings;
+        settings.connectTimeout = farTimeout;
+        settings.connectionsPerServer = connectionsPerServer;
+        pool = std::make_unique<ClientPool>(context, settings);
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
+    std::unique_ptr<ClientPool> pool;
+    std::vector<ExchangeEnd> ends;
+};
+
+asio::ip::tcp::endpoint endpointOf(const HoldingServer &server)
+{
+    return {asio::ip::make_address("127.0.0.1"), server.port()};
+}
+
+} // namespace
+
+TEST_CASE("A pool sends requests over as few connections as it can")
+{
+    PoolFixture fixture;
+    HoldingServer server;
+    SECTION("requests one after the other share a connection")
+    {
+        fixture.makePool(8);
+        for (std::size_t request = 1; request <= 3; ++request) {
+            fixture.start(endpointOf(server));
+            fixture.runUntilEnded(request);
+        }
+        REQUIRE(server.accepted == 1);
+    }
+    SECTION("requests above the limit wait, and all are answered")
+    {
+        fixture.makePool(1);
+        for (unsigned request = 0; request < 3; ++request)
+            fixture.start(endpointOf(server));
+        fixture.runUntilEnded(3);
+        REQUIRE(server.accepted == 1);
+        REQUIRE(server.requests == 3);
+    }
+    for (const ExchangeEnd end : fixture.ends)
+        REQUIRE(end == ExchangeEnd::Complete);
+}
+
+TEST_CASE("A connection that its server closed is not used again")
+{
+    // Guards against an order that is lost with a connection that was closed long before.
+    PoolFixture fixture;
+    fixture.makePool(8);
+    ClosingServer server(fixture.context);
+    for (std::size_t request = 1; request <= 3; ++request) {
+        fixture.start(server.endpoint());
+        fixture.runUntilEnded(request);
+        // The end of the connection arrives on the loopback right after the answer.
+        fixture.context.run_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(fixture.ends == std::vector<ExchangeEnd>(3, ExchangeEnd::Complete));
+}
+
+TEST_CASE("A request to a server that refuses connections ends as not sent")
+{
+    PoolFixture fixture;
+    fixture.makePool(8);
+    asio::ip::tcp::acceptor closed(fixture.context, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto endpoint = closed.local_endpoint();
+    closed.close();
+    fixture.start(endpoint);
+    fixture.runUntilEnded(1);
+    REQUIRE(fixture.ends.front() == ExchangeEnd::NotConnected);
+}
