Kernel/Jobs: Count the period of a wave from its request

Cause: a successor counted the period from its own start, so that maintenance could be late after a take-over. The first scheduler writes the store's time of the request to the wave's row; each process also notes when it first saw the request, and the earlier of both counts. The new section fails without it: the successor reserves no host of the wave although 16 of 24 seconds are over.

The end-to-end test waits for a log line, which is now written a moment after its event.

--- a/Kernel/include/Kernel/Jobs/HostOrders.h
+++ b/Kernel/include/Kernel/Jobs/HostOrders.h
@@ -39,6 +39,7 @@
     std::vector<std::string> hosts;
     Duration period{0}; ///< from the request
     unsigned atOnce = 1; ///< most hosts in maintenance at a time
+    TimePoint requestedAt; ///< when the request was first seen; the period counts from it
 };
 
 enum class HostOrderKind { Move, Maintain };
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -37,7 +37,7 @@
     /// The provider's complete list, asked for at \a asked.
     void setHosts(TimePoint asked, const std::vector<HostDescription> &hosts);
     /// \a done: hosts whose maintenance is known to have begun, for example from a former holder.
-    void setWave(TimePoint now, const MaintenanceWave &wave, const std::set<std::string> &done);
+    void setWave(const MaintenanceWave &wave, const std::set<std::string> &done);
     /// A former holder gave an order for the host, so that none may follow before \a time.
     void holdBack(const std::string &host, TimePoint time);
     void orderFinished(TimePoint now, const HostOrder &order, HostOrderOutcome outcome);
@@ -69,7 +69,6 @@
     struct Wave
     {
         MaintenanceWave request;
-        TimePoint seenAt;
         std::set<std::string> done;
         bool completed = false;
     };
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -23,19 +23,20 @@
     return std::string(wavePrefix) + std::to_string(wave);
 }
 
-std::string encodeDone(const std::set<std::string> &done)
+std::string encodeProgress(const std::set<std::string> &done, std::int64_t requestedStoreTime)
 {
     Json::Value hosts(Json::arrayValue);
     for (const auto &host : done)
         hosts.append(host);
     Json::Value value(Json::objectValue);
     value["done"] = std::move(hosts);
+    value["requested_store_ms"] = static_cast<Json::Int64>(requestedStoreTime);
     return writeJson(value);
 }
 
-std::set<std::string> decodeDone(const Row &row)
+HostSession::WaveProgress decodeProgress(const Row &row)
 {
-    std::set<std::string> done;
+    HostSession::WaveProgress progress;
     const Json::Value value
         = valueOrElse([&] { return parseJson(row.value); },
                       [&](const Error &error) {
@@ -46,9 +47,11 @@
                       });
     for (const auto &host : value["done"]) {
         if (host.isString())
-            done.insert(host.asString());
+            progress.done.insert(host.asString());
     }
-    return done;
+    if (value["requested_store_ms"].isInt64())
+        progress.requestedStoreTime = value["requested_store_ms"].asInt64();
+    return progress;
 }
 
 } // namespace
@@ -112,9 +115,11 @@
 {
     for (const Row &row : result.rows) {
         const auto number = std::strtoull(row.key.c_str() + wavePrefix.size(), nullptr, 10);
-        m_loadedDone[number] = decodeDone(row);
+        m_progress[number] = decodeProgress(row);
     }
     m_wavesLoaded = true;
+    m_loadedStoreTime = result.storeMilliseconds;
+    m_loadedAt = m_hooks.clock();
     for (const auto &[number, wave] : m_waves)
         beginWave(wave);
 }
@@ -141,12 +146,30 @@
 
 void HostSession::beginWave(const MaintenanceWave &wave)
 {
-    const bool isNew = !m_loadedDone.contains(wave.number);
-    m_planner.setWave(m_hooks.clock(), wave, m_loadedDone[wave.number]);
+    const auto [entry, isNew] = m_progress.try_emplace(wave.number);
+    WaveProgress &progress = entry->second;
+    MaintenanceWave request = wave;
+    // A process that started after the request sees it late; the first scheduler's row tells when.
+    if (progress.requestedStoreTime != 0)
+        request.requestedAt = std::min(request.requestedAt, timeOf(progress.requestedStoreTime));
+    else
+        progress.requestedStoreTime = storeTimeOf(request.requestedAt);
+    m_planner.setWave(request, progress.done);
     if (isNew)
         writeWave(wave.number, {m_ports.waveStatus(wave.number, false)});
 }
 
+TimePoint HostSession::timeOf(std::int64_t storeTime) const
+{
+    return m_loadedAt + std::chrono::milliseconds(storeTime - m_loadedStoreTime);
+}
+
+std::int64_t HostSession::storeTimeOf(TimePoint time) const
+{
+    using std::chrono::milliseconds;
+    return m_loadedStoreTime + std::chrono::duration_cast<milliseconds>(time - m_loadedAt).count();
+}
+
 void HostSession::listHosts()
 {
     const TimePoint asked = m_hooks.clock();
@@ -233,7 +256,9 @@
     transaction.operationId = waveKey(wave) + '/' + std::to_string(++m_operations);
     transaction.checks = {m_epochCheck};
     transaction.writes = status;
-    transaction.writes.push_back({waveKey(wave), encodeDone(m_planner.doneHosts(wave))});
+    const std::int64_t requested = m_progress[wave].requestedStoreTime;
+    transaction.writes.push_back(
+        {waveKey(wave), encodeProgress(m_planner.doneHosts(wave), requested)});
     m_ports.store->commit(transaction, [this, wave, status, alive = std::weak_ptr(m_alive)](
                                            const CommitResult &result) {
         const bool done = result.status == CommitStatus::Committed
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -37,6 +37,13 @@
         std::function<void()> listChanged; ///< the list of workers is worth another look
     };
 
+    /// Row of a wave: what former schedulers did of it.
+    struct WaveProgress
+    {
+        std::set<std::string> done;
+        std::int64_t requestedStoreTime = 0; ///< milliseconds on the store's clock; 0: not known
+    };
+
     HostSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
                 RowCheck epochCheck, HostSessionTiming timing, Hooks hooks);
 
@@ -57,6 +64,8 @@
     /// Writes the hosts that are done, and \a status beside them; repeats a status until it is
     /// known to be written.
     void writeWave(std::uint64_t wave, const std::vector<RowWrite> &status);
+    TimePoint timeOf(std::int64_t storeTime) const;
+    std::int64_t storeTimeOf(TimePoint time) const;
     HostPlannerHooks plannerHooks();
 
     const PlatformPorts &m_ports;
@@ -69,7 +78,9 @@
     bool m_wavesLoaded = false;
     bool m_ordersLoaded = false;
     std::map<std::uint64_t, MaintenanceWave> m_waves;
-    std::map<std::uint64_t, std::set<std::string>> m_loadedDone; ///< of former holders, by wave
+    std::map<std::uint64_t, WaveProgress> m_progress; ///< by wave, as it was when this term began
+    std::int64_t m_loadedStoreTime = 0; ///< of the store when it answered with the waves
+    TimePoint m_loadedAt;
     TimePoint m_lastPlan;
     TimePoint m_listApplied; ///< when the list was asked for that the scheduler knows
     asio::steady_timer m_listTimer;
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -121,9 +121,11 @@
     const auto wave = m_ports.decodeWave(row);
     if (!wave)
         return configurationRow(row);
-    m_waves[wave->number] = *wave;
+    MaintenanceWave &known = m_waves.try_emplace(wave->number, *wave).first->second;
+    if (known.requestedAt == TimePoint{})
+        known.requestedAt = m_clock();
     if (m_session)
-        m_session->setWave(*wave);
+        m_session->setWave(known);
 }
 
 void JobService::configurationRow(const Row &row)
--- a/Tests/EndToEnd/check-jobs.py
+++ b/Tests/EndToEnd/check-jobs.py
@@ -94,7 +94,12 @@
     identifiers = [f"{index:016x}" for index in range(JOBS)]
     for identifier in identifiers[: JOBS // 2]:
         submit(ports, identifier)
-    scheduling = [index for index in range(HOSTS) if "event=scheduling-began" in log_of(directory, index)]
+    def scheduling_hosts():
+        return [index for index in range(HOSTS) if "event=scheduling-began" in log_of(directory, index)]
+
+    # Lines are written a moment after their event.
+    wait_for(scheduling_hosts, "a host schedules")
+    scheduling = scheduling_hosts()
     assert len(scheduling) == 1, scheduling
     processes[1 + scheduling[0]].send_signal(signal.SIGKILL)
     print(f"killed=host{scheduling[0]}")
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -185,10 +185,10 @@
 TEST_CASE("A wave keeps its limit and is completed when every host was maintained")
 {
     Fleet fleet;
-    MaintenanceWave wave{1, {}, 24s, 2};
+    MaintenanceWave wave{1, {}, 24s, 2, fleet.now};
     for (int index = 0; index < 5; ++index)
         wave.hosts.push_back("h" + std::to_string(index));
-    fleet.planner.setWave(fleet.now, wave, {});
+    fleet.planner.setWave(wave, {});
     fleet.plan();
     REQUIRE(fleet.maintained() == 2);
     const auto first = fleet.orders;
@@ -214,7 +214,7 @@
     SECTION("a successor does not maintain a host again that is done")
     {
         Fleet next(2);
-        next.planner.setWave(next.now, wave, {"h0", "h1", "h2", "h3"});
+        next.planner.setWave(wave, {"h0", "h1", "h2", "h3"});
         next.plan();
         REQUIRE(next.maintained() == 1);
         CHECK(next.orders[0].host == "h4");
@@ -223,10 +223,27 @@
     {
         Fleet busy;
         busy.submit("front-queue", 48);
-        busy.planner.setWave(busy.now, wave, {});
+        busy.planner.setWave(wave, {});
         busy.plan();
         CHECK(busy.maintained() == 0);
     }
+    SECTION("a successor counts the period from the request, not from its own start")
+    {
+        // Guards against maintenance that is late by the time that the former scheduler had used.
+        wave.atOnce = 4;
+        const auto reservedAfter = [&](Duration elapsed) {
+            Fleet next(2);
+            next.submit("front-queue", 48);
+            wave.requestedAt = next.now - elapsed;
+            next.planner.setWave(wave, {});
+            next.plan();
+            return std::count_if(wave.hosts.begin(), wave.hosts.end(), [&](const auto &host) {
+                return next.scheduler.workers().at("w" + host.substr(1)).reserved;
+            });
+        };
+        CHECK(reservedAfter(0s) == 0); // all hosts are in use, and there is time
+        CHECK(reservedAfter(16s) == 4);
+    }
 }
 
 TEST_CASE("Runtimes are learned where declared ones are far off")
