Services/Jobs: Let fast hosts take the scheduler's lease

A row beside the lease tells the processors of the fastest host so far, read by the same call. A slower host leaves a free lease to faster ones for 0.9 s.

Settings that nothing used (row_bytes, configuration_ms) and two unused fields are gone.

--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -157,7 +157,6 @@
 struct PoolSettings
 {
     std::string name;
-    bool guardsCapacity = false; ///< its workers reject what does not fit
     bool spare = false; ///< its hosts are off until they are moved to another pool
 
     bool operator==(const PoolSettings &) const = default;
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -14,7 +14,6 @@
 {
     std::shared_ptr<const JobConfiguration> configuration; ///< null before the first version
     RowCheck row; ///< its row in the store
-    TimePoint confirmedAt; ///< no newer version was accepted before this time
 };
 
 /// Answers the calls of callers from the store. A job is accepted by the transaction that writes
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/Log.h>
 #include <LibMembership/ProcessClock.h>
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -11,10 +12,14 @@
 namespace {
 
 constexpr const char *leaseKey = "lease/scheduler";
+// Processors of the fastest host so far. In the table of the lease, so that one call reads both.
+constexpr std::string_view fastestHostKey = "lease/fastest-host";
 // A successor goes on at most this long after the holder vanished, plus one observation.
 constexpr std::chrono::milliseconds leaseDuration{2000};
 constexpr std::chrono::milliseconds leaseTick{50};
 constexpr std::chrono::milliseconds observePeriod{500};
+// Faster hosts see a free lease within one period, and need a call to take it.
+constexpr std::chrono::milliseconds slowHostPause{900};
 constexpr std::chrono::milliseconds storeRetry{200};
 // After an outage of the store its former holder, which knows the jobs, is let go first.
 constexpr std::chrono::milliseconds outageCourtesy{1000};
@@ -46,6 +51,16 @@
     return settings;
 }
 
+std::optional<double> processorsOf(const Row &row)
+{
+    double processors = 0;
+    const char *end = row.value.data() + row.value.size();
+    const auto parsed = std::from_chars(row.value.data(), end, processors);
+    if (row.version == absentVersion || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return processors;
+}
+
 } // namespace
 
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
@@ -57,7 +72,8 @@
                   [this](const JobCall &call, CallOutcome outcome, Duration duration) {
                       m_metrics.answered(call, outcome, duration);
                   }}),
-      m_lease(leaseSettings(m_settings.host, m_settings.instance)), m_leaseTimer(context),
+      m_lease(leaseSettings(m_settings.host, m_settings.instance)),
+      m_takeOver(m_settings.processors, slowHostPause), m_leaseTimer(context),
       m_observeTimer(context)
 {
 }
@@ -65,7 +81,6 @@
 void JobService::start()
 {
     followConfiguration();
-    m_lease.setWanted(true);
     driveLease();
     observeLease();
 }
@@ -108,7 +123,6 @@
             operatorRow(change.row);
     };
     hooks.onCurrent = [this](TimePoint asked) {
-        m_configuration.confirmedAt = asked;
         m_storeReachedAt = asked.time_since_epoch().count();
     };
     m_operatorFollower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
@@ -177,26 +191,46 @@
 
 void JobService::observeLease()
 {
+    // A holder learns of the row by its own renewals.
+    if (!m_lease.held(m_clock())) {
+        m_ports.store->read({std::string(fastestHostKey), leaseKey},
+                            [this](const ReadResult &result) { leaseRead(result); });
+    }
     m_observeTimer.expires_after(observePeriod);
     m_observeTimer.async_wait([this](const asio::error_code &error) {
-        if (error)
-            return;
-        // A holder learns of the row by its own renewals.
-        if (m_lease.held(m_clock()))
-            return observeLease();
-        m_ports.store->read({leaseKey}, [this](const ReadResult &result) {
-            const TimePoint now = m_clock();
-            if (result.status == ReadStatus::Ok)
-                m_lease.observe(now, result.rows.front());
-            else
-                m_storeFailedAt = now;
-            const bool courtesy = m_storeFailedAt && now < *m_storeFailedAt + outageCourtesy;
-            m_lease.setWanted(!courtesy && !m_stopping);
+        if (!error)
             observeLease();
-        });
     });
 }
 
+void JobService::leaseRead(const ReadResult &result)
+{
+    const TimePoint now = m_clock();
+    if (m_lease.held(now))
+        return;
+    if (result.status == ReadStatus::Ok) {
+        const Row &fastest = result.rows.front();
+        m_lease.observe(now, result.rows.back());
+        m_takeOver.observe(now, m_lease.isFree(now), processorsOf(fastest));
+        if (m_takeOver.isFastest())
+            announceProcessors(fastest);
+    } else {
+        m_storeFailedAt = now;
+    }
+    const bool courtesy = m_storeFailedAt && now < *m_storeFailedAt + outageCourtesy;
+    m_lease.setWanted(!courtesy && !m_stopping && m_takeOver.mayTake(now));
+}
+
+void JobService::announceProcessors(const Row &row)
+{
+    Transaction transaction;
+    transaction.operationId = m_settings.instance + "/processors";
+    transaction.checks = {{row.key, row.version}};
+    transaction.writes = {{row.key, std::to_string(m_settings.processors)}};
+    // Without success the next observation sees the row as it is, and tries again.
+    m_ports.store->commit(transaction, [](const CommitResult &) {});
+}
+
 void JobService::checkLease()
 {
     const TimePoint now = m_clock();
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -4,6 +4,7 @@
 #include "JobMetrics.h"
 #include "PlatformPorts.h"
 #include "SchedulerSession.h"
+#include "TakeOverOrder.h"
 #include <Kernel/Membership/LeaseKeeper.h>
 #include <LibStore/RowFollower.h>
 #include <atomic>
@@ -17,6 +18,7 @@
 {
     std::string host;
     std::string instance; ///< unique for each start
+    double processors = 1; ///< of the host, in cores of the platform
     SchedulerTiming timing;
     HostSessionTiming hostTiming;
 };
@@ -52,6 +54,8 @@
     void driveLease();
     void request(StoreRequest request);
     void observeLease();
+    void leaseRead(const ReadResult &result);
+    void announceProcessors(const Row &row);
     void checkLease();
     void beginSession(std::uint64_t epoch);
     void endSession(const char *reason);
@@ -69,6 +73,7 @@
     std::unique_ptr<RowFollower> m_operatorFollower;
     std::map<std::uint64_t, MaintenanceWave> m_waves; ///< by number
     LeaseKeeper m_lease;
+    TakeOverOrder m_takeOver;
     asio::steady_timer m_leaseTimer;
     asio::steady_timer m_observeTimer;
     std::optional<TimePoint> m_storeFailedAt; ///< newest failed read of the lease row
--- a/Tests/EndToEnd/check-jobs.py
+++ b/Tests/EndToEnd/check-jobs.py
@@ -33,9 +33,9 @@
     path = os.path.join(directory, f"host{index}.json")
     with open(path, "w") as file:
         json.dump({"host": f"host{index}", "data_centre": "a", "callers": f"127.0.0.1:{port}",
-                   "readiness": f"127.0.0.1:{port + 1}", "store": {"address": f"127.0.0.1:{BASE}", "row_bytes": 65536},
+                   "readiness": f"127.0.0.1:{port + 1}", "store": {"address": f"127.0.0.1:{BASE}"},
                    "free_ports": [port + 2, port + 9], "grace_s": 6, "worker_lease_ms": 6000, "stop_ms": 200,
-                   "status_s": 120, "configuration_ms": 2000}, file)
+                   "status_s": 120}, file)
     return path, port
 
 
--- a/Tests/Kernel/Jobs/JobWorld.cpp
+++ b/Tests/Kernel/Jobs/JobWorld.cpp
@@ -19,7 +19,7 @@
     result.version = 1;
     result.queues.push_back(
         {"checks", "example", "/checks/", "pool", 0, maximumAttempts, 1.6, 600ms});
-    result.pools.push_back({"pool", false, false});
+    result.pools.push_back({"pool", false});
     return result;
 }
 
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -18,8 +18,7 @@
     explicit Fleet(std::uint64_t epoch = 1)
         : scheduler(epoch, 1, {}, schedulerHooks(), now), planner(epoch, {}, plannerHooks())
     {
-        configuration.pools
-            = {{"front", false, false}, {"back", false, false}, {"spare", false, true}};
+        configuration.pools = {{"front", false}, {"back", false}, {"spare", true}};
         configuration.queues = {{"front-queue", "h", "/f/", "front", 0, 3, 1.6, 600ms},
                                 {"back-queue", "h", "/b/", "back", 0, 3, 1.6, 600ms}};
         scheduler.setConfiguration(std::make_shared<JobConfiguration>(configuration));
--- a/Tests/Kernel/Jobs/TestPendingJobs.cpp
+++ b/Tests/Kernel/Jobs/TestPendingJobs.cpp
@@ -14,7 +14,7 @@
     {
         JobConfiguration configuration;
         configuration.queues = {{"queue", "h", "/q/", "pool", 0, 3, 1.6, 600ms}};
-        configuration.pools = {{"pool", false, false}};
+        configuration.pools = {{"pool", false}};
         scheduler.setConfiguration(std::make_shared<JobConfiguration>(configuration));
         WorkerDescription worker;
         worker.id = "w";
--- a/Tests/platform/TestDecoding.cpp
+++ b/Tests/platform/TestDecoding.cpp
@@ -38,7 +38,7 @@
     CHECK(configuration->queues[0].latencyAllowance == Duration(600ms));
     CHECK(configuration->queues[0].maximumAttempts == 2);
     CHECK(configuration->pool("rest")->spare);
-    CHECK(configuration->pool("pool")->guardsCapacity);
+    CHECK_FALSE(configuration->pool("pool")->spare);
     SECTION("the longest prefix wins")
     {
         CHECK(configuration->route("a.example", "/p/0123456789abcdef")->name == "r-1");
--- a/Utilities/Measure/SchedulingMeasurement.cpp
+++ b/Utilities/Measure/SchedulingMeasurement.cpp
@@ -77,7 +77,7 @@
 {
     for (unsigned pool = 0; pool < pools; ++pool) {
         const std::string name = "pool-" + std::to_string(pool);
-        m_configuration.pools.push_back({name, false, false});
+        m_configuration.pools.push_back({name, false});
         QueueSettings queue;
         queue.name = "queue-" + std::to_string(pool);
         queue.pool = name;
