Kernel/Jobs: Don't count the jobs that a successor finds as arrivals

All jobs read from the store counted as arrivals of the last 0.7 s, and the successor moved hosts to the wrong pool. Ruled out: the work that waits (62 cores). The first observation now counts none; the section of the test fails without it (4 moves, expected 0).

--- a/Kernel/Jobs/HostPlannerMoves.cpp
+++ b/Kernel/Jobs/HostPlannerMoves.cpp
@@ -30,7 +30,8 @@
         sizes[host.description.pool] = host.description.capacity;
         anySize = host.description.capacity;
     }
-    const auto loads = poolLoads(scheduler, m_demandObservedAt);
+    // Jobs that were there before the first observation did not arrive at once.
+    const auto loads = poolLoads(scheduler, m_demandObservedAt.value_or(now));
     m_demandObservedAt = now;
     auto present = presentHosts();
     for (const PoolSettings &pool : configuration.pools) {
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -121,7 +121,7 @@
     std::map<std::string, HostDescription> m_listed; ///< the newest list as it is
     std::map<std::uint64_t, Wave> m_waves;
     PoolDemand m_demand;
-    TimePoint m_demandObservedAt;
+    std::optional<TimePoint> m_demandObservedAt;
     std::map<std::string, unsigned> m_firstHosts; ///< by pool, at the first plan
     /// Pools that needed as many hosts as they had at first. Where demand comes by turns, they are
     /// the last to be busy again.
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -168,6 +168,16 @@
         idle.plan(2s);
         CHECK(idle.moves("spare") == 6);
     }
+    SECTION("jobs that a successor finds are no burst")
+    {
+        // Guards against demand several times too high after each take-over, because all jobs that
+        // were read from the store counted as arrivals of the last moment.
+        Fleet next(2);
+        for (int job = 0; job < 24; ++job)
+            next.submit("front-queue", 1); // 96 cores in all, and six hosts have 192
+        next.plan();
+        CHECK(next.moves("front") == 0);
+    }
     SECTION("a host for which a former scheduler gave an order gets none before its pause is over")
     {
         Fleet next(2);
