--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -46,7 +46,7 @@
 ClientPool::Connection ClientPool::takeIdle(Server &server)
 {
     while (!server.idle.empty()) {
-        const Connection connection = std::move(server.idle.back());
+        Connection connection = std::move(server.idle.back());
         server.idle.pop_back();
         if (connection->connected())
             return connection;
--- a/Utilities/Measure/SchedulingMeasurement.cpp
+++ b/Utilities/Measure/SchedulingMeasurement.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::milliseconds tickPeriod{50};
 constexpr std::chrono::milliseconds planPause{2}; ///< events within it share one planning pass
 constexpr std::chrono::seconds simulated{20};
-constexpr unsigned hostProcessors = 32;
+constexpr std::int64_t hostProcessors = 32;
 constexpr unsigned tasksPerStep = 8;
 constexpr std::chrono::milliseconds taskRuntime{800};
 constexpr std::int64_t taskMilliProcessors = 3000;
