Services/Jobs: Give a call without an answer up early

A timer gives each call up after two fifths of the caller's patience. A write without an answer ends as undetermined, so that the caller asks another process with the same id. The section of the test never ends without it.

--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -17,14 +17,21 @@
 // A call that the store refuses is given up after this time: an answer inside the latency objective
 // of callers (600 ms) lets them come back through another process in time.
 constexpr std::chrono::milliseconds refusedLimit{350};
-// Time before the caller stops waiting in which the answer has to reach it.
-constexpr std::chrono::milliseconds answerMargin{150};
+// A call that the store does not answer is given up after two fifths of the caller's patience: the
+// caller can ask another process with the same id, instead of waiting for nothing.
+constexpr int unansweredParts = 2;
+constexpr int patienceParts = 5;
 // Outages of the store last seconds; a caller that comes back sooner meets the same one.
 constexpr std::chrono::seconds outageRetryAfter{1};
 
 // Oldest count of waiting jobs that is still told to callers.
 constexpr std::chrono::milliseconds oldestCount{3500};
 
+Duration unansweredLimit(const JobCall &call)
+{
+    return call.patience * unansweredParts / patienceParts;
+}
+
 bool isPresent(const Row &row)
 {
     return row.version != absentVersion;
@@ -37,9 +44,11 @@
     JobCall call;
     Callback callback;
     TimePoint arrivedAt;
-    bool mayBeDone = false; ///< a write had no answer
+    bool mayBeDone = false; ///< a write has no answer
+    bool answered = false;
     unsigned attempts = 0;
-    std::unique_ptr<asio::steady_timer> timer;
+    std::unique_ptr<asio::steady_timer> timer; ///< of the next attempt
+    std::unique_ptr<asio::steady_timer> limitTimer; ///< gives the call up
 };
 
 JobFrontend::JobFrontend(asio::io_context &context, Store &store, Hooks hooks)
@@ -54,6 +63,7 @@
     pending->callback = std::move(callback);
     pending->arrivedAt = m_hooks.clock();
     pending->timer = std::make_unique<asio::steady_timer>(m_context);
+    limitTime(pending);
     switch (pending->call.kind) {
     case CallKind::Submit:
         return submit(pending);
@@ -66,6 +76,31 @@
     }
 }
 
+void JobFrontend::limitTime(const PendingPointer &pending)
+{
+    pending->limitTimer = std::make_unique<asio::steady_timer>(m_context);
+    pending->limitTimer->expires_after(unansweredLimit(pending->call));
+    // The call keeps itself alive until it is answered, which cancels the timer.
+    pending->limitTimer->async_wait(
+        [this, pending, alive = std::weak_ptr(m_alive)](const asio::error_code &error) {
+            if (!error && !alive.expired() && !pending->answered)
+                giveUp(pending);
+        });
+}
+
+void JobFrontend::commit(const PendingPointer &pending, const Transaction &transaction,
+                         std::function<void(const CommitResult &)> next)
+{
+    const bool mightBeDone = std::exchange(pending->mayBeDone, true);
+    m_store.commit(transaction, [pending, mightBeDone, next = std::move(next),
+                                 alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+        if (alive.expired() || pending->answered)
+            return;
+        pending->mayBeDone = mightBeDone || result.status == CommitStatus::Unknown;
+        next(result);
+    });
+}
+
 void JobFrontend::submit(const PendingPointer &pending)
 {
     const ConfigurationState state = m_hooks.configuration();
@@ -89,11 +124,8 @@
     transaction.checks
         = {{jobKey(call.id), absentVersion}, {progressKey(call.id), absentVersion}, state.row};
     transaction.writes = {{jobKey(call.id), encodeSubmittedJob(job)}};
-    m_store.commit(transaction,
-                   [this, pending, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-                       if (!alive.expired())
-                           submitted(pending, result);
-                   });
+    commit(pending, transaction,
+           [this, pending](const CommitResult &result) { submitted(pending, result); });
 }
 
 void JobFrontend::submitted(const PendingPointer &pending, const CommitResult &result)
@@ -117,8 +149,6 @@
         return again(pending, [this, pending] { submit(pending); });
     }
     case CommitStatus::Unknown:
-        pending->mayBeDone = true;
-        break;
     case CommitStatus::Unavailable:
         break;
     }
@@ -188,18 +218,12 @@
     transaction.operationId = "cancel/" + pending->call.id;
     transaction.checks = {{job.key, job.version}};
     transaction.writes = {{cancellationKey(pending->call.id), writeJson(value)}};
-    m_store.commit(transaction,
-                   [this, pending, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-                       if (alive.expired())
-                           return;
-                       if (result.status == CommitStatus::Committed)
-                           return answer(pending, {.outcome = CallOutcome::Cancelled});
-                       // After a conflict the job has finished; after a lost answer the rows show
-                       // the effect.
-                       if (result.status == CommitStatus::Unknown)
-                           pending->mayBeDone = true;
-                       again(pending, [this, pending] { cancel(pending); });
-                   });
+    commit(pending, transaction, [this, pending](const CommitResult &result) {
+        if (result.status == CommitStatus::Committed)
+            return answer(pending, {.outcome = CallOutcome::Cancelled});
+        // After a conflict the job has finished; after a lost answer the rows show the effect.
+        again(pending, [this, pending] { cancel(pending); });
+    });
 }
 
 void JobFrontend::cancelFinished(const PendingPointer &pending)
@@ -232,7 +256,7 @@
 {
     m_store.read(keys, [this, pending, keys, next = std::move(next),
                         alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-        if (alive.expired())
+        if (alive.expired() || pending->answered)
             return;
         if (result.status == ReadStatus::Ok)
             return next(result);
@@ -244,15 +268,15 @@
 {
     const auto pause = std::min(firstPause * (1 << std::min(pending->attempts, 5U)), longestPause);
     ++pending->attempts;
-    const Duration patience = pending->call.patience - answerMargin;
+    const Duration unanswered = unansweredLimit(pending->call);
     const Duration limit
-        = pending->mayBeDone ? patience : std::min<Duration>(patience, refusedLimit);
+        = pending->mayBeDone ? unanswered : std::min<Duration>(unanswered, refusedLimit);
     if (m_hooks.clock() + pause > pending->arrivedAt + limit)
         return giveUp(pending);
     pending->timer->expires_after(pause);
     pending->timer->async_wait([pending, step = std::move(step),
                                 alive = std::weak_ptr(m_alive)](const asio::error_code &error) {
-        if (!error && !alive.expired())
+        if (!error && !alive.expired() && !pending->answered)
             step();
     });
 }
@@ -266,6 +290,9 @@
 
 void JobFrontend::answer(const PendingPointer &pending, const CallAnswer &answer)
 {
+    pending->answered = true;
+    pending->timer->cancel();
+    pending->limitTimer->cancel();
     const JobCall &call = pending->call;
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_hooks.clock() - pending->arrivedAt);
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -43,6 +43,11 @@
     struct Pending;
     using PendingPointer = std::shared_ptr<Pending>;
 
+    /// Gives the call up when its time is over, whatever it waits for.
+    void limitTime(const PendingPointer &pending);
+    /// Writes for a call. While no answer is there, the call may be done.
+    void commit(const PendingPointer &pending, const Transaction &transaction,
+                std::function<void(const CommitResult &)> next);
     void submit(const PendingPointer &pending);
     void submitted(const PendingPointer &pending, const CommitResult &result);
     void query(const PendingPointer &pending);
--- a/Tests/Services/Jobs/TestJobFrontend.cpp
+++ b/Tests/Services/Jobs/TestJobFrontend.cpp
@@ -114,6 +114,29 @@
         caller.store.setDown(caller.store.now() + 1ms, caller.store.now() + 10s);
         CHECK(caller.call(CallKind::Submit).outcome == CallOutcome::Undetermined);
     }
+    SECTION("a store that says nothing does not keep the caller to its deadline")
+    {
+        // Guards against calls that ended without any answer, because the attempt under way
+        // outlasted the caller. The store is never run here, so that it answers nothing.
+        const auto answered = [&](CallKind kind) {
+            JobCall call;
+            call.kind = kind;
+            call.hostName = "host";
+            call.path = "/checks/" + id;
+            call.id = id;
+            call.specification.steps.resize(1);
+            call.patience = 50ms;
+            std::optional<CallAnswer> result;
+            caller.frontend.handle(call, [&](const CallAnswer &answer) { result = answer; });
+            while (!result) {
+                caller.context.restart();
+                caller.context.run_one();
+            }
+            return result->outcome;
+        };
+        CHECK(answered(CallKind::Submit) == CallOutcome::Undetermined);
+        CHECK(answered(CallKind::Query) == CallOutcome::Unavailable);
+    }
     SECTION("a configuration that is not the newest accepts nothing")
     {
         caller.write(configurationKey, "2");
