LibBase: Make JSON readers and writers in one place

The reader that each thread keeps was written twice: for parseJson() and, before it, for the messages of the request path. makeJsonReader() makes both; the messages keep their lower limit of nesting. writeMessage() did what writeJson() now does, with a stream that is used again; its callers call writeJson().

--- a/Kernel/Request/ClaimRecord.cpp
+++ b/Kernel/Request/ClaimRecord.cpp
@@ -3,6 +3,7 @@
 #include <Kernel/Request/ClaimRecord.h>
 #include <Kernel/Request/ClaimSweep.h>
 #include <Kernel/Request/RequestIdentifier.h>
+#include <LibBase/Json.h>
 #include <boost/algorithm/hex.hpp>
 #include <boost/locale/encoding_utf.hpp>
 #include <iterator>
@@ -91,7 +92,7 @@
     object["reason"] = std::string(refusalReasonNames.nameOf(record.reason));
     if (record.answer)
         object["answer"] = encodeAnswer(*record.answer);
-    return writeMessage(object);
+    return writeJson(object);
 }
 
 Result<ClaimRecord> decodeClaimRecord(const std::string &text)
--- a/Kernel/Request/SlotMessage.cpp
+++ b/Kernel/Request/SlotMessage.cpp
@@ -1,6 +1,7 @@
 #include "MessageJson.h"
 
 #include <Kernel/Request/SlotMessage.h>
+#include <LibBase/Json.h>
 
 namespace Peridot {
 
@@ -73,7 +74,7 @@
     object["window_ms"] = Json::UInt64(
         std::chrono::duration_cast<std::chrono::milliseconds>(message.window).count());
     object["idle"] = message.idle;
-    return writeMessage(object);
+    return writeJson(object);
 }
 
 Result<SlotMessage> decodeSlotMessage(const std::string &text)
--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -4,7 +4,6 @@
 #include <json/writer.h>
 #include <memory>
 #include <sstream>
-#include <utility>
 #include <valijson/adapters/jsoncpp_adapter.hpp>
 #include <valijson/schema.hpp>
 #include <valijson/schema_parser.hpp>
@@ -26,16 +25,6 @@
     return path;
 }
 
-std::unique_ptr<Json::CharReader> makeReader(bool allowComments)
-{
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder["allowComments"] = allowComments;
-    builder["strictRoot"] = false;
-    builder["stackLimit"] = nestingLimit;
-    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
-}
-
 Json::StreamWriterBuilder writerSettings(const char *indentation)
 {
     Json::StreamWriterBuilder builder;
@@ -46,11 +35,21 @@
 
 } // namespace
 
+std::unique_ptr<Json::CharReader> makeJsonReader(int mostLevels, bool allowComments)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["allowComments"] = allowComments;
+    builder["strictRoot"] = false;
+    builder["stackLimit"] = mostLevels;
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
 Result<Json::Value> parseJson(std::string_view text, bool allowComments)
 {
     // Making a reader costs more than reading a short message, so each thread keeps its own.
-    static thread_local const auto strictReader = makeReader(false);
-    static thread_local const auto commentReader = makeReader(true);
+    static thread_local const auto strictReader = makeJsonReader(nestingLimit, false);
+    static thread_local const auto commentReader = makeJsonReader(nestingLimit, true);
     return parseJson(text, allowComments ? *commentReader : *strictReader);
 }
 
@@ -71,9 +70,11 @@
 {
     static thread_local const std::unique_ptr<Json::StreamWriter> writer(
         writerSettings("").newStreamWriter());
-    std::ostringstream text;
-    writer->write(value, &text);
-    return std::move(text).str();
+    static thread_local std::ostringstream stream;
+    stream.str({});
+    stream.clear();
+    writer->write(value, &stream);
+    return stream.str();
 }
 
 std::string writeIndentedJson(const Json::Value &value)
--- a/Libraries/LibBase/include/LibBase/Json.h
+++ b/Libraries/LibBase/include/LibBase/Json.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Error.h>
 #include <json/value.h>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -12,7 +13,10 @@
 /// Errors: InvalidJson, with the line and column in the detail.
 Result<Json::Value> parseJson(std::string_view text, bool allowComments = false);
 
-/// The same with a reader of the caller, for code that keeps one.
+/// Reader of strict JSON that accepts at most \a mostLevels of nesting.
+std::unique_ptr<Json::CharReader> makeJsonReader(int mostLevels, bool allowComments);
+
+/// The same as above with a reader of the caller, who keeps one for each thread.
 Result<Json::Value> parseJson(std::string_view text, Json::CharReader &reader);
 
 /// Writes \a value on one line without insignificant white space.
