Kernel/Jobs, platform: Do work once

- The members of a task's progress are named once, for reading and writing, as those of jobs and steps are.
A row whose failed_runs is no list is now refused; it was read as empty.
- Evacuation looked at all workers for each run on a host that leaves; one look serves all.

--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -47,6 +47,11 @@
         if (value != 0)
             m_object[name] = static_cast<Json::Int64>(value);
     }
+    void member(const char *name, std::uint64_t value)
+    {
+        if (value != 0)
+            m_object[name] = static_cast<Json::UInt64>(value);
+    }
     void member(const char *name, Duration value)
     {
         if (value != Duration{0})
@@ -67,6 +72,11 @@
         for (const unsigned value : values)
             m_object[name].append(value);
     }
+    void member(const char *name, const std::vector<std::uint64_t> &values)
+    {
+        for (const std::uint64_t value : values)
+            m_object[name].append(static_cast<Json::UInt64>(value));
+    }
     Json::Value take() { return std::move(m_object); }
 
 private:
@@ -130,6 +140,17 @@
             values.push_back(entry.asUInt());
         }
     }
+    void member(const char *name, std::vector<std::uint64_t> &values)
+    {
+        const auto *found = find(name, Json::arrayValue);
+        if (found == nullptr)
+            return;
+        for (const auto &entry : *found) {
+            if (!entry.isUInt64())
+                return fail(name);
+            values.push_back(entry.asUInt64());
+        }
+    }
     void fail(const char *name)
     {
         if (m_invalid.empty())
@@ -207,20 +228,21 @@
     fields.member("interval_ms", job.specification.interval);
 }
 
+template <typename Fields, typename Task>
+void describeTask(Fields &fields, Task &task)
+{
+    fields.member("done", task.done);
+    fields.member("failed_runs", task.failedRuns);
+    fields.member("saved", task.saved);
+    fields.member("run", task.run);
+    fields.member("worker", task.worker);
+}
+
 Json::Value encodeTask(const TaskProgress &task)
 {
-    Json::Value value(Json::objectValue);
-    if (task.done)
-        value["done"] = true;
-    for (const auto run : task.failedRuns)
-        value["failed_runs"].append(static_cast<Json::UInt64>(run));
-    if (!task.saved.empty())
-        value["saved"] = task.saved;
-    if (task.run != 0)
-        value["run"] = static_cast<Json::UInt64>(task.run);
-    if (!task.worker.empty())
-        value["worker"] = task.worker;
-    return value;
+    RecordWriter writer;
+    describeTask(writer, task);
+    return writer.take();
 }
 
 Result<TaskProgress> parseTask(const Json::Value &value)
@@ -229,15 +251,7 @@
         return makeError(ErrorCode::ProtocolViolation, "tasks");
     TaskProgress task;
     RecordReader reader(value);
-    reader.member("done", task.done);
-    reader.member("saved", task.saved);
-    reader.member("run", task.run);
-    reader.member("worker", task.worker);
-    for (const auto &run : value["failed_runs"]) {
-        if (!run.isUInt64())
-            return makeError(ErrorCode::ProtocolViolation, "failed_runs");
-        task.failedRuns.push_back(run.asUInt64());
-    }
+    describeTask(reader, task);
     if (!reader.invalid().empty())
         return makeError(ErrorCode::ProtocolViolation, reader.invalid());
     return task;
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -68,9 +68,9 @@
            && now >= worker.avoidUntil && !probing;
 }
 
-std::map<std::string, std::vector<Worker *>> JobScheduler::candidatesByPool(TimePoint now)
+JobScheduler::WorkersByPool JobScheduler::candidatesByPool(TimePoint now)
 {
-    std::map<std::string, std::vector<Worker *>> result;
+    WorkersByPool result;
     for (auto &[id, worker] : m_workers) {
         if (acceptsRuns(now, worker))
             result[worker.description.pool].push_back(&worker);
@@ -256,6 +256,8 @@
 
 void JobScheduler::evacuate(TimePoint now)
 {
+    // Stops leave the room of the candidates as it is, so one look at them serves all runs.
+    const auto workersByPool = candidatesByPool(now);
     for (auto &[id, worker] : m_workers) {
         if (!worker.reserved && !worker.description.draining)
             continue;
@@ -265,19 +267,20 @@
         for (const RunName &name : names) {
             const WorkerRun *run = worker.runs.find(name);
             if (run != nullptr && run->phase == RunPhase::Running && isCurrent(name, id))
-                evacuateRun(now, worker, name);
+                evacuateRun(now, worker, name, workersByPool);
         }
     }
 }
 
-void JobScheduler::evacuateRun(TimePoint now, Worker &worker, const RunName &name)
+void JobScheduler::evacuateRun(TimePoint now, Worker &worker, const RunName &name,
+                               const WorkersByPool &workersByPool)
 {
     const Job &job = *jobOf(name.task);
     const StepSpecification &step = job.step(name.task.step);
     if (!step.longRunning && !step.savesProgress)
         return; // it ends by itself, and a stop would lose its work
-    const auto workers = candidatesByPool(now)[queueOf(job).pool];
-    if (placesFor(job, name.task, workers).empty())
+    const auto workers = workersByPool.find(queueOf(job).pool);
+    if (workers == workersByPool.end() || placesFor(job, name.task, workers->second).empty())
         return; // it would only wait
     if (!step.longRunning) {
         observe("run-evacuated", name, worker.description.id);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -117,6 +117,7 @@
         std::vector<std::pair<std::string, RunName>> starts; ///< worker and run
         std::vector<std::pair<std::string, std::uint64_t>> ends; ///< newest by worker
     };
+    using WorkersByPool = std::map<std::string, std::vector<Worker *>>;
     struct PoolQueueEntry
     {
         Job *job = nullptr;
@@ -161,7 +162,8 @@
     std::map<std::string, std::vector<PoolQueueEntry>> queuesByPool(TimePoint now);
     void placeTasks(TimePoint now);
     static bool acceptsRuns(TimePoint now, const Worker &worker);
-    std::map<std::string, std::vector<Worker *>> candidatesByPool(TimePoint now);
+    /// Workers that accept runs.
+    WorkersByPool candidatesByPool(TimePoint now);
     /// Workers that may run the step; asks the placement advice about others where it is needed.
     std::vector<Worker *> advised(TimePoint now, const Job &job, const TaskName &step,
                                   const std::vector<Worker *> &workers);
@@ -181,7 +183,8 @@
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
     unsigned unavailableTasks(const Job &job, unsigned occurrence, unsigned step) const;
     void evacuate(TimePoint now);
-    void evacuateRun(TimePoint now, Worker &worker, const RunName &name);
+    void evacuateRun(TimePoint now, Worker &worker, const RunName &name,
+                     const WorkersByPool &workersByPool);
 
     // JobSchedulerOrders.cpp
     std::vector<std::string> expiredJobs(TimePoint now);
