LibBase: Share timers, program starts and address texts

- runAfter() replaces eleven copies of the same wait on a timer, and the member of SchedulerSession that did it.
- Waves were kept in four places, each of which passed them on to the next.
The service keeps them; the session of hosts asks for those that its planner does not know.

--- a/Kernel/Jobs/SpecificationCheck.cpp
+++ b/Kernel/Jobs/SpecificationCheck.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Jobs/SpecificationCheck.h>
 
+#include <LibBase/Hexadecimal.h>
 #include <algorithm>
 
 namespace Peridot::Jobs {
@@ -48,10 +49,7 @@
 
 bool isJobId(std::string_view id)
 {
-    return id.size() == jobIdLength && std::all_of(id.begin(), id.end(), [](char digit) {
-               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f')
-                      || (digit >= 'A' && digit <= 'F');
-           });
+    return id.size() == jobIdLength && std::all_of(id.begin(), id.end(), isHexadecimal);
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/Request/RequestIdentifier.cpp
+++ b/Kernel/Request/RequestIdentifier.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Request/RequestIdentifier.h>
 
+#include <LibBase/Hexadecimal.h>
 #include <array>
 #include <charconv>
 
@@ -12,12 +13,6 @@
 constexpr std::size_t versionPosition = 14;
 constexpr std::size_t variantPosition = 19;
 
-bool isHexadecimal(char character)
-{
-    return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'f')
-           || (character >= 'A' && character <= 'F');
-}
-
 bool isHyphenPosition(std::size_t position)
 {
     for (const std::size_t hyphen : hyphenPositions) {
--- a/Kernel/include/Kernel/Jobs/HostOrders.h
+++ b/Kernel/include/Kernel/Jobs/HostOrders.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/JobTypes.h>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,9 @@
     {HostOrderKind::Maintain, "maintain"},
 });
 
+/// Waves by number.
+using MaintenanceWaves = std::map<std::uint64_t, MaintenanceWave>;
+
 struct HostOrder
 {
     HostOrderKind kind = HostOrderKind::Move;
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -38,6 +38,7 @@
     void setHosts(TimePoint asked, const std::vector<HostDescription> &hosts);
     /// \a done: hosts whose maintenance is known to have begun, for example from a former holder.
     void setWave(const MaintenanceWave &wave, const std::set<std::string> &done);
+    bool hasWave(std::uint64_t wave) const { return m_waves.contains(wave); }
     /// A former holder gave an order for the host, so that none may follow before \a time.
     void holdBack(const std::string &host, TimePoint time);
     void orderFinished(TimePoint now, const HostOrder &order, HostOrderOutcome outcome);
--- a/Libraries/LibMembership/MembershipAgent.cpp
+++ b/Libraries/LibMembership/MembershipAgent.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/MembershipAgent.h>
 
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -120,11 +121,7 @@
         m_hooks.onTick(*m_node, time);
     afterEvent();
     checkStop(time);
-    m_timer.expires_after(tickPeriod);
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            tick();
-    });
+    runAfter(m_timer, tickPeriod, [this] { tick(); });
 }
 
 void MembershipAgent::checkStop(TimePoint time)
--- a/Libraries/LibMembership/PacedStore.cpp
+++ b/Libraries/LibMembership/PacedStore.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/PacedStore.h>
 
+#include <LibBase/RunAfter.h>
 #include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
@@ -116,11 +117,7 @@
         wait = std::min(wait, m_pacer.timeUntilRead(now, m_reads.front().rows));
     if (wait == Duration::max())
         return;
-    m_timer.expires_after(std::max(wait, shortestWait));
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            pump();
-    });
+    runAfter(m_timer, std::max(wait, shortestWait), [this] { pump(); });
 }
 
 } // namespace Peridot
--- a/Libraries/LibPeer/PeerSocket.cpp
+++ b/Libraries/LibPeer/PeerSocket.cpp
@@ -1,8 +1,8 @@
 #include <LibPeer/PeerSocket.h>
 
+#include <LibBase/AddressText.h>
 #include <asio/buffer.hpp>
 #include <asio/ip/address.hpp>
-#include <charconv>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -18,17 +18,14 @@
 
 Result<asio::ip::udp::endpoint> parsePeerAddress(const std::string &text)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
+    const auto parts = AddressText::split(text);
+    if (!parts)
         return makeError(ErrorCode::InvalidValue, text, "ip:port expected");
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
     asio::error_code error;
-    const auto address = asio::ip::make_address(text.substr(0, colon), error);
-    if (error || parsed.ec != std::errc() || parsed.ptr != end)
+    const auto address = asio::ip::make_address(parts->address, error);
+    if (error)
         return makeError(ErrorCode::InvalidValue, text, "ip:port expected");
-    return asio::ip::udp::endpoint(address, port);
+    return asio::ip::udp::endpoint(address, parts->port);
 }
 
 Result<void> openDatagramSocket(asio::ip::udp::socket &socket,
--- a/Libraries/LibStore/RowFollower.cpp
+++ b/Libraries/LibStore/RowFollower.cpp
@@ -1,5 +1,6 @@
 #include <LibStore/RowFollower.h>
 
+#include <LibBase/RunAfter.h>
 #include <utility>
 
 namespace Peridot {
@@ -80,11 +81,7 @@
 {
     if (m_hooks.onUnavailable)
         m_hooks.onUnavailable();
-    m_timer.expires_after(m_settings.retryPause);
-    m_timer.async_wait([step = std::move(step)](const asio::error_code &error) {
-        if (!error)
-            step();
-    });
+    runAfter(m_timer, m_settings.retryPause, std::move(step));
 }
 
 } // namespace Peridot
--- a/Services/Entry/Dispatcher.cpp
+++ b/Services/Entry/Dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "AnswerFormat.h"
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <algorithm>
 #include <asio/post.hpp>
 
@@ -348,11 +349,7 @@
 
 void Dispatcher::scheduleTick()
 {
-    m_tickTimer.expires_after(tickInterval);
-    m_tickTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            tick();
-    });
+    runAfter(m_tickTimer, tickInterval, [this] { tick(); });
 }
 
 void Dispatcher::tick()
--- a/Services/Entry/HostWatcher.cpp
+++ b/Services/Entry/HostWatcher.cpp
@@ -3,6 +3,7 @@
 #include <Kernel/Fleet/BuildRoutingTable.h>
 #include <Kernel/Fleet/FleetKeys.h>
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <utility>
 
 namespace Peridot {
@@ -44,11 +45,7 @@
 {
     if (m_stopped)
         return;
-    m_timer.expires_after(watchPeriod);
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            beginPass();
-    });
+    runAfter(m_timer, watchPeriod, [this] { beginPass(); });
 }
 
 void HostWatcher::beginPass()
--- a/Services/Fleet/ClaimSweeper.cpp
+++ b/Services/Fleet/ClaimSweeper.cpp
@@ -2,6 +2,7 @@
 
 #include <Kernel/Request/ClaimSweep.h>
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <utility>
 
 namespace Peridot {
@@ -36,11 +37,7 @@
 {
     if (m_stopped)
         return;
-    m_timer.expires_after(delay);
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            scan();
-    });
+    runAfter(m_timer, delay, [this] { scan(); });
 }
 
 void ClaimSweeper::scan()
--- a/Services/Fleet/FleetPlanner.cpp
+++ b/Services/Fleet/FleetPlanner.cpp
@@ -3,6 +3,7 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/PlacementPolicy.h>
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -83,11 +84,7 @@
 
 void FleetPlanner::schedule(Duration delay)
 {
-    m_timer.expires_after(delay);
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            beginPass();
-    });
+    runAfter(m_timer, delay, [this] { beginPass(); });
 }
 
 void FleetPlanner::beginPass()
--- a/Services/Fleet/Main.cpp
+++ b/Services/Fleet/Main.cpp
@@ -1,9 +1,9 @@
 #include "FleetProcess.h"
 
 #include <LibBase/Log.h>
+#include <LibBase/RunProgram.h>
 #include <asio/signal_set.hpp>
 #include <csignal>
-#include <docopt/docopt.h>
 #include <iostream>
 
 using namespace Peridot;
@@ -60,21 +60,7 @@
 
 int main(int argc, char **argv)
 {
-    std::map<std::string, docopt::value> options;
-    try {
-        options = docopt::docopt_parse(usageText, {argv + 1, argv + argc}, true, false);
-    } catch (const docopt::DocoptExitHelp &) {
-        std::cout << usageText;
-        return 0;
-    } catch (const std::exception &) {
-        std::cerr << usageText;
-        return 2;
-    }
-    configureLog(LogLevel::Info);
-    return valueOrElse(
-        [&] { return run(options["--settings"].asString(), options["--check-settings"].asBool()); },
-        [](const Error &error) {
-            logEvent(LogLevel::Error, "start-failed", {{"error", describe(error)}});
-            return 1;
-        });
+    return runProgram(usageText, argc, argv, [](const ProgramOptions &options) {
+        return run(options.at("--settings").asString(), options.at("--check-settings").asBool());
+    });
 }
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <algorithm>
 #include <utility>
 
@@ -102,10 +103,9 @@
                 return;
             if (result.status == ReadStatus::Ok)
                 return prefix == wavePrefix ? wavesLoaded(result) : ordersLoaded(result);
-            auto timer
-                = std::make_shared<asio::steady_timer>(m_listTimer.get_executor(), retryPause);
-            timer->async_wait([this, prefix, timer, alive](const asio::error_code &error) {
-                if (!error && !alive.expired())
+            auto timer = std::make_shared<asio::steady_timer>(m_listTimer.get_executor());
+            runAfter(*timer, retryPause, [this, prefix, timer, alive] {
+                if (!alive.expired())
                     load(prefix);
             });
         });
@@ -120,8 +120,6 @@
     m_wavesLoaded = true;
     m_loadedStoreTime = result.storeMilliseconds;
     m_loadedAt = m_hooks.clock();
-    for (const auto &[number, wave] : m_waves)
-        beginWave(wave);
 }
 
 void HostSession::ordersLoaded(const ReadResult &result)
@@ -136,12 +134,14 @@
     }
 }
 
-void HostSession::setWave(const MaintenanceWave &wave)
+void HostSession::beginNewWaves()
 {
-    if (!m_waves.emplace(wave.number, wave).second)
+    if (!m_wavesLoaded)
         return;
-    if (m_wavesLoaded)
-        beginWave(wave);
+    for (const auto &[number, wave] : m_hooks.waves()) {
+        if (!m_planner.hasWave(number))
+            beginWave(wave);
+    }
 }
 
 void HostSession::beginWave(const MaintenanceWave &wave)
@@ -181,17 +181,14 @@
         const bool busy = m_planner.changesUnderWay();
         if (busy)
             m_hooks.listChanged();
-        m_listTimer.expires_after(busy ? busyListPeriod : listPeriod);
-        m_listTimer.async_wait([this](const asio::error_code &error) {
-            if (!error)
-                listHosts();
-        });
+        runAfter(m_listTimer, busy ? busyListPeriod : listPeriod, [this] { listHosts(); });
     });
 }
 
 void HostSession::plan(JobScheduler &scheduler, const JobConfiguration &configuration)
 {
     const TimePoint now = m_hooks.clock();
+    beginNewWaves();
     if (m_listApplied != m_planner.listAskedAt()) {
         m_listApplied = m_planner.listAskedAt();
         scheduler.setExistingWorkers(now, m_listApplied, m_planner.existingWorkers());
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -31,6 +31,8 @@
         std::function<void()> deposed;
         /// Whether the lease of the scheduler is certainly held now.
         std::function<bool()> mayOrder;
+        /// The waves that administrators asked for.
+        std::function<const MaintenanceWaves &()> waves;
         /// Milliseconds on the store's clock; 0: not known yet.
         std::function<std::int64_t()> storeTime;
         std::function<void(std::string_view kind)> observe; ///< an event of the planner
@@ -48,7 +50,6 @@
                 RowCheck epochCheck, HostSessionTiming timing, Hooks hooks);
 
     void start();
-    void setWave(const MaintenanceWave &wave);
     void plan(JobScheduler &scheduler, const JobConfiguration &configuration);
     bool changesUnderWay() const { return m_planner.changesUnderWay(); }
 
@@ -60,6 +61,7 @@
     void ordersRecorded(const std::vector<HostOrder> &orders, const CommitResult &result);
     void listHosts();
     void sendOrder(const HostOrder &order);
+    void beginNewWaves();
     void beginWave(const MaintenanceWave &wave);
     /// Writes the hosts that are done, and \a status beside them; repeats a status until it is
     /// known to be written.
@@ -77,7 +79,6 @@
     std::uint64_t m_operations = 0; ///< transactions so far, for their ids
     bool m_wavesLoaded = false;
     bool m_ordersLoaded = false;
-    std::map<std::uint64_t, MaintenanceWave> m_waves;
     std::map<std::uint64_t, WaveProgress> m_progress; ///< by wave, as it was when this term began
     std::int64_t m_loadedStoreTime = 0; ///< of the store when it answered with the waves
     TimePoint m_loadedAt;
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <LibMembership/ProcessClock.h>
 #include <algorithm>
 #include <charconv>
@@ -138,8 +139,6 @@
     MaintenanceWave &known = m_waves.try_emplace(wave->number, *wave).first->second;
     if (known.requestedAt == TimePoint{})
         known.requestedAt = m_clock();
-    if (m_session)
-        m_session->setWave(known);
 }
 
 void JobService::configurationRow(const Row &row)
@@ -166,11 +165,7 @@
     if (auto next = m_lease.takeRequest(m_clock()))
         request(std::move(*next));
     checkLease();
-    m_leaseTimer.expires_after(leaseTick);
-    m_leaseTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            driveLease();
-    });
+    runAfter(m_leaseTimer, leaseTick, [this] { driveLease(); });
 }
 
 void JobService::request(StoreRequest request)
@@ -196,11 +191,7 @@
         m_ports.store->read({std::string(fastestHostKey), leaseKey},
                             [this](const ReadResult &result) { leaseRead(result); });
     }
-    m_observeTimer.expires_after(observePeriod);
-    m_observeTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            observeLease();
-    });
+    runAfter(m_observeTimer, observePeriod, [this] { observeLease(); });
 }
 
 void JobService::leaseRead(const ReadResult &result)
@@ -264,6 +255,9 @@
         const auto held = m_lease.held(m_clock());
         return held && held->fencingEpoch == epoch;
     };
+    hooks.waves = [this]() -> const MaintenanceWaves & {
+        return m_waves;
+    };
     hooks.deposed = [this, epoch] {
         m_fencedEpoch = std::max(m_fencedEpoch, epoch);
         if (m_session && m_sessionEpoch == epoch)
@@ -273,8 +267,6 @@
                                                    m_settings.timing, m_settings.hostTiming,
                                                    std::move(hooks));
     m_session->setConfiguration(m_configuration.configuration);
-    for (const auto &[number, wave] : m_waves)
-        m_session->setWave(wave);
     m_session->start();
     m_metrics.setScheduling(true);
 }
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -71,7 +71,7 @@
     std::atomic<std::int64_t> m_storeReachedAt{0}; ///< nanoseconds on the service's clock
     std::atomic<bool> m_stopping{false};
     std::unique_ptr<RowFollower> m_operatorFollower;
-    std::map<std::uint64_t, MaintenanceWave> m_waves; ///< by number
+    MaintenanceWaves m_waves;
     LeaseKeeper m_lease;
     TakeOverOrder m_takeOver;
     asio::steady_timer m_leaseTimer;
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
+#include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -34,16 +35,6 @@
 
 SchedulerSession::~SchedulerSession() = default;
 
-template <typename Step>
-void SchedulerSession::after(asio::steady_timer &timer, Duration pause, Step step)
-{
-    timer.expires_after(pause);
-    timer.async_wait([step = std::move(step)](const asio::error_code &error) {
-        if (!error)
-            step();
-    });
-}
-
 void SchedulerSession::start()
 {
     claimEpoch();
@@ -65,7 +56,7 @@
                             if (alive.expired())
                                 return;
                             if (result.status != ReadStatus::Ok)
-                                return after(m_claimTimer, retryPause, [this] { claimEpoch(); });
+                                return runAfter(m_claimTimer, retryPause, [this] { claimEpoch(); });
                             const Row &row = result.rows.front();
                             const auto epoch = row.version == absentVersion
                                                    ? 0
@@ -90,7 +81,7 @@
                                   return;
                               if (result.status == CommitStatus::Committed)
                                   return epochClaimed(result.revision);
-                              after(m_claimTimer, retryPause, [this] { claimEpoch(); });
+                              runAfter(m_claimTimer, retryPause, [this] { claimEpoch(); });
                           });
 }
 
@@ -109,8 +100,8 @@
             if (alive.expired())
                 return;
             if (result.status != ReadStatus::Ok)
-                return after(m_claimTimer, retryPause,
-                             [this, startAfter] { loadProgress(startAfter); });
+                return runAfter(m_claimTimer, retryPause,
+                                [this, startAfter] { loadProgress(startAfter); });
             for (const Row &row : result.rows) {
                 valueOrElse(
                     [&]() -> Result<bool> {
@@ -195,6 +186,7 @@
         reportDeposed();
     };
     hooks.mayOrder = m_hooks.leaseHeld;
+    hooks.waves = m_hooks.waves;
     hooks.storeTime = [this] {
         return storeTime();
     };
@@ -209,15 +201,6 @@
     m_hostSession = std::make_unique<HostSession>(m_context, m_ports, m_epoch, epochCheck,
                                                   m_hostTiming, std::move(hooks));
     m_hostSession->start();
-    for (const auto &[number, wave] : m_waves)
-        m_hostSession->setWave(wave);
-}
-
-void SchedulerSession::setWave(const MaintenanceWave &wave)
-{
-    m_waves.emplace(wave.number, wave);
-    if (m_hostSession)
-        m_hostSession->setWave(wave);
 }
 
 void SchedulerSession::jobChanged(const RowChange &change)
@@ -285,7 +268,7 @@
         planSoon();
     }
     m_readingWorkers = false;
-    after(m_workerTimer, workerPeriod, [this] { readWorkers({}); });
+    runAfter(m_workerTimer, workerPeriod, [this] { readWorkers({}); });
 }
 
 WorkerReplyHooks SchedulerSession::replyHooks()
@@ -313,7 +296,7 @@
         plan();
     };
     if (m_hooks.clock() < m_nextPlan)
-        return after(m_planTimer, m_nextPlan - m_hooks.clock(), planPosted);
+        return runAfter(m_planTimer, m_nextPlan - m_hooks.clock(), planPosted);
     asio::post(m_context, [planPosted, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             planPosted();
@@ -350,7 +333,7 @@
 void SchedulerSession::writePendingCounts()
 {
     const auto counts = m_scheduler->pendingJobs();
-    after(m_countTimer, countPeriod, [this] { writePendingCounts(); });
+    runAfter(m_countTimer, countPeriod, [this] { writePendingCounts(); });
     Json::Value value(Json::objectValue);
     value["store_ms"] = static_cast<Json::Int64>(storeTime());
     for (const auto &[queue, count] : counts)
@@ -388,7 +371,7 @@
 void SchedulerSession::tick()
 {
     plan();
-    after(m_tickTimer, tickPeriod, [this] { tick(); });
+    runAfter(m_tickTimer, tickPeriod, [this] { tick(); });
 }
 
 void SchedulerSession::reportDeposed()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -24,6 +24,8 @@
         std::function<TimePoint()> clock;
         /// Whether the lease is certainly held now.
         std::function<bool()> leaseHeld;
+        /// The waves that administrators asked for.
+        std::function<const MaintenanceWaves &()> waves;
         /// Called once, later, when another process has taken over.
         std::function<void()> deposed;
     };
@@ -37,7 +39,6 @@
 
     void start();
     void setConfiguration(std::shared_ptr<const JobConfiguration> configuration);
-    void setWave(const MaintenanceWave &wave);
     /// Null until the jobs are loaded.
     const JobScheduler *scheduler() const { return m_scheduler.get(); }
 
@@ -63,8 +64,6 @@
     void tick();
     void reportDeposed();
     WorkerReplyHooks replyHooks();
-    template <typename Step>
-    void after(asio::steady_timer &timer, Duration pause, Step step);
 
     asio::io_context &m_context;
     const PlatformPorts &m_ports;
@@ -78,7 +77,6 @@
     Version m_epochVersion = absentVersion;
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
-    std::map<std::uint64_t, MaintenanceWave> m_waves; ///< by number
     std::unique_ptr<RowFollower> m_jobFollower;
     std::vector<WorkerDescription> m_workersRead;
     std::int64_t m_storeTime = 0; ///< milliseconds on the store's clock; 0: not known
