--- a/Meta/peridot.sh
+++ b/Meta/peridot.sh
@@ -6,6 +6,8 @@
 readonly build_directory="${PERIDOT_BUILD_DIRECTORY:-Build/release}"
 # Compilation of one file can take over 1 GB, so the number of jobs is bounded by memory as well.
 jobs="${PERIDOT_JOBS:-$(nproc)}"
+# Clones of the repository in other folders share the cached objects.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 
 usage() {
     cat <<'USAGE'
@@ -16,7 +18,7 @@
   build             configure and build
   install           install the packages of Meta/packages.txt
   format [--check]  format the sources, or check their format
-  lint [FILE...]    run clang-tidy; warnings are errors
+  lint [FILE...]    run clang-tidy where the text has changed since a clean run; warnings are errors
   sanitize KIND [CTEST-ARGUMENT...]
                     build and run tests under: address,undefined | thread
   measure NAME      print key=value lines: flood | overhead | rollout | placement | config | store |
@@ -63,7 +65,7 @@
     configure "$build_directory"
     local files=("$@")
     [ "${#files[@]}" -gt 0 ] || mapfile -t files < <(sources | grep '\.cpp$' | grep -v EasyLogging.cpp)
-    printf '%s\n' "${files[@]}" | xargs -P "$jobs" -n 1 clang-tidy --quiet -p "$build_directory" 2> >(grep -v 'warnings generated' >&2 || true)
+    python3 Meta/lint.py -j "$jobs" "$build_directory" "${files[@]}"
 }
 
 # Names of the tests in KNOWN-RED.txt as a regular expression for ctest -E.
