--- a/Kernel/Jobs/HostPlannerMoves.cpp
+++ b/Kernel/Jobs/HostPlannerMoves.cpp
@@ -69,12 +69,14 @@
 }
 
 HostPlanner::Host *HostPlanner::findIdleHost(TimePoint now, const JobScheduler &scheduler,
-                                             const std::string &pool, Duration minimumIdleTime)
+                                             const std::string &pool, const std::string &target,
+                                             Duration minimumIdleTime)
 {
     for (auto &[id, host] : m_hosts) {
         const bool available
             = !host.inTransition && host.reservedForWave == 0 && acceptsOrders(now, host);
-        if (!available || host.description.pool != pool || runCount(host, scheduler) > 0)
+        if (!available || m_invalidMoves.contains({id, target}) || host.description.pool != pool
+            || runCount(host, scheduler) > 0)
             continue;
         if (host.idleSince && now >= *host.idleSince + minimumIdleTime)
             return &host;
@@ -113,8 +115,8 @@
                                const std::string &from, const std::string &to,
                                Duration minimumIdleTime)
 {
-    Host *host = findIdleHost(now, scheduler, from, minimumIdleTime);
-    if (host == nullptr || m_invalidMoves.contains({host->description.id, to}))
+    Host *host = findIdleHost(now, scheduler, from, to, minimumIdleTime);
+    if (host == nullptr)
         return false;
     moveHost(now, *host, to);
     return true;
--- a/Kernel/Jobs/HostPlannerWaves.cpp
+++ b/Kernel/Jobs/HostPlannerWaves.cpp
@@ -87,9 +87,12 @@
         const auto host = m_hosts.find(id);
         if (host == m_hosts.end() || wave.maintained.contains(id))
             continue;
+        // hostsInMaintenance() has counted the hosts in transition already.
+        if (host->second.inTransition || host->second.description.phase == HostPhase::Maintenance)
+            continue;
         if (host->second.reservedForWave != 0)
             ++concurrentHosts;
-        else if (!host->second.inTransition && host->second.description.phase == HostPhase::Up)
+        else if (host->second.description.phase == HostPhase::Up)
             candidates.push_back(&host->second);
     }
     const unsigned required = requiredConcurrency(now, wave, candidates.size() + concurrentHosts);
--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Json.h>
 #include <cmath>
+#include <cstdlib>
 
 namespace Peridot::Jobs {
 
@@ -18,9 +19,12 @@
     return Json::Value(static_cast<Json::Int64>(toUnixMilliseconds(time)));
 }
 
-Duration durationFrom(const Json::Value &value)
+// The largest time whose nanoseconds fit into 64 bits, with room for sums.
+constexpr std::int64_t maximumMilliseconds = 4'000'000'000'000;
+
+bool isRepresentable(std::int64_t milliseconds)
 {
-    return std::chrono::milliseconds(value.asInt64());
+    return std::abs(milliseconds) <= maximumMilliseconds;
 }
 
 /// Encodes the members of a record as a JSON object. Members that have their default
@@ -118,13 +122,15 @@
     }
     void member(const char *name, Duration &value)
     {
-        if (const auto *found = findIntegral(name, &Json::Value::isInt64))
-            value = durationFrom(*found);
+        std::int64_t milliseconds = 0;
+        if (findMilliseconds(name, milliseconds))
+            value = std::chrono::milliseconds(milliseconds);
     }
     void member(const char *name, TimePoint &value)
     {
-        if (const auto *found = findIntegral(name, &Json::Value::isInt64))
-            value = fromUnixMilliseconds(found->asInt64());
+        std::int64_t milliseconds = 0;
+        if (findMilliseconds(name, milliseconds))
+            value = fromUnixMilliseconds(milliseconds);
     }
     void member(const char *name, std::optional<unsigned> &value)
     {
@@ -173,6 +179,16 @@
         }
         return value;
     }
+    bool findMilliseconds(const char *name, std::int64_t &milliseconds)
+    {
+        const auto *found = findIntegral(name, &Json::Value::isInt64);
+        if (found == nullptr)
+            return false;
+        milliseconds = found->asInt64();
+        if (!isRepresentable(milliseconds))
+            fail(name);
+        return isRepresentable(milliseconds);
+    }
     const Json::Value *findIntegral(const char *name, bool (Json::Value::*accepts)() const)
     {
         const Json::Value *value = &m_object[name];
@@ -311,6 +327,31 @@
     return std::string(progressPrefix) + std::string(id);
 }
 
+std::string encodePendingCounts(const PendingCounts &counts)
+{
+    Json::Value object(Json::objectValue);
+    object["store_ms"] = static_cast<Json::Int64>(counts.storeMilliseconds);
+    object["queues"] = Json::Value(Json::objectValue);
+    for (const auto &[queue, count] : counts.byQueue)
+        object["queues"][queue] = count;
+    return writeJson(object);
+}
+
+Result<PendingCounts> parsePendingCounts(std::string_view text)
+{
+    BOOST_LEAF_AUTO(object, parseJson(text));
+    if (!object.isObject() || !object["store_ms"].isInt64() || !object["queues"].isObject())
+        return makeError(ErrorCode::ProtocolViolation, "pending");
+    PendingCounts counts;
+    counts.storeMilliseconds = object["store_ms"].asInt64();
+    for (const std::string &queue : object["queues"].getMemberNames()) {
+        if (!object["queues"][queue].isUInt())
+            return makeError(ErrorCode::ProtocolViolation, "queues");
+        counts.byQueue[queue] = object["queues"][queue].asUInt();
+    }
+    return counts;
+}
+
 std::string encodeSubmittedJob(const SubmittedJob &job)
 {
     RecordWriter writer;
@@ -376,7 +417,10 @@
     reader.member("finished", progress.finishedOccurrences);
     if (!reader.invalid().empty())
         return makeError(ErrorCode::ProtocolViolation, reader.invalid());
-    for (const auto &entry : object["occurrences"]) {
+    const Json::Value &occurrences = object["occurrences"];
+    if (!occurrences.isNull() && !occurrences.isArray())
+        return makeError(ErrorCode::ProtocolViolation, "occurrences");
+    for (const auto &entry : occurrences) {
         BOOST_LEAF_AUTO(occurrence, parseOccurrence(entry));
         progress.occurrences.push_back(std::move(occurrence));
     }
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -35,22 +35,35 @@
 {
     for (auto &[id, worker] : m_workers)
         worker.listed = false;
-    for (const auto &description : workers) {
-        Worker &worker = findOrAddWorker(description);
-        const std::int64_t knownIncarnation = worker.description.startedAt;
-        // The list lags behind the worker's own replies, which may have shown a later incarnation.
-        if (description.startedAt < knownIncarnation)
-            continue;
-        worker.listed = true;
-        if (knownIncarnation != 0 && description.startedAt > knownIncarnation)
-            endIncarnation(now, worker, description.startedAt);
-        worker.description = description;
-    }
+    for (const auto &description : workers)
+        updateDescription(now, findOrAddWorker(description), description);
     std::erase_if(m_workers, [](const auto &entry) {
         return !entry.second.listed && entry.second.runs.empty();
     });
 }
 
+void JobScheduler::updateDescription(TimePoint now, Worker &worker,
+                                     const WorkerDescription &description)
+{
+    const std::int64_t known = worker.description.startedAt;
+    const bool isRefuted
+        = worker.refutedIncarnation != 0 && description.startedAt == worker.refutedIncarnation;
+    // The list lags behind the worker's own replies, which may have shown a later incarnation.
+    if (description.startedAt < known && !isRefuted)
+        return;
+    worker.listed = true;
+    worker.description = description;
+    if (isRefuted) {
+        worker.description.startedAt = known;
+    } else if (description.startedAt > known && worker.incarnationReported) {
+        // Others may write entries, too. Only the worker itself can tell that its runs have ended.
+        worker.description.startedAt = known;
+        worker.announceIncarnation(now, description.startedAt);
+    } else if (description.startedAt > known) {
+        worker.incarnationListedAt = now;
+    }
+}
+
 void JobScheduler::setExistingWorkers(TimePoint now, TimePoint requestedAt,
                                       const std::set<std::string> &workers)
 {
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -256,7 +256,7 @@
                 = run.throttlePercent / 2 < minimumThrottlePercent ? 0 : run.throttlePercent / 2;
         else if (!nearTarget)
             percent = std::min(100U, run.throttlePercent + throttleStep);
-        if (percent != run.throttlePercent)
+        if (percent != run.throttlePercent || !run.throttleConfirmed)
             sendThrottle(now, worker, name, run, percent);
     }
 }
@@ -266,6 +266,7 @@
 {
     observe("run-paced", name, worker.description.id, std::to_string(percent));
     run.throttlePercent = percent;
+    run.throttleConfirmed = false;
     run.nextThrottle = now + throttleInterval;
     m_hooks.orders.throttle({worker.description.id, name, percent, m_epoch});
 }
@@ -275,11 +276,12 @@
 {
     Worker *worker = answeringWorker(now, order.worker, reply);
     WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(order.run);
-    if (run == nullptr || reply.outcome == OrderOutcome::Accepted)
+    if (run == nullptr || run->throttlePercent != order.percent)
         return;
-    // The order failed. It is sent again when the next poll shows that it is still needed.
-    run->nextThrottle = now;
-    run->throttlePercent = 100;
+    // A failed order may have taken effect. Until one is accepted, each poll sends another.
+    run->throttleConfirmed = reply.outcome == OrderOutcome::Accepted;
+    if (!run->throttleConfirmed)
+        run->nextThrottle = now;
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -62,11 +62,9 @@
 
 bool JobScheduler::acceptsRuns(TimePoint now, const Worker &worker)
 {
-    const bool probing
-        = worker.consecutiveFailedRuns >= failuresBeforeProbing && !worker.runs.empty();
     return worker.listed && worker.contacted && worker.clockKnown() && worker.failedPolls == 0
            && !worker.unschedulable && !worker.description.draining && !worker.hasOrphanedRuns()
-           && now >= worker.avoidUntil && !probing;
+           && now >= worker.avoidUntil;
 }
 
 JobScheduler::WorkersByPool JobScheduler::candidatesByPool(TimePoint now)
@@ -85,6 +83,9 @@
     if (!fitsInto(reservedSize(step), candidate.worker->freeCapacity())
         && !m_hooks.defects.ignoreCapacity)
         return false;
+    const bool isProbed = candidate.worker->consecutiveFailedRuns >= failuresBeforeProbing;
+    if (isProbed && !candidate.worker->runs.empty())
+        return false;
     return step.maximumPerWorker == 0 || candidate.runsOfStep < step.maximumPerWorker;
 }
 
@@ -265,9 +266,10 @@
 
 void JobScheduler::evacuate(TimePoint now)
 {
-    // A stopped run keeps its capacity until the worker reports its end, so the candidates are the
-    // same for all runs.
+    // A stopped run keeps its capacity until the worker reports its end, so that the candidates are
+    // the same for all runs.
     const auto workersByPool = candidatesByPool(now);
+    EvacuationRoom room;
     for (auto &[id, worker] : m_workers) {
         if (!worker.unschedulable && !worker.description.draining)
             continue;
@@ -277,30 +279,42 @@
         for (const RunName &name : names) {
             const WorkerRun *run = worker.runs.find(name);
             if (run != nullptr && run->phase == RunPhase::Running && isCurrentRun(name, id))
-                evacuateRun(now, worker, name, workersByPool);
+                evacuateRun(now, worker, name, workersByPool, room);
         }
     }
 }
 
+bool JobScheduler::reserveRoom(const Job &job, const TaskName &name,
+                               const std::vector<Worker *> &workers, EvacuationRoom &room) const
+{
+    const TaskSize size = reservedSize(job.step(name.step));
+    for (const PlacementCandidate &candidate : candidatesFor(job, name, workers)) {
+        TaskSize &taken = room[candidate.worker->description.id];
+        if (!fitsInto(plus(taken, size), candidate.worker->freeCapacity()))
+            continue;
+        taken = plus(taken, size);
+        return true;
+    }
+    return false;
+}
+
 void JobScheduler::evacuateRun(TimePoint now, Worker &worker, const RunName &name,
-                               const WorkersByPool &workersByPool)
+                               const WorkersByPool &workersByPool, EvacuationRoom &room)
 {
     const Job &job = *jobOf(name.task);
     const StepSpecification &step = job.step(name.task.step);
     if (!step.longRunning && !step.savesCheckpoints)
         return; // the task ends by itself, and a stop would lose its work
+    if (step.longRunning) {
+        const unsigned allowed = std::max(1U, step.maximumUnavailable.value_or(1));
+        const unsigned unavailable = unavailableTasks(job, name.task.occurrence, name.task.step);
+        const bool isUnavailable = worker.runs.find(name)->progressPercent != 100;
+        if (unavailable - (isUnavailable ? 1 : 0) >= allowed)
+            return;
+    }
     const auto workers = workersByPool.find(queueOf(job).pool);
-    if (workers == workersByPool.end() || candidatesFor(job, name.task, workers->second).empty())
+    if (workers == workersByPool.end() || !reserveRoom(job, name.task, workers->second, room))
         return; // a stopped task would only wait for capacity
-    if (!step.longRunning) {
-        observe("run-evacuated", name, worker.description.id);
-        return stopRun(now, worker, name);
-    }
-    const unsigned allowed = std::max(1U, step.maximumUnavailable.value_or(1));
-    const unsigned unavailable = unavailableTasks(job, name.task.occurrence, name.task.step);
-    const bool isUnavailable = worker.runs.find(name)->progressPercent != 100;
-    if (unavailable - (isUnavailable ? 1 : 0) >= allowed)
-        return;
     observe("run-evacuated", name, worker.description.id);
     stopRun(now, worker, name);
 }
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -116,16 +116,12 @@
                 std::string(orderOutcomeNames.nameOf(reply.outcome)));
         return;
     }
-    if (reply.startedAt != worker.description.startedAt) {
-        // Replies of an earlier incarnation may arrive after those of a later one.
-        if (reply.startedAt < worker.description.startedAt)
-            return;
-        endIncarnation(now, worker, reply.startedAt);
-    }
+    worker.nextPoll = now;
+    if (!checkIncarnation(now, worker, order, reply))
+        return;
     worker.failedPolls = 0;
-    worker.contacted = true;
+    worker.contacted = worker.announcedIncarnation == 0;
     worker.lastContact = now;
-    worker.nextPoll = now;
     worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
     if (reply.clock)
         worker.updateClock(*reply.clock, now);
@@ -137,6 +133,30 @@
     throttleBestEffortRuns(now, worker);
 }
 
+bool JobScheduler::checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
+                                    const PollReply &reply)
+{
+    if (reply.startedAt < worker.description.startedAt) {
+        // Replies of an earlier incarnation may arrive after those of a later one. When only the
+        // list has shown the later one, a poll that was sent after it proves the list wrong.
+        if (worker.incarnationReported || order.sentAt < worker.incarnationListedAt)
+            return false;
+        observe("worker-entry-refuted", {}, worker.description.id,
+                std::to_string(worker.description.startedAt));
+        worker.refutedIncarnation = worker.description.startedAt;
+        worker.description.startedAt = reply.startedAt;
+    }
+    if (reply.startedAt > worker.description.startedAt)
+        endIncarnation(now, worker, reply.startedAt);
+    worker.incarnationReported = true;
+    if (worker.announcedIncarnation != 0 && order.sentAt >= worker.announcedAt) {
+        observe("worker-entry-refuted", {}, worker.description.id,
+                std::to_string(worker.announcedIncarnation));
+        worker.refutedIncarnation = std::exchange(worker.announcedIncarnation, 0);
+    }
+    return true;
+}
+
 void JobScheduler::endIncarnation(TimePoint now, Worker &worker, std::int64_t nextIncarnation)
 {
     observe("worker-life-ended", {}, worker.description.id, std::to_string(nextIncarnation));
@@ -343,7 +363,10 @@
             const Duration limit
                 = std::max<Duration>(stallLimit, step.estimatedRuntime * stallRuntimeFactor);
             const bool inService = step.longRunning && run.progressPercent == 100;
-            if (!inService && !step.bestEffort && now - run.progressChangedAt > limit)
+            // Only the time up to the latest report counts: a scheduler that was suspended has
+            // not read the later ones yet.
+            const Duration observedTime = worker.lastContact - run.progressChangedAt;
+            if (!inService && !step.bestEffort && observedTime > limit)
                 stalled.push_back(name);
         }
         for (const RunName &name : stalled) {
--- a/Kernel/Jobs/LeaseTakeoverPolicy.cpp
+++ b/Kernel/Jobs/LeaseTakeoverPolicy.cpp
@@ -1,14 +1,8 @@
-#include "LeaseTakeoverPolicy.h"
+#include <Kernel/Jobs/LeaseTakeoverPolicy.h>
 
-namespace Peridot::Jobs {
-
-namespace {
+#include "HostCapacity.h"
 
-// A host with at least this share of the fastest host's capacity does not wait: the delay would
-// cost more than the faster host gains.
-constexpr double similarCapacityRatio = 0.8;
-
-} // namespace
+namespace Peridot::Jobs {
 
 LeaseTakeoverPolicy::LeaseTakeoverPolicy(double processors, Duration delay)
     : m_processors(processors), m_delay(delay)
@@ -28,7 +22,7 @@
 {
     if (!m_freeSince)
         return false;
-    const bool isFastEnough = m_fastest && m_processors >= similarCapacityRatio * *m_fastest;
+    const bool isFastEnough = m_fastest && isSimilarCapacity(m_processors, *m_fastest);
     return isFastEnough || now >= *m_freeSince + m_delay;
 }
 
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -25,6 +25,20 @@
     m_clockKnown = false;
     m_leasesEnd = TimePoint{};
     contacted = false;
+    incarnationReported = false;
+    announcedIncarnation = 0;
+    refutedIncarnation = 0;
+}
+
+void Worker::announceIncarnation(TimePoint now, std::int64_t startedAt)
+{
+    if (startedAt == announcedIncarnation)
+        return;
+    announcedIncarnation = startedAt;
+    announcedAt = now;
+    contacted = false;
+    pollInFlight = false; // the poll in flight may wait for an answer of the earlier incarnation
+    nextPoll = now;
 }
 
 void Worker::updateClock(WorkerClock clock, TimePoint receivedAt)
--- a/Kernel/Membership/LeaseKeeper.cpp
+++ b/Kernel/Membership/LeaseKeeper.cpp
@@ -20,9 +20,25 @@
     // The holder must stop acting before the row shows others that the lease is free.
     m_held.reset();
     m_releasing = true;
+    m_resigning = false;
     m_wanted = false;
 }
 
+void LeaseKeeper::resign()
+{
+    if (m_releasing)
+        return;
+    release();
+    m_resigning = true;
+}
+
+void LeaseKeeper::finishRelease()
+{
+    m_releaseDone = !m_resigning;
+    if (std::exchange(m_resigning, false))
+        m_releasing = false;
+}
+
 void LeaseKeeper::setGuard(LeaseGuard guard)
 {
     const bool sameChecks
@@ -85,7 +101,7 @@
 std::optional<StoreRequest> LeaseKeeper::releaseRequest(TimePoint now)
 {
     if (!isRowHolder()) {
-        m_releaseDone = true;
+        finishRelease();
         return std::nullopt;
     }
     return writeTransaction(now, m_row.epoch, true);
@@ -192,7 +208,7 @@
         return;
     }
     if (m_releasing)
-        m_releaseDone = true;
+        finishRelease();
     // NOTE: A stale read looks the same as a deleted row. The next write checks that the row is
     // absent, so after a stale read it conflicts and the row is read again.
     m_row = LeaseRow{};
@@ -231,7 +247,7 @@
     m_rowKnown = true;
     m_highestEpoch = std::max(m_highestEpoch, m_row.epoch);
     if (write.release) {
-        m_releaseDone = true;
+        finishRelease();
         return;
     }
     if (m_releasing)
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -125,8 +125,9 @@
     /// Number of hosts by pool that are up, moving or in transition, without those reserved for a
     /// wave. A host whose move was just ordered counts for its target pool.
     std::map<std::string, unsigned> presentHosts() const;
+    /// Host of \a pool that has been idle for this long and can be moved to \a target; null: none.
     Host *findIdleHost(TimePoint now, const JobScheduler &scheduler, const std::string &pool,
-                       Duration minimumIdleTime);
+                       const std::string &target, Duration minimumIdleTime);
     /// Moves an idle host that another pool does not need to pool \a target. Returns whether there
     /// was one.
     bool acquireHost(TimePoint now, const JobScheduler &scheduler, MovePlan &plan,
--- a/Kernel/include/Kernel/Jobs/JobRows.h
+++ b/Kernel/include/Kernel/Jobs/JobRows.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/JobTypes.h>
 #include <LibBase/Error.h>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,19 @@
 /// Row with the number of accepted jobs without a started task, by queue.
 constexpr std::string_view pendingJobsKey = "scheduler/pending";
 
+/// Row scheduler/pending.
+struct PendingCounts
+{
+    std::int64_t storeMilliseconds = 0; ///< when it was written, on the store's clock
+    std::map<std::string, unsigned> byQueue;
+
+    bool operator==(const PendingCounts &) const = default;
+};
+
+std::string encodePendingCounts(const PendingCounts &counts);
+/// Errors: InvalidJson; ProtocolViolation when a member is missing or of another type.
+Result<PendingCounts> parsePendingCounts(std::string_view text);
+
 std::string encodeSubmittedJob(const SubmittedJob &job);
 /// Errors: InvalidJson; ProtocolViolation with the name of the invalid member in the field.
 Result<SubmittedJob> parseSubmittedJob(std::string_view text);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -126,6 +126,8 @@
         std::vector<std::pair<std::string, std::uint64_t>> ends;
     };
     using WorkersByPool = std::map<std::string, std::vector<Worker *>>;
+    /// Room that the evacuations of one pass need, by worker.
+    using EvacuationRoom = std::map<std::string, TaskSize>;
     struct PoolQueueEntry
     {
         Job *job = nullptr;
@@ -136,6 +138,8 @@
 
     /// Known worker of this id, or a new one with \a description.
     Worker &findOrAddWorker(const WorkerDescription &description);
+    static void updateDescription(TimePoint now, Worker &worker,
+                                  const WorkerDescription &description);
     static WorkerRun newRun(const StepSpecification &step, TimePoint now);
     /// Adds the runs that the row of a loaded job records as active to their workers.
     void restoreRuns(TimePoint now, Job &job, unsigned occurrence, unsigned step);
@@ -158,6 +162,10 @@
     /// another worker answered in its place, or when this scheduler is fenced.
     Worker *answeringWorker(TimePoint now, const std::string &id, const OrderReply &reply);
     void markStarted(const TaskName &name);
+    /// Compares the incarnation that answered a poll with the known one, and begins a later one.
+    /// Returns false for an answer of an earlier incarnation.
+    bool checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
+                          const PollReply &reply);
     /// Requeues the tasks whose runs the current incarnation had, and begins the next one. When
     /// \a nextIncarnation is the current one, the worker counts as not listed.
     void endIncarnation(TimePoint now, Worker &worker, std::int64_t nextIncarnation);
@@ -211,7 +219,10 @@
     /// Stops runs on workers that are draining or unschedulable and whose tasks can move.
     void evacuate(TimePoint now);
     void evacuateRun(TimePoint now, Worker &worker, const RunName &name,
-                     const WorkersByPool &workersByPool);
+                     const WorkersByPool &workersByPool, EvacuationRoom &room);
+    /// Reserves room for the task on one of the workers. Returns whether there was enough.
+    bool reserveRoom(const Job &job, const TaskName &name, const std::vector<Worker *> &workers,
+                     EvacuationRoom &room) const;
 
     // JobSchedulerOrders.cpp
     /// Finished jobs whose retention has expired, at most as many as fit in one transaction.
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -18,6 +18,10 @@
     /// Discards the state of the previous incarnation of the worker.
     void beginIncarnation(std::int64_t startedAt);
 
+    /// Takes the later incarnation of an entry of the list. Until the worker has confirmed or
+    /// refuted it, it gets no new runs, and it is polled without delay.
+    void announceIncarnation(TimePoint now, std::int64_t startedAt);
+
     void updateClock(WorkerClock clock, TimePoint receivedAt);
     /// Returns a lease end \a length from now on the clock of the worker, and raises leasesEnd()
     /// accordingly. Requires clockKnown().
@@ -39,6 +43,11 @@
 
     WorkerDescription description;
     bool listed = true; ///< the platform's latest list contains the worker
+    bool incarnationReported = false; ///< by a reply of the worker, not by the list only
+    TimePoint incarnationListedAt; ///< when the list showed the incarnation that is not reported
+    std::int64_t announcedIncarnation = 0; ///< later one in the list, in doubt; 0: none
+    TimePoint announcedAt; ///< when the list showed announcedIncarnation
+    std::int64_t refutedIncarnation = 0; ///< of a wrong entry of the list; 0: none
     bool contacted = false; ///< the current incarnation answered a poll under the current epoch
     bool unschedulable = false; ///< gets no new runs: its host will be maintained or moved
     WorkerRuns runs;
--- a/Kernel/include/Kernel/Jobs/WorkerRun.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRun.h
@@ -40,6 +40,7 @@
     Duration latencyTarget{0}; ///< 0: not a serving task
     bool bestEffort = false;
     unsigned throttlePercent = 100; ///< share of its processor time that the run may use
+    bool throttleConfirmed = true; ///< the worker accepted the order for throttlePercent
     TimePoint nextThrottle; ///< earliest time of the next throttle order
 
     bool isOverTarget() const { return latencyTarget.count() > 0 && latency > latencyTarget; }
--- a/Kernel/include/Kernel/Membership/LeaseKeeper.h
+++ b/Kernel/include/Kernel/Membership/LeaseKeeper.h
@@ -50,6 +50,8 @@
     void setWanted(bool wanted);
     /// Releases the lease. released() tells when that is done.
     void release();
+    /// Releases the lease like release(), but the process may acquire it again later.
+    void resign();
     /// Writes the row at the next opportunity instead of at the renewal period.
     void requestRenewal() { m_renewalRequested = true; }
     void setGuard(LeaseGuard guard);
@@ -92,6 +94,7 @@
     };
 
     std::optional<StoreRequest> releaseRequest(TimePoint now);
+    void finishRelease();
     Transaction writeTransaction(TimePoint now, std::uint64_t epoch, bool release);
     void observeRow(TimePoint now, const Row &row);
     /// Updates the state for a write that is known to have taken effect.
@@ -111,6 +114,7 @@
     bool m_wanted = false;
     bool m_releasing = false;
     bool m_releaseDone = false;
+    bool m_resigning = false; ///< the release in progress is not final
     bool m_renewalRequested = false;
     bool m_deferred = false;
     bool m_readRequired = true;
--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -34,6 +34,7 @@
     m_busy = true;
     ++m_exchangeNumber;
     m_deadline = std::chrono::steady_clock::now() + timeout;
+    m_sendBefore = BootClock::now() + timeout;
     if (!m_connected)
         return connect();
     armTimer(m_deadline);
@@ -71,6 +72,8 @@
             return;
         if (error)
             return self->finish(ExchangeEnd::NotConnected);
+        if (BootClock::now() >= self->m_sendBefore)
+            return self->finish(ExchangeEnd::NotConnected);
         self->m_connected = true;
         asio::error_code ignored;
         self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -33,8 +33,7 @@
     if (++m_requestsSinceDrop >= requestsBetweenDrops)
         dropUnused();
     Server &server = m_servers[endpoint];
-    Request request{std::move(requestText), std::chrono::steady_clock::now() + timeout,
-                    std::move(callback)};
+    Request request{std::move(requestText), BootClock::now() + timeout, std::move(callback)};
     if (server.busy >= m_settings.connectionsPerServer) {
         server.waiting.push_back(std::move(request));
         return;
@@ -62,8 +61,7 @@
                : std::make_shared<ClientConnection>(
                    m_context, endpoint, ClientConnectionSettings{m_settings.connectTimeout, true});
     using std::chrono::milliseconds;
-    const auto left
-        = std::chrono::ceil<milliseconds>(request.deadline - std::chrono::steady_clock::now());
+    const auto left = std::chrono::ceil<milliseconds>(request.deadline - BootClock::now());
     connection->exchange(std::move(request.text), false, std::max(left, milliseconds(1)),
                          [this, endpoint, connection, callback = std::move(request.callback),
                           alive = std::weak_ptr(m_alive)](Exchange result) {
@@ -80,7 +78,7 @@
     while (!server.waiting.empty()) {
         Request next = std::move(server.waiting.front());
         server.waiting.pop_front();
-        if (next.deadline > std::chrono::steady_clock::now())
+        if (next.deadline > BootClock::now())
             return send(endpoint, connection, std::move(next));
         asio::post(m_context,
                    [callback = std::move(next.callback), alive = std::weak_ptr(m_alive)] {
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/BootClock.h>
 #include <LibBase/EnumTable.h>
 #include <LibHttp/MessageParser.h>
 #include <array>
@@ -57,6 +58,8 @@
     /// Text of a request with Content-Length.
     static std::string format(const RequestMessage &request);
 
+    /// A request that could not be sent within \a timeout, because the connection was not
+    /// established or the host was suspended, is not sent later and ends as NotConnected.
     void exchange(std::string requestText, bool answersHead, std::chrono::milliseconds timeout,
                   Callback callback);
     void close();
@@ -79,6 +82,7 @@
     std::array<char, 4UL * 1024> m_buffer{};
     std::string m_requestText;
     std::chrono::steady_clock::time_point m_deadline; ///< of the exchange
+    BootClock::time_point m_sendBefore; ///< the request is not sent after this time
     Callback m_callback;
     bool m_connected = false;
     bool m_busy = false;
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/BootClock.h>
 #include <LibHttp/ClientConnection.h>
 #include <cstddef>
 #include <deque>
@@ -26,7 +27,8 @@
     ClientPool &operator=(const ClientPool &) = delete;
 
     /// Calls \a callback exactly once, after this function has returned, unless this object is
-    /// destroyed before. A request that waits for its whole \a timeout ends as NotConnected.
+    /// destroyed before. A request that was not sent within \a timeout, which includes the time
+    /// during which the host was suspended, ends as NotConnected.
     void exchange(const asio::ip::tcp::endpoint &server, std::string requestText,
                   std::chrono::milliseconds timeout, ClientConnection::Callback callback);
 
@@ -35,7 +37,7 @@
     struct Request
     {
         std::string text;
-        std::chrono::steady_clock::time_point deadline;
+        BootClock::time_point deadline;
         ClientConnection::Callback callback;
     };
     struct Server
--- a/Libraries/LibMembership/ProcessClock.cpp
+++ b/Libraries/LibMembership/ProcessClock.cpp
@@ -1,24 +1,14 @@
 #include <LibMembership/ProcessClock.h>
 
-#include <ctime>
+#include <LibBase/BootClock.h>
 
 namespace Peridot {
 
-namespace {
-
-Duration readClock(clockid_t clock)
-{
-    timespec time{};
-    clock_gettime(clock, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
-} // namespace
-
 TimePoint processNow()
 {
-    static const Duration offset = readClock(CLOCK_REALTIME) - readClock(CLOCK_BOOTTIME);
-    return TimePoint(readClock(CLOCK_BOOTTIME) + offset);
+    static const Duration offset
+        = std::chrono::system_clock::now().time_since_epoch() - BootClock::now().time_since_epoch();
+    return TimePoint(BootClock::now().time_since_epoch() + offset);
 }
 
 } // namespace Peridot
--- a/Libraries/LibStore/RowFollower.cpp
+++ b/Libraries/LibStore/RowFollower.cpp
@@ -43,10 +43,14 @@
     m_scanned.insert(m_scanned.end(), result.rows.begin(), result.rows.end());
     if (result.more && !result.rows.empty())
         return scan(result.rows.back().key);
+    const std::weak_ptr alive = m_alive;
     m_hooks.onRows(std::exchange(m_scanned, {}));
+    if (alive.expired())
+        return;
     if (m_hooks.onCurrent)
         m_hooks.onCurrent(m_scanBegan);
-    followChanges();
+    if (!alive.expired())
+        followChanges();
 }
 
 void RowFollower::followChanges()
@@ -74,7 +78,8 @@
     }
     if (m_hooks.onCurrent)
         m_hooks.onCurrent(requestedAt);
-    followChanges();
+    if (!alive.expired())
+        followChanges();
 }
 
 void RowFollower::retry(std::function<void()> step)
--- a/Libraries/LibStore/include/LibStore/RowFollower.h
+++ b/Libraries/LibStore/include/LibStore/RowFollower.h
@@ -42,6 +42,8 @@
     RowFollower &operator=(const RowFollower &) = delete;
 
     void start();
+    /// Sets the maximum wait of later calls of the feed.
+    void setWait(std::chrono::milliseconds wait) { m_settings.wait = wait; }
 
 private:
     void scan(const std::string &startAfter);
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -47,6 +47,8 @@
                                    {{"key", row.key}, {"error", describe(error)}});
                           return Json::Value(Json::objectValue);
                       });
+    if (!value.isObject())
+        return progress;
     for (const auto &host : value["done"]) {
         if (host.isString())
             progress.maintained.insert(host.asString());
@@ -60,9 +62,9 @@
 
 HostSession::HostSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
                          RowCheck epochCheck, HostSessionTiming timing, Hooks hooks)
-    : m_ports(ports), m_epochCheck(std::move(epochCheck)), m_hooks(std::move(hooks)),
-      m_holderPause(timing.holderPause), m_planner(epoch, timing.planner, plannerHooks()),
-      m_listTimer(context)
+    : m_ports(ports), m_epoch(epoch), m_epochCheck(std::move(epochCheck)),
+      m_hooks(std::move(hooks)), m_holderPause(timing.holderPause),
+      m_planner(epoch, timing.planner, plannerHooks()), m_listTimer(context)
 {
 }
 
@@ -214,7 +216,8 @@
                                      orders.begin() + static_cast<std::ptrdiff_t>(count));
         orders.erase(orders.begin(), orders.begin() + static_cast<std::ptrdiff_t>(count));
         Transaction transaction;
-        transaction.operationId = "host-orders/" + std::to_string(++m_transactionCount);
+        transaction.operationId
+            = "host-orders/" + std::to_string(m_epoch) + '/' + std::to_string(++m_transactionCount);
         transaction.checks = {m_epochCheck};
         for (const HostOrder &order : batch)
             transaction.writes.push_back(
@@ -253,7 +256,8 @@
 void HostSession::writeWave(std::uint64_t wave, const std::vector<RowWrite> &status)
 {
     Transaction transaction;
-    transaction.operationId = waveKey(wave) + '/' + std::to_string(++m_transactionCount);
+    transaction.operationId = waveKey(wave) + '/' + std::to_string(m_epoch) + '/'
+                              + std::to_string(++m_transactionCount);
     transaction.checks = {m_epochCheck};
     transaction.writes = status;
     const std::int64_t requestedStoreTime = m_initialProgress[wave].requestedStoreTime;
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -77,6 +77,7 @@
     HostPlannerHooks plannerHooks();
 
     const PlatformPorts &m_ports;
+    std::uint64_t m_epoch;
     RowCheck m_epochCheck;
     Hooks m_hooks;
     Duration m_holderPause;
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -26,7 +26,7 @@
 constexpr std::chrono::seconds outageRetryAfter{1};
 
 // Counts of waiting jobs that are older than this are not reported to callers.
-constexpr std::chrono::milliseconds maximumCountAge{3500};
+constexpr std::chrono::milliseconds maximumCountAge{2000};
 
 Duration answerTimeout(const JobCall &call)
 {
@@ -242,16 +242,15 @@
 void JobFrontend::count(const PendingCallPointer &pending)
 {
     readRows(pending, {std::string(pendingJobsKey)}, [this, pending](const ReadResult &result) {
-        const Json::Value counts
-            = valueOrElse([&] { return parseJson(result.rows[0].value); },
-                          [](const Error &) { return Json::Value(Json::objectValue); });
-        // The scheduler writes the row regularly, so an old row means that no scheduler is running.
-        const std::int64_t writtenAt = counts.get("store_ms", Json::Int64{0}).asInt64();
-        if (result.storeMilliseconds - writtenAt > maximumCountAge.count())
-            return fail(pending);
-        const Json::Value number = counts["queues"].get(pending->call.queue, 0U);
-        answer(pending,
-               {.outcome = CallOutcome::Counted, .pending = number.isUInt() ? number.asUInt() : 0});
+        const auto counts = valueOrElse([&] { return parsePendingCounts(result.rows[0].value); },
+                                        [](const Error &) { return PendingCounts{}; });
+        // The scheduler writes the row regularly, so that an old row means that no scheduler is
+        // running. Its successor may write it before the caller's timeout.
+        if (result.storeMilliseconds - counts.storeMilliseconds > maximumCountAge.count())
+            return retry(pending, [this, pending] { count(pending); });
+        const auto number = counts.byQueue.find(pending->call.queue);
+        answer(pending, {.outcome = CallOutcome::Counted,
+                         .pending = number == counts.byQueue.end() ? 0 : number->second});
     });
 }
 
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -5,70 +5,23 @@
 #include <LibBase/RunAfter.h>
 #include <LibMembership/ProcessClock.h>
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace Peridot::Jobs {
 
 namespace {
 
-constexpr const char *leaseKey = "lease/scheduler";
-// Row with the processor capacity of the fastest host so far. It is in the same table as the lease
-// row, so that one store call reads both.
-constexpr std::string_view fastestHostKey = "lease/fastest-host";
-// A successor can take over at most this long, plus one observation interval, after the holder
-// failed.
-constexpr std::chrono::milliseconds leaseDuration{2000};
-constexpr std::chrono::milliseconds leaseKeeperInterval{50};
+constexpr std::chrono::milliseconds electionTickInterval{50};
 constexpr std::chrono::milliseconds leaseObservationInterval{500};
-// A faster host observes the free lease within one observation interval, and then needs a store
-// call to acquire it.
-constexpr std::chrono::milliseconds slowHostDelay{900};
-constexpr std::chrono::milliseconds storeRetryDelay{200};
-// After an outage of the store, other processes wait this long before they acquire the lease, so
-// that the former holder, which has the jobs loaded, can acquire it first.
-constexpr std::chrono::milliseconds outageTakeoverDelay{1000};
+// Transfers are rare, so that a call of this feed usually ends without a change.
+constexpr std::chrono::milliseconds transferFeedWait{10'000};
+constexpr std::chrono::milliseconds candidateFeedWait{5'000};
+constexpr std::chrono::milliseconds leaseFeedWait{1'000};
 // A call of the change feed waits up to half a second for a change of the configuration. Three
 // calls without an answer make the process unready, so that callers are routed to other processes.
 constexpr std::chrono::milliseconds readinessTimeout{2500};
 constexpr std::chrono::milliseconds configurationFeedWait{500};
 
-MembershipTiming leaseTiming()
-{
-    MembershipTiming timing = membershipTimingFor(leaseDuration);
-    timing.storeRetry = storeRetryDelay;
-    return timing;
-}
-
-LeaseKeeperSettings leaseSettings(const std::string &host, const std::string &instance)
-{
-    LeaseKeeperSettings settings;
-    // A host runs one process of this service at a time, so an earlier process of this host has
-    // ended. The number of dashes is compared because the name of another host may start with the
-    // name of this host and a dash.
-    settings.hasEnded = [host, instance](const std::string &holder) {
-        return holder != instance && holder.starts_with(host + '-')
-               && std::count(holder.begin(), holder.end(), '-')
-                      == std::count(instance.begin(), instance.end(), '-');
-    };
-    settings.key = leaseKey;
-    settings.name = "scheduler";
-    settings.holder = instance;
-    settings.timing = leaseTiming();
-    return settings;
-}
-
-/// Value of the row of the fastest host; nothing when it is absent or malformed.
-std::optional<double> parseProcessors(const Row &row)
-{
-    double processors = 0;
-    const char *end = row.value.data() + row.value.size();
-    const auto parsed = std::from_chars(row.value.data(), end, processors);
-    if (row.version == absentVersion || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return processors;
-}
-
 } // namespace
 
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
@@ -80,24 +33,33 @@
                   [this](const JobCall &call, CallOutcome outcome, Duration duration) {
                       m_metrics.recordAnswer(call, outcome, duration);
                   }}),
-      m_leaseKeeper(leaseSettings(m_settings.host, m_settings.instance)),
-      m_takeoverPolicy(m_settings.processors, slowHostDelay), m_leaseTimer(context),
-      m_observeTimer(context)
+      m_election({m_settings.host, m_settings.instance, m_settings.processors, {}}, *m_ports.store,
+                 electionHooks()),
+      m_electionTimer(context), m_observeTimer(context)
 {
 }
 
 void JobService::start()
 {
     followConfiguration();
-    runLeaseKeeper();
+    followTransfers();
+    runElection();
     observeLease();
 }
 
 void JobService::beginStop()
 {
     m_stopping = true;
-    endSession("stopping");
-    m_leaseKeeper.release();
+    endStandby();
+    m_election.beginStop();
+}
+
+void JobService::recoverFrom(const std::exception &error)
+{
+    logEvent(LogLevel::Error, "unexpected-error", {{"error", error.what()}});
+    endStandby();
+    endSession("unexpected-error");
+    m_election.resign();
 }
 
 void JobService::handle(JobCall call, JobFrontend::Callback callback)
@@ -168,74 +130,90 @@
         m_session->setConfiguration(configuration);
 }
 
-void JobService::runLeaseKeeper()
+std::unique_ptr<RowFollower> JobService::follow(std::string_view prefix,
+                                                std::chrono::milliseconds wait,
+                                                std::function<void(const RowChange &)> onChange)
 {
-    if (auto request = m_leaseKeeper.takeRequest(m_clock()))
-        sendLeaseRequest(std::move(*request));
-    updateSession();
-    runAfter(m_leaseTimer, leaseKeeperInterval, [this] { runLeaseKeeper(); });
+    RowFollowerSettings settings;
+    settings.prefix = std::string(prefix);
+    settings.wait = wait;
+    RowFollower::Hooks hooks;
+    hooks.onRows = [onChange](const std::vector<Row> &rows) {
+        for (const Row &row : rows)
+            onChange({row, false});
+    };
+    hooks.onChange = std::move(onChange);
+    auto follower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
+                                                  settings, m_clock, std::move(hooks));
+    follower->start();
+    return follower;
 }
 
-void JobService::sendLeaseRequest(StoreRequest request)
+void JobService::followTransfers()
 {
-    if (const auto *transaction = std::get_if<Transaction>(&request)) {
-        m_ports.store->commit(*transaction, [this](const CommitResult &result) {
-            m_leaseKeeper.finish(m_clock(), result);
-            updateSession();
-        });
-        return;
-    }
-    const auto &keys = std::get<ReadRows>(request).keys;
-    m_ports.store->read(keys, [this](const ReadResult &result) {
-        m_leaseKeeper.finish(m_clock(), result);
+    m_transferFollower = follow(transferPrefix, transferFeedWait, [this](const RowChange &change) {
+        if (!change.removed)
+            m_election.transferRowChanged(change.row);
+    });
+}
+
+SchedulerElection::Hooks JobService::electionHooks()
+{
+    SchedulerElection::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.prepare = [this] {
+        beginStandby();
+    };
+    hooks.abandon = [this] {
+        endStandby();
+    };
+    hooks.stepDown = [this] {
+        endSession("lease-transferred");
+    };
+    hooks.leaseChanged = [this] {
         updateSession();
+    };
+    hooks.observe = [this](std::string_view kind, const std::string &detail) {
+        m_metrics.countEvent(kind);
+        logEvent(LogLevel::Info, kind, {{"detail", detail}});
+    };
+    return hooks;
+}
+
+void JobService::beginStandby()
+{
+    m_replica = std::make_unique<JobRowReplica>(m_context, m_ports, m_clock);
+    m_replica->whenCurrentSince(m_clock(), [this] { m_election.prepared(); });
+    m_replica->start();
+    m_leaseFollower = follow(leasePrefix, leaseFeedWait, [this](const RowChange &change) {
+        if (!change.removed)
+            m_election.leaseRowChanged(change.row);
     });
 }
 
-void JobService::observeLease()
+void JobService::endStandby()
 {
-    // The holder knows the row from its own renewals.
-    if (!m_leaseKeeper.held(m_clock())) {
-        m_ports.store->read({std::string(fastestHostKey), leaseKey},
-                            [this](const ReadResult &result) { leaseRowsRead(result); });
-    }
-    runAfter(m_observeTimer, leaseObservationInterval, [this] { observeLease(); });
+    m_replica.reset();
+    m_leaseFollower.reset();
 }
 
-void JobService::leaseRowsRead(const ReadResult &result)
+void JobService::runElection()
 {
-    const TimePoint now = m_clock();
-    if (m_leaseKeeper.held(now))
-        return;
-    if (result.status == ReadStatus::Ok) {
-        const Row &fastest = result.rows.front();
-        m_leaseKeeper.observe(now, result.rows.back());
-        m_takeoverPolicy.observe(now, m_leaseKeeper.isFree(now), parseProcessors(fastest));
-        if (m_takeoverPolicy.isFastest())
-            publishProcessors(fastest);
-    } else {
-        m_storeFailedAt = now;
-    }
-    const bool waitForFormerHolder
-        = m_storeFailedAt && now < *m_storeFailedAt + outageTakeoverDelay;
-    m_leaseKeeper.setWanted(!waitForFormerHolder && !m_stopping
-                            && m_takeoverPolicy.mayAcquire(now));
+    m_election.tick();
+    updateSession();
+    runAfter(m_electionTimer, electionTickInterval, [this] { runElection(); });
 }
 
-void JobService::publishProcessors(const Row &row)
+void JobService::observeLease()
 {
-    Transaction transaction;
-    transaction.operationId = m_settings.instance + "/processors";
-    transaction.checks = {{row.key, row.version}};
-    transaction.writes = {{row.key, std::to_string(m_settings.processors)}};
-    // When the write fails, the next observation reads the current row and tries again.
-    m_ports.store->commit(transaction, [](const CommitResult &) {});
+    m_election.observeLease();
+    runAfter(m_observeTimer, leaseObservationInterval, [this] { observeLease(); });
 }
 
 void JobService::updateSession()
 {
     const TimePoint now = m_clock();
-    const auto held = m_leaseKeeper.held(now);
+    const auto held = m_election.held();
     if (held) {
         m_leaseHeldAt = now;
         if (held->fencingEpoch <= m_fencedEpoch)
@@ -246,8 +224,7 @@
     }
     if (!m_session)
         return;
-    if (!m_leaseKeeper.observedHolder().empty()
-        && m_leaseKeeper.observedHolder() != m_settings.instance)
+    if (!m_election.observedHolder().empty() && m_election.observedHolder() != m_settings.instance)
         return endSession("lease-taken");
     // While the store is unreachable, the scheduler continues for a grace period. This is safe, as
     // workers reject its orders once a successor, which has a higher epoch, has contacted them.
@@ -263,7 +240,7 @@
     SchedulerSession::Hooks hooks;
     hooks.clock = m_clock;
     hooks.leaseHeld = [this, epoch] {
-        const auto held = m_leaseKeeper.held(m_clock());
+        const auto held = m_election.held();
         return held && held->fencingEpoch == epoch;
     };
     hooks.waves = [this]() -> const MaintenanceWaves & {
@@ -274,9 +251,17 @@
         if (m_session && m_sessionEpoch == epoch)
             endSession("fenced");
     };
+    if (!m_replica) {
+        m_replica = std::make_unique<JobRowReplica>(m_context, m_ports, m_clock);
+        m_replica->start();
+    }
     m_session = std::make_unique<SchedulerSession>(m_context, m_ports, m_metrics, epoch,
                                                    m_settings.timing, m_settings.hostTiming,
-                                                   std::move(hooks));
+                                                   std::move(m_replica), std::move(hooks));
+    endStandby();
+    m_candidateFollower
+        = follow(candidatePrefix, candidateFeedWait,
+                 [this](const RowChange &change) { m_election.candidateRowChanged(change); });
     m_session->setConfiguration(m_configuration.configuration);
     m_session->start();
     m_metrics.setScheduling(true);
@@ -288,6 +273,7 @@
         return;
     logEvent(LogLevel::Info, "scheduler-session-ended", {{"reason", reason}});
     m_session.reset();
+    m_candidateFollower.reset();
     m_metrics.setScheduling(false);
 }
 
@@ -300,7 +286,7 @@
     if (m_configuration.configuration)
         state["configuration_version"]
             = static_cast<Json::UInt64>(m_configuration.configuration->version);
-    state["scheduler_lease_holder"] = m_leaseKeeper.observedHolder();
+    state["scheduler_lease_holder"] = m_election.observedHolder();
     const JobScheduler *scheduler = m_session ? m_session->scheduler() : nullptr;
     if (scheduler == nullptr)
         return writeIndentedJson(state);
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -2,10 +2,9 @@
 
 #include "JobFrontend.h"
 #include "JobMetrics.h"
-#include "LeaseTakeoverPolicy.h"
 #include "PlatformPorts.h"
 #include "SchedulerSession.h"
-#include <Kernel/Membership/LeaseKeeper.h>
+#include <Kernel/Jobs/SchedulerElection.h>
 #include <LibStore/RowFollower.h>
 #include <atomic>
 #include <map>
@@ -34,9 +33,14 @@
     JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports);
 
     void start();
-    /// Stops the scheduler and releases its lease, so that another process can take over without
-    /// waiting for the lease to expire. Calls are still answered.
+    /// Transfers the scheduler lease to another process, if this one holds it, and acquires it no
+    /// more. Calls are still answered.
     void beginStop();
+    /// Whether this process has stopped and does not schedule any more.
+    bool released() const { return m_election.released(); }
+    /// Ends the scheduler session, whose state may be inconsistent after \a error, and releases the
+    /// lease to another process.
+    void recoverFrom(const std::exception &error);
 
     /// Answers a call of a caller, see JobFrontend::handle().
     void handle(JobCall call, JobFrontend::Callback callback);
@@ -58,15 +62,16 @@
     void applyOperatorRow(const Row &row);
     /// Puts the configuration of this row in force, unless it is older than the one in force.
     void applyConfigurationRow(const Row &row);
-    /// Performs the store requests of the lease keeper, periodically.
-    void runLeaseKeeper();
-    void sendLeaseRequest(StoreRequest request);
-    /// Reads the lease row periodically while another process holds the lease or it is free.
+    void followTransfers();
+    /// Advances the election, periodically.
+    void runElection();
     void observeLease();
-    void leaseRowsRead(const ReadResult &result);
-    /// Writes the processor capacity of this host to the row of the fastest host, unless it has
-    /// changed since \a row was read.
-    void publishProcessors(const Row &row);
+    SchedulerElection::Hooks electionHooks();
+    /// Loads the rows of the jobs, as the scheduler asked, to take over its lease.
+    void beginStandby();
+    void endStandby();
+    std::unique_ptr<RowFollower> follow(std::string_view prefix, std::chrono::milliseconds wait,
+                                        std::function<void(const RowChange &)> onChange);
     /// Begins or ends the scheduler session as the state of the lease requires.
     void updateSession();
     void beginSession(std::uint64_t epoch);
@@ -86,11 +91,13 @@
     std::atomic<bool> m_stopping{false};
     std::unique_ptr<RowFollower> m_operatorFollower;
     MaintenanceWaves m_waves; ///< requested by administrators
-    LeaseKeeper m_leaseKeeper;
-    LeaseTakeoverPolicy m_takeoverPolicy;
-    asio::steady_timer m_leaseTimer;
+    SchedulerElection m_election;
+    asio::steady_timer m_electionTimer;
     asio::steady_timer m_observeTimer;
-    std::optional<TimePoint> m_storeFailedAt; ///< latest failed read of the lease row
+    std::unique_ptr<RowFollower> m_transferFollower;
+    std::unique_ptr<RowFollower> m_candidateFollower; ///< null: this process does not schedule
+    std::unique_ptr<RowFollower> m_leaseFollower; ///< null: not on standby
+    std::unique_ptr<JobRowReplica> m_replica; ///< null: not on standby
     std::unique_ptr<SchedulerSession> m_session; ///< null: this process does not schedule
     std::uint64_t m_sessionEpoch = 0; ///< fencing epoch of the latest session
     std::uint64_t m_fencedEpoch = 0; ///< highest epoch of this process that a higher one fenced
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -1,6 +1,5 @@
 #include "SchedulerSession.h"
 
-#include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
@@ -24,15 +23,23 @@
 constexpr std::chrono::milliseconds maximumPlanPause{20};
 constexpr std::chrono::milliseconds retryDelay{100};
 constexpr std::size_t scanPage = 500; ///< rows
+constexpr std::size_t finishedJobsPerTick = 50;
+
+void logUnreadableRow(const std::string &key, const Error &error)
+{
+    logEvent(LogLevel::Error, "row-unreadable", {{"key", key}, {"error", describe(error)}});
+}
 
 } // namespace
 
 SchedulerSession::SchedulerSession(asio::io_context &context, const PlatformPorts &ports,
                                    JobMetrics &metrics, std::uint64_t epoch, SchedulerTiming timing,
-                                   HostSessionTiming hostTiming, Hooks hooks)
+                                   HostSessionTiming hostTiming,
+                                   std::unique_ptr<JobRowReplica> replica, Hooks hooks)
     : m_context(context), m_ports(ports), m_metrics(metrics), m_epoch(epoch), m_timing(timing),
-      m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_startRetryTimer(context),
-      m_tickTimer(context), m_planTimer(context), m_workerTimer(context), m_countTimer(context)
+      m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_replica(std::move(replica)),
+      m_startRetryTimer(context), m_tickTimer(context), m_planTimer(context),
+      m_workerTimer(context), m_countTimer(context)
 {
 }
 
@@ -91,61 +98,8 @@
 {
     logEvent(LogLevel::Info, "epoch-claimed", {{"epoch", m_epoch}});
     m_epochVersion = version;
-    loadProgress({});
-}
-
-void SchedulerSession::loadProgress(const std::string &startAfter)
-{
-    m_ports.store->scan(
-        std::string(progressPrefix), startAfter, scanPage,
-        [this, startAfter, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-            if (alive.expired())
-                return;
-            if (result.status != ReadStatus::Ok)
-                return runAfter(m_startRetryTimer, retryDelay,
-                                [this, startAfter] { loadProgress(startAfter); });
-            for (const Row &row : result.rows) {
-                valueOrElse(
-                    [&]() -> Result<bool> {
-                        BOOST_LEAF_AUTO(progress, parseJobProgress(row.value));
-                        m_loadedProgress[row.key.substr(progressPrefix.size())]
-                            = {progress, row.version};
-                        return true;
-                    },
-                    [&](const Error &error) {
-                        logEvent(LogLevel::Error, "row-unreadable",
-                                 {{"key", row.key}, {"error", describe(error)}});
-                        return false;
-                    });
-            }
-            if (result.more && !result.rows.empty())
-                return loadProgress(result.rows.back().key);
-            progressLoaded();
-        });
-}
-
-void SchedulerSession::progressLoaded()
-{
-    RowFollower::Hooks hooks;
-    hooks.onRows = [this](const std::vector<Row> &rows) {
-        jobRowsRead(rows);
-    };
-    hooks.onChange = [this](const RowChange &change) {
-        jobRowChanged(change);
-    };
-    RowFollowerSettings settings;
-    settings.prefix = std::string(jobPrefix);
-    m_jobFollower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
-                                                  settings, m_hooks.clock, std::move(hooks));
-    m_jobFollower->start();
-}
-
-void SchedulerSession::jobRowsRead(const std::vector<Row> &rows)
-{
-    if (!m_scheduler)
-        beginScheduling();
-    for (const Row &row : rows)
-        jobRowChanged({row, false});
+    // From the claim on, no earlier scheduler changes a row, so what was committed before is final.
+    m_replica->whenCurrentSince(m_hooks.clock(), [this] { beginScheduling(); });
 }
 
 void SchedulerSession::beginScheduling()
@@ -169,13 +123,11 @@
         = std::make_unique<JobScheduler>(m_epoch, m_epochVersion, m_timing, std::move(hooks), now);
     if (m_configuration)
         m_scheduler->setConfiguration(m_configuration);
-    for (const auto &[id, progress] : m_loadedProgress) {
-        if (isFinished(progress.first.phase))
-            m_scheduler->addFinishedJob(id, progress.first.changedAt);
-    }
+    m_loadedProgress = m_replica->takeProgress();
     logEvent(LogLevel::Info, "scheduling-began",
              {{"epoch", m_epoch},
               {"progress_rows", static_cast<std::uint64_t>(m_loadedProgress.size())}});
+    addLoadedJobs();
     beginHostSession();
     readWorkers({});
     tick();
@@ -221,28 +173,60 @@
     schedulePlan();
 }
 
+void SchedulerSession::addLoadedJobs()
+{
+    const auto rows
+        = m_replica->takeJobs([this](const RowChange &change) { jobRowChanged(change); });
+    for (const auto &[key, row] : rows)
+        jobRowChanged({row, false});
+}
+
 void SchedulerSession::addJob(const Row &row)
 {
     valueOrElse(
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(job, parseSubmittedJob(row.value));
-            const auto loaded = m_loadedProgress.find(job.id);
-            if (loaded == m_loadedProgress.end()) {
+            const auto loaded = takeLoadedProgress(job.id);
+            if (loaded)
+                m_scheduler->addJob(m_hooks.clock(), job, loaded->first, loaded->second);
+            else
                 m_scheduler->addJob(m_hooks.clock(), job, std::nullopt, absentVersion);
-            } else {
-                m_scheduler->addJob(m_hooks.clock(), job, loaded->second.first,
-                                    loaded->second.second);
-                m_loadedProgress.erase(loaded);
-            }
             return true;
         },
         [&](const Error &error) {
-            logEvent(LogLevel::Error, "row-unreadable",
-                     {{"key", row.key}, {"error", describe(error)}});
+            logUnreadableRow(row.key, error);
             return false;
         });
 }
 
+std::optional<std::pair<JobProgress, Version>>
+SchedulerSession::takeLoadedProgress(const std::string &job)
+{
+    const auto node = m_loadedProgress.extract(progressKey(job));
+    if (!node)
+        return std::nullopt;
+    const Row &row = node.mapped();
+    return valueOrElse(
+        [&]() -> Result<std::optional<std::pair<JobProgress, Version>>> {
+            BOOST_LEAF_AUTO(progress, parseJobProgress(row.value));
+            return std::make_optional(std::make_pair(std::move(progress), row.version));
+        },
+        [&](const Error &error) {
+            logUnreadableRow(row.key, error);
+            return std::optional<std::pair<JobProgress, Version>>();
+        });
+}
+
+void SchedulerSession::addFinishedJobs()
+{
+    for (std::size_t count = 0; count < finishedJobsPerTick && !m_loadedProgress.empty(); ++count) {
+        const std::string job = m_loadedProgress.begin()->first.substr(progressPrefix.size());
+        const auto loaded = takeLoadedProgress(job);
+        if (loaded && isFinished(loaded->first.phase))
+            m_scheduler->addFinishedJob(job, loaded->first.changedAt);
+    }
+}
+
 void SchedulerSession::readWorkers(const std::string &startAfter)
 {
     m_readingWorkers = true;
@@ -337,19 +321,15 @@
 
 void SchedulerSession::writePendingCounts()
 {
-    const auto counts = m_scheduler->pendingJobs();
+    const PendingCounts counts{storeTime(), m_scheduler->pendingJobs()};
     runAfter(m_countTimer, countWriteInterval, [this] { writePendingCounts(); });
-    Json::Value value(Json::objectValue);
-    value["store_ms"] = static_cast<Json::Int64>(storeTime());
-    for (const auto &[queue, count] : counts)
-        value["queues"][queue] = count;
-    for (const auto &[queue, count] : counts)
+    for (const auto &[queue, count] : counts.byQueue)
         m_metrics.setWaitingJobs(queue, count);
     Transaction transaction;
     transaction.operationId
         = "pending/" + std::to_string(m_epoch) + '/' + std::to_string(storeTime());
     transaction.checks = {{std::string(schedulerEpochKey), m_epochVersion}};
-    transaction.writes = {{std::string(pendingJobsKey), writeJson(value)}};
+    transaction.writes = {{std::string(pendingJobsKey), encodePendingCounts(counts)}};
     m_ports.store->commit(transaction,
                           [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
                               if (!alive.expired())
@@ -375,6 +355,7 @@
 
 void SchedulerSession::tick()
 {
+    addFinishedJobs();
     plan();
     runAfter(m_tickTimer, tickInterval, [this] { tick(); });
 }
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -2,21 +2,23 @@
 
 #include "HostSession.h"
 #include "JobMetrics.h"
+#include "JobRowReplica.h"
 #include "PlatformPorts.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
-#include <LibStore/RowFollower.h>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace Peridot::Jobs {
 
-/// One term of this process as the scheduler of all pools: writes the fencing epoch, loads the
-/// jobs, and runs the scheduler until it is fenced or the session is destroyed. Single-threaded on
-/// its context.
+/// One term of this process as the scheduler of all pools: writes the fencing epoch, completes the
+/// replica of the job rows, and runs the scheduler until it is fenced or the session is destroyed.
+/// Single-threaded on its context.
 class SchedulerSession
 {
 public:
@@ -32,16 +34,17 @@
         std::function<void()> fenced;
     };
 
+    /// \a replica may be loaded already; it must have been started.
     SchedulerSession(asio::io_context &context, const PlatformPorts &ports, JobMetrics &metrics,
                      std::uint64_t epoch, SchedulerTiming timing, HostSessionTiming hostTiming,
-                     Hooks hooks);
+                     std::unique_ptr<JobRowReplica> replica, Hooks hooks);
     ~SchedulerSession();
     SchedulerSession(const SchedulerSession &) = delete;
     SchedulerSession &operator=(const SchedulerSession &) = delete;
 
     void start();
     void setConfiguration(std::shared_ptr<const JobConfiguration> configuration);
-    /// Returns the scheduler; null until the progress rows and the job rows are loaded.
+    /// Returns the scheduler; null until the replica of the rows is complete.
     const JobScheduler *scheduler() const { return m_scheduler.get(); }
 
 private:
@@ -50,14 +53,17 @@
     void claimEpoch();
     void writeEpoch(Version current);
     void epochClaimed(Version version);
-    /// Loads all progress rows whose keys follow \a startAfter, page by page.
-    void loadProgress(const std::string &startAfter);
-    void progressLoaded();
-    /// Takes all job and cancellation rows after each scan. The first scan begins the scheduling.
-    void jobRowsRead(const std::vector<Row> &rows);
+    void beginScheduling();
+    /// Passes the jobs of the replica to the scheduler.
+    void addLoadedJobs();
+    /// Passes the next finished jobs of the replica to the scheduler. Only the removal of their
+    /// rows depends on them, so they must not delay the start of waiting tasks.
+    void addFinishedJobs();
     void jobRowChanged(const RowChange &change);
     void addJob(const Row &row);
-    void beginScheduling();
+    /// Progress row of this job that was loaded, decoded and with its version; nothing when there
+    /// is none or it is malformed. Each row is returned once.
+    std::optional<std::pair<JobProgress, Version>> takeLoadedProgress(const std::string &job);
     /// Reads the registrations of workers whose keys follow \a startAfter, page by page.
     void readWorkers(const std::string &startAfter);
     void beginHostSession();
@@ -86,12 +92,12 @@
     HostSessionTiming m_hostTiming;
     Hooks m_hooks;
     std::shared_ptr<const JobConfiguration> m_configuration;
-    /// Progress rows by job id, each until its job is passed to the scheduler.
-    std::map<std::string, std::pair<JobProgress, Version>> m_loadedProgress;
+    std::unique_ptr<JobRowReplica> m_replica;
+    /// Progress rows by key, each until its job is passed to the scheduler.
+    JobRowReplica::Rows m_loadedProgress;
     Version m_epochVersion = absentVersion; ///< of the epoch row, as written by this session
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
-    std::unique_ptr<RowFollower> m_jobFollower;
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
     std::int64_t m_storeTime = 0; ///< latest known time of the store, in milliseconds; 0: none
     TimePoint m_storeTimeUpdatedAt; ///< local time at which m_storeTime was received
--- a/Tests/Kernel/Jobs/TestLeaseTakeoverPolicy.cpp
+++ b/Tests/Kernel/Jobs/TestLeaseTakeoverPolicy.cpp
@@ -1,4 +1,4 @@
-#include <Services/Jobs/LeaseTakeoverPolicy.h>
+#include <Kernel/Jobs/LeaseTakeoverPolicy.h>
 #include <catch2/catch.hpp>
 
 using namespace Peridot;
--- a/Tests/platform/TestDecoding.cpp
+++ b/Tests/platform/TestDecoding.cpp
@@ -2,6 +2,7 @@
 #include <PlatformConfiguration.h>
 #include <PlatformHosts.h>
 #include <PlatformWorkers.h>
+#include <WorkerRegistration.h>
 #include <catch2/catch.hpp>
 
 using namespace Peridot;
@@ -21,6 +22,11 @@
     "state":"ready","capacity":{"cpu":16000,"mem_mb":32768,"gpus":1},"labels":["a","r1-3"],
     "clock_ms":5,"seq":4,"born":1700000000000})";
 
+std::optional<Jobs::WorkerDescription> decodeWorker(const Row &row)
+{
+    return WorkerDecoder([](const std::string &, const Error &) {}).decode(row);
+}
+
 RequestMessage makeRequest(const std::string &method, const std::string &target,
                            const std::string &body = {})
 {
