platform, Kernel/Jobs: Keep leases, progress, host orders and submissions in partitions

The renewals of the scheduler's lease waited behind the submissions of 35 hosts, the lease was lost though its holder was well, and nobody scheduled for 3 to 7 s; submissions were refused for as long. The supposed cause, a slow host that keeps the lease, came on top.

Change: leases, progress, orders for hosts, and 16 groups of jobs by the first digit of their ids each have their partition. A submission no longer checks the row of the configuration, which is in another partition: instead a process whose knowledge of the configuration may be older than nine tenths of the time in which a version must be in force refuses calls. Job rows are removed after their job is finished, many at once, and leave a row by which a late copy of the submission is known.

--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -1,6 +1,7 @@
 #include <Kernel/Jobs/JobRows.h>
 
 #include <LibBase/Json.h>
+#include <charconv>
 #include <cmath>
 #include <cstdlib>
 
@@ -327,6 +328,20 @@
     return std::string(progressPrefix) + std::string(id);
 }
 
+std::string finishedKey(std::string_view id)
+{
+    return std::string(finishedPrefix) + std::string(id);
+}
+
+unsigned jobPartition(std::string_view id)
+{
+    unsigned digit = 0;
+    const std::string_view first = id.substr(0, 1);
+    constexpr int hexadecimal = 16;
+    std::from_chars(first.data(), first.data() + first.size(), digit, hexadecimal);
+    return digit % jobPartitions;
+}
+
 std::string encodePendingCounts(const PendingCounts &counts)
 {
     Json::Value object(Json::objectValue);
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -84,6 +84,8 @@
     const std::string id = submitted.id;
     if (m_jobs.contains(id) || m_retained.contains(id))
         return;
+    if (progress && isFinished(progress->phase))
+        return retainJob(now, id, progress->changedAt);
     Job &job = m_jobs.try_emplace(id, submitted, progress, now).first->second;
     job.rowVersion = progressVersion;
     job.startDueOccurrences(now);
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -3,6 +3,7 @@
 #include "SchedulerLimits.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -12,9 +13,13 @@
     if (m_flush || now < m_nextFlush)
         return std::nullopt;
     Flush flush;
+    std::size_t bytes = 0;
     for (const auto &id : m_dirty) {
-        if (flush.jobs.size() < maximumJobsPerTransaction)
-            flush.jobs.push_back(id);
+        if (flush.jobs.size() >= maximumJobsPerTransaction || bytes >= transactionBytes)
+            break;
+        flush.jobs.push_back(id);
+        flush.rows.push_back(encodeJobProgress(m_jobs.at(id).progress(now)));
+        bytes += flush.rows.back().size();
     }
     for (const auto &id : flush.jobs)
         m_dirty.erase(id);
@@ -60,16 +65,11 @@
     Transaction transaction;
     transaction.operationId = "scheduler/" + std::to_string(m_epoch) + '/'
                               + std::to_string(now.time_since_epoch().count());
-    transaction.checks.push_back({std::string(schedulerEpochKey), m_epochRowVersion});
-    for (const auto &id : flush.jobs) {
-        const Job &job = m_jobs.at(id);
-        transaction.checks.push_back({progressKey(id), job.rowVersion});
-        transaction.writes.push_back({progressKey(id), encodeJobProgress(job.progress(now))});
-        if (!isFinished(job.phase()))
-            continue;
-        transaction.writes.push_back({jobKey(id), std::nullopt});
-        if (job.phase() == JobPhase::Cancelled)
-            transaction.writes.push_back({cancellationKey(id), std::nullopt});
+    transaction.checks.push_back({std::string(progressEpochKey), m_epochRowVersion});
+    for (std::size_t index = 0; index < flush.jobs.size(); ++index) {
+        const std::string key = progressKey(flush.jobs[index]);
+        transaction.checks.push_back({key, m_jobs.at(flush.jobs[index]).rowVersion});
+        transaction.writes.push_back({key, flush.rows[index]});
     }
     for (const auto &id : flush.expired)
         transaction.writes.push_back({progressKey(id), std::nullopt});
@@ -88,7 +88,7 @@
         return;
     }
     const auto &conflicts = result.conflicts;
-    if (std::find(conflicts.begin(), conflicts.end(), schedulerEpochKey) != conflicts.end())
+    if (std::find(conflicts.begin(), conflicts.end(), progressEpochKey) != conflicts.end())
         return m_hooks.fenced();
     // Otherwise, an earlier transaction of this scheduler took effect, but its answer was lost.
     // Only the versions of its rows are new.
@@ -109,12 +109,14 @@
         // A job that finished while this transaction was in flight is written once more.
         if (!isFinished(job.phase()) || m_dirty.contains(id))
             continue;
-        m_retained.emplace(id, now + m_timing.statusRetention);
+        retainJob(now, id, now);
         std::erase_if(m_advice, [&](const auto &entry) { return entry.first.job == id; });
         m_jobs.erase(id);
     }
-    for (const auto &id : flush.expired)
+    for (const auto &id : flush.expired) {
         m_retained.erase(id);
+        cleanupOf(now, id).writes.push_back({finishedKey(id), std::nullopt});
+    }
     applyDurableEnds(flush);
     for (const auto &[workerId, name] : flush.starts) {
         const auto worker = m_workers.find(workerId);
@@ -129,6 +131,57 @@
     sendDueOrders(now);
 }
 
+void JobScheduler::retainJob(TimePoint now, const std::string &id, TimePoint finishedAt)
+{
+    m_retained.emplace(id, finishedAt + m_timing.statusRetention);
+    auto &writes = cleanupOf(now, id).writes;
+    writes.push_back({jobKey(id), std::nullopt});
+    writes.push_back({cancellationKey(id), std::nullopt});
+    writes.push_back({finishedKey(id), "{}"});
+}
+
+JobScheduler::Cleanup &JobScheduler::cleanupOf(TimePoint now, const std::string &job)
+{
+    Cleanup &cleanup = m_cleanups[jobPartition(job)];
+    if (cleanup.writes.empty())
+        cleanup.since = now;
+    return cleanup;
+}
+
+std::optional<Transaction> JobScheduler::takeCleanup(TimePoint now)
+{
+    if (m_cleanupInFlight || now < m_nextCleanup)
+        return std::nullopt;
+    const auto oldest = std::min_element(
+        m_cleanups.begin(), m_cleanups.end(), [](const Cleanup &left, const Cleanup &right) {
+            return std::make_pair(left.writes.empty(), left.since)
+                   < std::make_pair(right.writes.empty(), right.since);
+        });
+    if (oldest->writes.empty() || now < oldest->since + cleanupDelay)
+        return std::nullopt;
+    m_cleanupInFlight = static_cast<unsigned>(oldest - m_cleanups.begin());
+    const std::size_t count = std::min(oldest->writes.size(), writesPerCleanup);
+    const auto end = oldest->writes.begin() + static_cast<std::ptrdiff_t>(count);
+    m_cleanupWrites.assign(std::make_move_iterator(oldest->writes.begin()),
+                           std::make_move_iterator(end));
+    oldest->writes.erase(oldest->writes.begin(), end);
+    Transaction transaction;
+    transaction.operationId = "cleanup/" + std::to_string(m_epoch) + '/'
+                              + std::to_string(now.time_since_epoch().count());
+    transaction.writes = m_cleanupWrites;
+    return transaction;
+}
+
+void JobScheduler::cleanupFinished(TimePoint now, const CommitResult &result)
+{
+    Cleanup &cleanup = m_cleanups[*std::exchange(m_cleanupInFlight, std::nullopt)];
+    if (result.status == CommitStatus::Committed)
+        return;
+    // The writes may be repeated: they concern finished jobs, whose rows nobody else writes.
+    cleanup.writes.insert(cleanup.writes.begin(), m_cleanupWrites.begin(), m_cleanupWrites.end());
+    m_nextCleanup = now + cleanupDelay;
+}
+
 void JobScheduler::applyDurableEnds(const Flush &flush)
 {
     for (const auto &[id, number] : flush.ends) {
--- a/Kernel/include/Kernel/Jobs/JobRows.h
+++ b/Kernel/include/Kernel/Jobs/JobRows.h
@@ -46,12 +46,24 @@
 std::string jobKey(std::string_view id);
 std::string cancellationKey(std::string_view id);
 std::string progressKey(std::string_view id);
+std::string finishedKey(std::string_view id);
+
+/// Rows of jobs are divided into partitions by their ids, so that submissions do not wait for each
+/// other, nor for the scheduler. One transaction on the rows job/<id>, job/<id>.cancel and
+/// finished/<id> concerns one partition.
+constexpr unsigned jobPartitions = 16;
+unsigned jobPartition(std::string_view id);
 
 constexpr std::string_view jobPrefix = "job/";
 constexpr std::string_view progressPrefix = "progress/";
 constexpr std::string_view cancellationSuffix = ".cancel";
-/// Row with the fencing epoch of the only scheduler that may write progress rows.
-constexpr std::string_view schedulerEpochKey = "scheduler/epoch";
+/// Prefix of the rows that stand for finished jobs after their job rows are removed, so that a late
+/// copy of the submission is recognised. They have no content.
+constexpr std::string_view finishedPrefix = "finished/";
+/// Rows with the fencing epoch of the only scheduler that may write progress rows, and rows of
+/// hosts and waves. They have the same content, and each is in the partition of those rows.
+constexpr std::string_view progressEpochKey = "epoch/progress";
+constexpr std::string_view hostsEpochKey = "epoch/hosts";
 /// Row with the number of accepted jobs without a started task, by queue.
 constexpr std::string_view pendingJobsKey = "scheduler/pending";
 
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -6,6 +6,7 @@
 #include <Kernel/Jobs/StepAdvice.h>
 #include <Kernel/Jobs/Worker.h>
 #include <LibStore/Transaction.h>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -77,7 +78,8 @@
     void setExistingWorkers(TimePoint now, TimePoint requestedAt,
                             const std::set<std::string> &workers);
 
-    /// Adds a job from the store. Does nothing when the job is known already.
+    /// Adds a job from the store. Does nothing when the job is known already. When \a progress
+    /// shows that it is finished, only its remaining rows are removed.
     void addJob(TimePoint now, const SubmittedJob &job, const std::optional<JobProgress> &progress,
                 Version progressVersion);
     void cancelJob(TimePoint now, const std::string &id);
@@ -97,6 +99,10 @@
     /// Next rows to write; nothing when there are none or a transaction is in flight.
     std::optional<Transaction> takeTransaction(TimePoint now);
     void transactionFinished(TimePoint now, const CommitResult &result);
+    /// Next removal of rows that are not needed any more. Independent of takeTransaction(); nothing
+    /// when there is none due or one is in flight.
+    std::optional<Transaction> takeCleanup(TimePoint now);
+    void cleanupFinished(TimePoint now, const CommitResult &result);
 
     /// Stops the runs on \a worker except those of long-running tasks.
     void stopShortRuns(TimePoint now, const std::string &worker);
@@ -120,11 +126,18 @@
     struct Flush
     {
         std::vector<std::string> jobs; ///< jobs whose progress rows are written
+        std::vector<std::string> rows; ///< contents of these rows
         std::vector<std::string> expired; ///< finished jobs whose rows are removed
         std::vector<std::pair<std::string, RunName>> starts; ///< worker and run to start afterwards
         /// Worker, and the number up to which its ended runs are stored.
         std::vector<std::pair<std::string, std::uint64_t>> ends;
     };
+    /// Writes that are due on one partition of the rows of jobs.
+    struct Cleanup
+    {
+        TimePoint since; ///< when the first of them became due
+        std::vector<RowWrite> writes;
+    };
     using WorkersByPool = std::map<std::string, std::vector<Worker *>>;
     /// Room that the evacuations of one pass need, by worker.
     using EvacuationRoom = std::map<std::string, TaskSize>;
@@ -153,6 +166,10 @@
                  std::string detail = {}) const;
     void markDirty(const Job &job) { m_dirty.insert(job.id()); }
     void finishJob(TimePoint now, Job &job, JobPhase phase);
+    /// Keeps the finished job, whose progress row is stored, for its retention, and removes its
+    /// other rows.
+    void retainJob(TimePoint now, const std::string &id, TimePoint finishedAt);
+    Cleanup &cleanupOf(TimePoint now, const std::string &job);
     void stopRunsOf(TimePoint now, const std::string &job);
     /// Orders the run to stop, or removes it when no start order was sent.
     void stopRun(TimePoint now, Worker &worker, const RunName &name);
@@ -260,6 +277,10 @@
     std::vector<std::pair<std::string, RunName>> m_recording;
     std::map<std::string, TimePoint> m_retained; ///< finished jobs with the removal time of the row
     std::optional<Flush> m_flush; ///< transaction in flight
+    std::array<Cleanup, jobPartitions> m_cleanups; ///< by partition
+    std::optional<unsigned> m_cleanupInFlight; ///< partition of the cleanup in flight
+    std::vector<RowWrite> m_cleanupWrites; ///< of the cleanup in flight
+    TimePoint m_nextCleanup; ///< earliest time of the next cleanup
     TimePoint m_nextFlush; ///< earliest time of the next transaction
     TimePoint m_nextCheck; ///< next check of due times, leases, stalled runs and evacuations
     TimePoint m_nextExpiry; ///< next removal of rows of finished jobs
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -105,11 +105,11 @@
 
 void JobFrontend::submit(const PendingCallPointer &pending)
 {
-    const ConfigurationState state = m_hooks.configuration();
-    if (!state.configuration)
+    const auto configuration = m_hooks.configuration();
+    if (!configuration)
         return fail(pending);
     const JobCall &call = pending->call;
-    const QueueSettings *queue = state.configuration->route(call.hostName, call.path);
+    const QueueSettings *queue = configuration->route(call.hostName, call.path);
     if (queue == nullptr) {
         // A newer configuration removed the queue while the call was pending.
         if (pending->writeMayBeApplied)
@@ -123,8 +123,7 @@
     job.queue = *queue;
     Transaction transaction;
     transaction.operationId = "submit/" + call.id;
-    transaction.checks
-        = {{jobKey(call.id), absentVersion}, {progressKey(call.id), absentVersion}, state.rowCheck};
+    transaction.checks = {{jobKey(call.id), absentVersion}, {finishedKey(call.id), absentVersion}};
     transaction.writes = {{jobKey(call.id), encodeSubmittedJob(job)}};
     commit(pending, transaction,
            [this, pending](const CommitResult &result) { submitFinished(pending, result); });
@@ -132,25 +131,13 @@
 
 void JobFrontend::submitFinished(const PendingCallPointer &pending, const CommitResult &result)
 {
-    const std::string &id = pending->call.id;
     switch (result.status) {
     case CommitStatus::Committed:
         return answer(pending, {.outcome = CallOutcome::Accepted});
-    case CommitStatus::Conflict: {
-        const auto conflicts = [&](const std::string &key) {
-            return std::find(result.conflicts.begin(), result.conflicts.end(), key)
-                   != result.conflicts.end();
-        };
+    case CommitStatus::Conflict:
         // Another copy of this submission was accepted, by this or another process, or an earlier
         // write of this call was applied. The id is the same, so it is the same job.
-        if (conflicts(jobKey(id)) || conflicts(progressKey(id)))
-            return answer(pending, {.outcome = CallOutcome::Accepted});
-        for (const Row &row : result.currentRows) {
-            if (row.key == m_hooks.configuration().rowCheck.key)
-                m_hooks.onConfigurationRow(row);
-        }
-        return retry(pending, [this, pending] { submit(pending); });
-    }
+        return answer(pending, {.outcome = CallOutcome::Accepted});
     case CommitStatus::Unknown:
     case CommitStatus::Unavailable:
         break;
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -9,17 +9,9 @@
 
 namespace Peridot::Jobs {
 
-/// Configuration in force, and the version of the row from which it was decoded.
-struct ConfigurationState
-{
-    std::shared_ptr<const JobConfiguration> configuration; ///< null before the first version
-    RowCheck rowCheck; ///< key and version of that row
-};
-
 /// Answers the calls of callers by reading and writing rows of the store. A job is accepted by the
-/// transaction that writes its row, which also checks that the configuration row has not changed.
-/// No state of a job is kept in the process, so any process can answer any call. Single-threaded on
-/// its context.
+/// transaction that writes its row. No state of a job is kept in the process, so any process can
+/// answer any call. Single-threaded on its context.
 class JobFrontend
 {
 public:
@@ -28,10 +20,9 @@
     struct Hooks
     {
         std::function<TimePoint()> clock;
-        std::function<ConfigurationState()> configuration;
-        /// Called with the current configuration row when a transaction failed because the row is
-        /// no longer the one in force.
-        std::function<void(const Row &)> onConfigurationRow;
+        /// Configuration in force; null when it is not known, or when what is known is too old to
+        /// accept jobs by it.
+        std::function<std::shared_ptr<const JobConfiguration>()> configuration;
         /// Called for each answer with the time since the call arrived, for metrics. May be empty.
         std::function<void(const JobCall &, CallOutcome, Duration)> onAnswered = {};
     };
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -28,8 +28,7 @@
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
       m_clock(processNow),
       m_frontend(context, *m_ports.store,
-                 {m_clock, [this] { return m_configuration; },
-                  [this](const Row &row) { applyConfigurationRow(row); },
+                 {m_clock, [this] { return configuration(); },
                   [this](const JobCall &call, CallOutcome outcome, Duration duration) {
                       m_metrics.recordAnswer(call, outcome, duration);
                   }}),
@@ -69,13 +68,15 @@
 
 std::shared_ptr<const JobConfiguration> JobService::configuration() const
 {
-    return m_publishedConfiguration.load();
+    const TimePoint reached{Duration(m_storeReachedAt.load())};
+    return m_clock() < reached + m_settings.maximumConfigurationAge ? m_configuration.load()
+                                                                    : nullptr;
 }
 
 bool JobService::ready() const
 {
     const TimePoint reached{Duration(m_storeReachedAt.load())};
-    return !m_stopping && m_publishedConfiguration.load() != nullptr
+    return !m_stopping && m_configuration.load() != nullptr
            && m_clock() < reached + readinessTimeout;
 }
 
@@ -113,15 +114,13 @@
 
 void JobService::applyConfigurationRow(const Row &row)
 {
-    // Rows arrive from the change feed and from conflicts of transactions, in any order.
-    if (row.version <= m_configuration.rowCheck.expected)
+    if (row.version <= m_configurationVersion)
         return;
     const auto configuration = m_ports.decodeConfiguration(row);
     if (!configuration)
         return;
-    m_configuration.configuration = configuration;
-    m_configuration.rowCheck = {row.key, row.version};
-    m_publishedConfiguration = configuration;
+    m_configuration = configuration;
+    m_configurationVersion = row.version;
     m_metrics.setConfigurationVersion(configuration->version);
     logEvent(LogLevel::Info, "configuration-in-force",
              {{"version", configuration->version},
@@ -262,7 +261,7 @@
     m_candidateFollower
         = follow(candidatePrefix, candidateFeedWait,
                  [this](const RowChange &change) { m_election.candidateRowChanged(change); });
-    m_session->setConfiguration(m_configuration.configuration);
+    m_session->setConfiguration(m_configuration.load());
     m_session->start();
     m_metrics.setScheduling(true);
 }
@@ -283,9 +282,8 @@
     state["host"] = m_settings.host;
     state["instance"] = m_settings.instance;
     state["ready"] = ready();
-    if (m_configuration.configuration)
-        state["configuration_version"]
-            = static_cast<Json::UInt64>(m_configuration.configuration->version);
+    if (const auto configuration = m_configuration.load())
+        state["configuration_version"] = static_cast<Json::UInt64>(configuration->version);
     state["scheduler_lease_holder"] = m_election.observedHolder();
     const JobScheduler *scheduler = m_session ? m_session->scheduler() : nullptr;
     if (scheduler == nullptr)
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -22,6 +22,8 @@
     double processors = 1;
     SchedulerTiming timing;
     HostSessionTiming hostTiming;
+    /// Calls are refused when changes of the configuration may have been missed for this long.
+    Duration maximumConfigurationAge = std::chrono::milliseconds(1800);
 };
 
 /// Job service of one host: follows the configuration, answers callers, competes for the scheduler
@@ -50,7 +52,8 @@
     /// Returns the state of the service, the scheduler and the workers as JSON, for diagnosis.
     std::string state() const;
 
-    /// Returns the configuration in force, or null before the first one was read. Any thread.
+    /// Returns the configuration in force; null before the first one was read, and when it may be
+    /// older than JobServiceSettings::maximumConfigurationAge. Any thread.
     std::shared_ptr<const JobConfiguration> configuration() const;
     /// Whether the load balancer should route callers here: the service is not stopping, has a
     /// configuration, and reached the store recently. Any thread.
@@ -83,9 +86,8 @@
     std::function<TimePoint()> m_clock;
     JobMetrics m_metrics;
     JobFrontend m_frontend;
-    ConfigurationState m_configuration;
-    /// Copy of the configuration in m_configuration, for other threads.
-    std::atomic<std::shared_ptr<const JobConfiguration>> m_publishedConfiguration;
+    std::atomic<std::shared_ptr<const JobConfiguration>> m_configuration;
+    Version m_configurationVersion = absentVersion; ///< of the row of m_configuration
     /// Time up to which the changes of the operator rows are known, in nanoseconds of m_clock.
     std::atomic<std::int64_t> m_storeReachedAt{0};
     std::atomic<bool> m_stopping{false};
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -61,43 +61,49 @@
 
 void SchedulerSession::claimEpoch()
 {
-    m_ports.store->read({std::string(schedulerEpochKey)}, [this, alive = std::weak_ptr(m_alive)](
-                                                              const ReadResult &result) {
-        if (alive.expired())
-            return;
-        if (result.status != ReadStatus::Ok)
-            return runAfter(m_startRetryTimer, retryDelay, [this] { claimEpoch(); });
-        const Row &row = result.rows.front();
-        const auto epoch
-            = row.version == absentVersion ? 0 : std::strtoull(row.value.c_str(), nullptr, 10);
-        if (epoch > m_epoch)
-            return reportFenced();
-        if (epoch == m_epoch) // written by this session, but the answer was lost
-            return epochClaimed(row.version);
-        writeEpoch(row.version);
-    });
+    m_ports.store->read(
+        {std::string(progressEpochKey), std::string(hostsEpochKey)},
+        [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+            if (alive.expired())
+                return;
+            if (result.status != ReadStatus::Ok)
+                return runAfter(m_startRetryTimer, retryDelay, [this] { claimEpoch(); });
+            const auto epochOf = [](const Row &row) {
+                return std::strtoull(row.value.c_str(), nullptr, 10);
+            };
+            const Row &progress = result.rows.front();
+            const Row &hosts = result.rows.back();
+            if (epochOf(progress) > m_epoch || epochOf(hosts) > m_epoch)
+                return reportFenced();
+            if (epochOf(progress) == m_epoch) // written by this session, but the answer was lost
+                return epochClaimed(progress.version, hosts.version);
+            writeEpoch(result.rows);
+        });
 }
 
-void SchedulerSession::writeEpoch(Version current)
+void SchedulerSession::writeEpoch(const std::vector<Row> &current)
 {
     Transaction transaction;
     transaction.operationId = "epoch/" + std::to_string(m_epoch);
-    transaction.checks = {{std::string(schedulerEpochKey), current}};
-    transaction.writes = {{std::string(schedulerEpochKey), std::to_string(m_epoch)}};
+    for (const Row &row : current) {
+        transaction.checks.push_back({row.key, row.version});
+        transaction.writes.push_back({row.key, std::to_string(m_epoch)});
+    }
     m_ports.store->commit(transaction,
                           [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
                               if (alive.expired())
                                   return;
                               if (result.status == CommitStatus::Committed)
-                                  return epochClaimed(result.revision);
+                                  return epochClaimed(result.revision, result.revision);
                               runAfter(m_startRetryTimer, retryDelay, [this] { claimEpoch(); });
                           });
 }
 
-void SchedulerSession::epochClaimed(Version version)
+void SchedulerSession::epochClaimed(Version progressEpochVersion, Version hostsEpochVersion)
 {
     logEvent(LogLevel::Info, "epoch-claimed", {{"epoch", m_epoch}});
-    m_epochVersion = version;
+    m_progressEpochVersion = progressEpochVersion;
+    m_hostsEpochVersion = hostsEpochVersion;
     // From the claim on, no earlier scheduler changes a row, so what was committed before is final.
     m_replica->whenCurrentSince(m_hooks.clock(), [this] { beginScheduling(); });
 }
@@ -119,8 +125,8 @@
                   {"detail", event.detail}});
     };
     const TimePoint now = m_hooks.clock();
-    m_scheduler
-        = std::make_unique<JobScheduler>(m_epoch, m_epochVersion, m_timing, std::move(hooks), now);
+    m_scheduler = std::make_unique<JobScheduler>(m_epoch, m_progressEpochVersion, m_timing,
+                                                 std::move(hooks), now);
     if (m_configuration)
         m_scheduler->setConfiguration(m_configuration);
     m_loadedProgress = m_replica->takeProgress();
@@ -153,7 +159,7 @@
         if (!m_readingWorkers)
             readWorkers({});
     };
-    const RowCheck epochCheck{std::string(schedulerEpochKey), m_epochVersion};
+    const RowCheck epochCheck{std::string(hostsEpochKey), m_hostsEpochVersion};
     m_hostSession = std::make_unique<HostSession>(m_context, m_ports, m_epoch, epochCheck,
                                                   m_hostTiming, std::move(hooks));
     m_hostSession->start();
@@ -319,6 +325,18 @@
                           });
 }
 
+void SchedulerSession::commitCleanup()
+{
+    const auto transaction = m_scheduler->takeCleanup(m_hooks.clock());
+    if (!transaction)
+        return;
+    m_ports.store->commit(*transaction,
+                          [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                              if (!alive.expired())
+                                  m_scheduler->cleanupFinished(m_hooks.clock(), result);
+                          });
+}
+
 void SchedulerSession::writePendingCounts()
 {
     const PendingCounts counts{storeTime(), m_scheduler->pendingJobs()};
@@ -328,7 +346,7 @@
     Transaction transaction;
     transaction.operationId
         = "pending/" + std::to_string(m_epoch) + '/' + std::to_string(storeTime());
-    transaction.checks = {{std::string(schedulerEpochKey), m_epochVersion}};
+    transaction.checks = {{std::string(hostsEpochKey), m_hostsEpochVersion}};
     transaction.writes = {{std::string(pendingJobsKey), encodePendingCounts(counts)}};
     m_ports.store->commit(transaction,
                           [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
@@ -356,6 +374,7 @@
 void SchedulerSession::tick()
 {
     addFinishedJobs();
+    commitCleanup();
     plan();
     runAfter(m_tickTimer, tickInterval, [this] { tick(); });
 }
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -48,11 +48,11 @@
     const JobScheduler *scheduler() const { return m_scheduler.get(); }
 
 private:
-    /// Writes the fencing epoch of this session to the epoch row, or reports that the row has a
+    /// Writes the fencing epoch of this session to the epoch rows, or reports that a row has a
     /// higher one.
     void claimEpoch();
-    void writeEpoch(Version current);
-    void epochClaimed(Version version);
+    void writeEpoch(const std::vector<Row> &current);
+    void epochClaimed(Version progressEpochVersion, Version hostsEpochVersion);
     void beginScheduling();
     /// Passes the jobs of the replica to the scheduler.
     void addLoadedJobs();
@@ -73,6 +73,7 @@
     void plan();
     /// Commits the scheduler's next transaction, if it has one.
     void commitTransaction();
+    void commitCleanup();
     /// Writes the number of waiting jobs of each queue, periodically.
     void writePendingCounts();
     void updateStoreTime(std::int64_t milliseconds);
@@ -95,7 +96,9 @@
     std::unique_ptr<JobRowReplica> m_replica;
     /// Progress rows by key, each until its job is passed to the scheduler.
     JobRowReplica::Rows m_loadedProgress;
-    Version m_epochVersion = absentVersion; ///< of the epoch row, as written by this session
+    /// Versions of the epoch rows, as written by this session.
+    Version m_progressEpochVersion = absentVersion;
+    Version m_hostsEpochVersion = absentVersion;
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
--- a/Tests/Kernel/Jobs/JobSimulation.cpp
+++ b/Tests/Kernel/Jobs/JobSimulation.cpp
@@ -356,12 +356,12 @@
     ++m_epoch;
     Transaction transaction;
     transaction.operationId = "epoch/" + std::to_string(m_epoch);
-    transaction.writes = {{std::string(schedulerEpochKey), std::to_string(m_epoch)}};
+    transaction.writes = {{std::string(progressEpochKey), std::to_string(m_epoch)}};
     commitWithoutFaults(transaction);
     m_store.advanceTo(m_now + 2ms);
     m_now = m_store.now();
     auto instance = std::make_shared<SchedulerInstance>();
-    const Version version = m_store.row(std::string(schedulerEpochKey)).version;
+    const Version version = m_store.row(std::string(progressEpochKey)).version;
     instance->scheduler = std::make_unique<JobScheduler>(m_epoch, version, SchedulerTiming{},
                                                          makeHooks(instance), m_now);
     instance->scheduler->setConfiguration(std::make_shared<JobConfiguration>(configuration()));
@@ -411,6 +411,13 @@
     if (!instance->running)
         return;
     instance->scheduler->plan(m_now);
+    if (const auto cleanup = instance->scheduler->takeCleanup(m_now)) {
+        m_store.commit(*cleanup, [this, instance](const CommitResult &result) {
+            m_now = std::max(m_now, m_store.now());
+            if (instance->running)
+                instance->scheduler->cleanupFinished(m_now, result);
+        });
+    }
     if (const auto transaction = instance->scheduler->takeTransaction(m_now)) {
         m_store.commit(*transaction, [this, instance](const CommitResult &result) {
             m_now = std::max(m_now, m_store.now());
