--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -59,7 +59,7 @@
         // Others may write entries, too. Only the worker itself can tell that its runs have ended.
         worker.description.startedAt = known;
         worker.announceIncarnation(now, description.startedAt);
-    } else if (description.startedAt > known) {
+    } else if (description.startedAt > known || worker.incarnationListedAt == TimePoint{}) {
         worker.incarnationListedAt = now;
     }
 }
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -295,3 +295,40 @@
         CHECK(toSeconds(model.predict(4s)) == Approx(4).epsilon(0.05));
     }
 }
+
+TEST_CASE("A host that cannot be moved to a pool does not keep the others of its pool from moving")
+{
+    Fleet fleet;
+    fleet.submit("front-queue", 46); // 184 cores: one host more than the six of the pool
+    std::set<std::string> refused;
+    for (int order = 0; order < 3; ++order) {
+        fleet.plan(1s);
+        REQUIRE(fleet.movesTo("front") == 1);
+        const HostOrder move = fleet.orders.front();
+        REQUIRE_FALSE(refused.contains(move.host));
+        refused.insert(move.host);
+        fleet.planner.orderFinished(fleet.now, move, HostOrderOutcome::Invalid);
+        fleet.planner.setHosts(fleet.now + 1ms, fleet.hosts);
+    }
+}
+
+TEST_CASE("A host in maintenance counts once towards the concurrency of its wave")
+{
+    Fleet fleet;
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.hosts = {"h0", "h1", "h2", "h3"};
+    wave.period = 60s;
+    wave.maximumConcurrent = 2;
+    wave.requestedAt = fleet.now;
+    fleet.planner.addWave(wave, {});
+    fleet.plan();
+    CHECK(fleet.maintenanceOrders() == 2);
+    const HostOrder first = fleet.orders.front();
+    fleet.planner.orderFinished(fleet.now, first, HostOrderOutcome::Accepted);
+    fleet.plan();
+    CHECK(fleet.maintenanceOrders() == 0);
+    fleet.planner.setHosts(fleet.now + 3s, fleet.hosts);
+    fleet.plan(3s);
+    CHECK(fleet.maintenanceOrders() == 1);
+}
--- /dev/null
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -0,0 +1,251 @@
+#include "SchedulerFixture.h"
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace Peridot::Jobs::Test;
+using namespace std::chrono_literals;
+
+TEST_CASE("Only the worker itself can tell that it was restarted")
+{
+    // Guards against entries of other writers: one with a later start time made the scheduler start
+    // the runs of a healthy worker again elsewhere.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 1);
+    const RunName run = fixture.starts.front().run;
+    fixture.acceptStarts();
+    fixture.now += 500ms;
+    fixture.polls.clear();
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w", 9000)});
+    fixture.planAndCommit();
+
+    REQUIRE(fixture.runsOn("w") == 1);
+    REQUIRE(fixture.polls.size() == 1);
+    fixture.now += 5ms;
+
+    SECTION("a wrong entry is refuted by the next poll, and the worker gets runs again")
+    {
+        fixture.answerPoll("w", 1000, {{run, {}, 50, {}}});
+        REQUIRE(fixture.runsOn("w") == 1);
+        fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w", 9000)});
+        fixture.submit("0000000000000002");
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.size() == 1);
+    }
+    SECTION("a poll of the later incarnation ends the runs of the earlier one")
+    {
+        fixture.answerPoll("w", 9000);
+        REQUIRE(fixture.runsOn("w") == 0);
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.size() == 1);
+        REQUIRE(fixture.starts.front().run.run == 2);
+    }
+}
+
+TEST_CASE("A start time in the future does not hide a worker")
+{
+    // Guards against an entry with a start time that is too large: the scheduler ignored all
+    // answers of the worker from then on, and polled it without a pause.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w", 4'000'000'000'000)});
+    fixture.now += 5ms;
+    fixture.answerPoll("w", 1000);
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w", 1000)});
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 1);
+
+    SECTION("an answer that was sent before the entry was read does not refute it")
+    {
+        SchedulerFixture other;
+        PollOrder order;
+        order.worker = "w";
+        order.sentAt = other.now;
+        other.now += 1s;
+        other.scheduler.setWorkers(other.now, {SchedulerFixture::worker("w", 9000)});
+        PollReply reply;
+        reply.outcome = OrderOutcome::Accepted;
+        reply.startedAt = 1000;
+        other.scheduler.pollFinished(other.now, order, reply);
+        REQUIRE(other.scheduler.workers().at("w").description.startedAt == 9000);
+        REQUIRE_FALSE(other.scheduler.workers().at("w").contacted);
+    }
+}
+
+TEST_CASE("A worker that left is not used again by a new scheduler")
+{
+    // Its run stands in the row of the job, but its registration is gone.
+    SchedulerFixture fixture;
+    SubmittedJob job;
+    job.id = "0000000000000001";
+    job.queue = fixture.queue;
+    job.specification.steps = {StepSpecification{}};
+    JobProgress progress;
+    progress.phase = JobPhase::Running;
+    progress.occurrences = {{0, {{{false, {}, {}, 1, "left"}}}}};
+    fixture.scheduler.addJob(fixture.now, job, progress, 5);
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.planAndCommit();
+    const auto isForLeft = [](const auto &order) {
+        return order.worker == "left";
+    };
+    REQUIRE(std::none_of(fixture.polls.begin(), fixture.polls.end(), isForLeft));
+    REQUIRE(fixture.starts.empty());
+
+    SECTION("its task starts elsewhere once every lease that it may have has expired")
+    {
+        fixture.now += 12s;
+        fixture.answerPoll("w");
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.size() == 1);
+        REQUIRE(fixture.starts.front().worker == "w");
+    }
+}
+
+TEST_CASE("A run of a worker that was silent for a while is neither restarted nor given up")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now,
+                                 {SchedulerFixture::worker("w"), SchedulerFixture::worker("x")});
+    fixture.answerPoll("w");
+    fixture.answerPoll("x");
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 1);
+    const RunName run = fixture.starts.front().run;
+    const std::string worker = fixture.starts.front().worker;
+    fixture.acceptStarts();
+    fixture.answerPoll(worker, 1000, {{run, {}, 10, {}}});
+
+    SECTION("when the scheduler was suspended, and has not read the reports of the meantime")
+    {
+        // Guards against progress that was judged by the time since the last report instead of the
+        // time between reports: all short runs counted as stalled when the process woke.
+        fixture.now += 5500ms;
+        fixture.planAndCommit();
+        REQUIRE(fixture.stops.empty());
+    }
+    SECTION("when the worker does not answer for less than its lease")
+    {
+        for (int failures = 0; failures < 5; ++failures) {
+            fixture.now += 1s;
+            PollOrder order;
+            order.worker = worker;
+            order.sentAt = fixture.now;
+            fixture.scheduler.pollFinished(fixture.now, order, PollReply{});
+            fixture.planAndCommit();
+        }
+        REQUIRE(fixture.starts.empty());
+        REQUIRE(fixture.stops.empty());
+        REQUIRE(fixture.runsOn(worker) == 1);
+        fixture.answerPoll(worker, 1000, {{run, {}, 80, {}}});
+        fixture.planAndCommit();
+        REQUIRE(fixture.stops.empty());
+    }
+    SECTION("but stopped when its reports show no progress for long")
+    {
+        for (int reports = 0; reports < 5; ++reports) {
+            fixture.now += 1s;
+            fixture.answerPoll(worker, 1000, {{run, {}, 10, {}}});
+            fixture.planAndCommit();
+        }
+        REQUIRE(fixture.stops.size() == 1);
+    }
+}
+
+TEST_CASE("A throttle order that was not accepted is sent again")
+{
+    // Guards against a run that stays paused: after an unanswered order the scheduler assumed full
+    // speed, so that it never sped the run up again.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    StepSpecification serving;
+    serving.longRunning = true;
+    serving.latencyTarget = 100ms;
+    fixture.submit("0000000000000001", serving);
+    StepSpecification filling;
+    filling.bestEffort = true;
+    fixture.submit("0000000000000002", filling);
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 2);
+    const RunName servingRun = fixture.starts[0].run;
+    const RunName fillingRun = fixture.starts[1].run;
+    fixture.acceptStarts();
+    const auto report = [&](std::int64_t latency) {
+        fixture.now += 700ms;
+        fixture.answerPoll("w", 1000, {{servingRun, {}, 100, latency}, {fillingRun, {}, 10, {}}});
+    };
+    report(500);
+    REQUIRE(fixture.throttles.size() == 1);
+    REQUIRE(fixture.throttles.front().percent == 50);
+    fixture.scheduler.throttleFinished(fixture.now, fixture.throttles.front(),
+                                       {OrderOutcome::Unknown, {}});
+    report(80); // near the target: the run is neither slowed down nor sped up
+    REQUIRE(fixture.throttles.size() == 2);
+    REQUIRE(fixture.throttles.back().percent == 50);
+    fixture.scheduler.throttleFinished(fixture.now, fixture.throttles.back(),
+                                       {OrderOutcome::Accepted, {}});
+    report(80);
+    REQUIRE(fixture.throttles.size() == 2);
+}
+
+TEST_CASE("A worker on which runs keep failing gets one run at a time")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    StepSpecification step;
+    step.size = {1000, 100, 0};
+    step.longRunning = true;
+    fixture.submit("0000000000000001", step);
+    for (std::uint64_t failure = 1; failure <= 3; ++failure) {
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.size() == 1);
+        const RunName run = fixture.starts.front().run;
+        fixture.acceptStarts();
+        PollOrder order;
+        order.worker = "w";
+        order.sentAt = fixture.now;
+        PollReply reply;
+        reply.outcome = OrderOutcome::Accepted;
+        reply.clock = toUnixMilliseconds(fixture.now);
+        reply.startedAt = 1000;
+        reply.ended = {{failure, run, RunOutcome::Failed, {}}};
+        fixture.scheduler.pollFinished(fixture.now, order, reply);
+    }
+    step.count = 3;
+    fixture.submit("0000000000000002", step);
+    fixture.now += 3s;
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 1);
+}
+
+TEST_CASE("Evacuated tasks are stopped only as far as there is room for them elsewhere")
+{
+    // Guards against stopping all tasks of a leaving host because one of them would fit.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    StepSpecification step;
+    step.count = 4;
+    step.size = {1000, 100, 0};
+    step.savesCheckpoints = true;
+    fixture.submit("0000000000000001", step);
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 4);
+    fixture.acceptStarts();
+    WorkerDescription leaving = SchedulerFixture::worker("w");
+    leaving.draining = true;
+    WorkerDescription small = SchedulerFixture::worker("x");
+    small.capacity = {2000, 4096, 0};
+    fixture.scheduler.setWorkers(fixture.now, {leaving, small});
+    fixture.answerPoll("x");
+    fixture.now += 100ms;
+    fixture.planAndCommit();
+    REQUIRE(fixture.stops.size() == 2);
+}
--- a/Tests/LibHttp/TestClientPool.cpp
+++ b/Tests/LibHttp/TestClientPool.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/ClientPool.h>
 #include <asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace Peridot;
 
@@ -135,3 +136,26 @@
     fixture.runUntilEnded(1);
     REQUIRE(fixture.ends.front() == ExchangeEnd::NotConnected);
 }
+
+TEST_CASE("A request is not sent after its time, not even when the process was held up meanwhile")
+{
+    // Guards against orders that a suspended process sends when it wakes, although its permission
+    // to send them has expired. The context is not run for a while, as if the process stood still.
+    PoolFixture fixture;
+    fixture.makePool(1);
+    asio::ip::tcp::acceptor acceptor(fixture.context, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto exchange = [&] {
+        fixture.pool->exchange(
+            acceptor.local_endpoint(), "POST / HTTP/1.1\r\n\r\n", std::chrono::milliseconds(30),
+            [&](const Exchange &exchange) { fixture.ends.push_back(exchange.end); });
+    };
+    exchange();
+    exchange(); // waits for the only connection
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    fixture.runUntilEnded(2);
+    CHECK(fixture.ends
+          == std::vector<ExchangeEnd>{ExchangeEnd::NotConnected, ExchangeEnd::NotConnected});
+    asio::ip::tcp::socket accepted = acceptor.accept();
+    asio::error_code error;
+    CHECK(accepted.available(error) == 0);
+}
