LibBase: Drop the step of a timer whose owner is gone

OneShotTimer replaces runAfter() in all services: a step that is due is dropped when the timer is destroyed, cancelled or started again.

Kernel/Jobs: jobs whose tasks fit on no worker are passed over without looking at each worker again, as long as no run ends. Services/Jobs: writes of waves that failed are repeated after a pause instead of at once.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -47,6 +47,7 @@
         if (found == workersByPool.end())
             continue;
         const std::vector<Worker *> &workers = found->second;
+        TaskSize largestFree = largestFreeCapacity(workers);
         std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
             return std::tie(left.priority, left.overdue, left.deadline)
                    < std::tie(right.priority, right.overdue, right.deadline);
@@ -54,7 +55,7 @@
         for (const PoolQueueEntry &entry : queue) {
             for (auto &[number, occurrence] : entry.job->occurrences()) {
                 for (unsigned step = 0; step < occurrence.steps.size(); ++step)
-                    placeStep(now, *entry.job, number, step, workers);
+                    placeStep(now, *entry.job, number, step, workers, largestFree);
             }
         }
     }
@@ -77,6 +78,18 @@
     return result;
 }
 
+TaskSize JobScheduler::largestFreeCapacity(const std::vector<Worker *> &workers)
+{
+    TaskSize largest;
+    for (const Worker *worker : workers) {
+        const TaskSize free = worker->freeCapacity();
+        largest.milliProcessors = std::max(largest.milliProcessors, free.milliProcessors);
+        largest.megabytes = std::max(largest.megabytes, free.megabytes);
+        largest.accelerators = std::max(largest.accelerators, free.accelerators);
+    }
+    return largest;
+}
+
 bool JobScheduler::canRunAnother(const StepSpecification &step,
                                  const PlacementCandidate &candidate) const
 {
@@ -130,10 +143,12 @@
 }
 
 void JobScheduler::placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                             const std::vector<Worker *> &usable)
+                             const std::vector<Worker *> &usable, TaskSize &largestFree)
 {
     Job::Step &state = job.occurrences().at(occurrence).steps[step];
-    if (state.ready == 0)
+    const bool fits
+        = fitsInto(reservedSize(job.step(step)), largestFree) || m_hooks.defects.ignoreCapacity;
+    if (state.ready == 0 || !fits)
         return;
     const TaskName first{job.id(), occurrence, step, 0};
     const std::vector<Worker *> workers = workersWithAdvice(now, job, first, usable);
@@ -142,6 +157,8 @@
     // All tasks of a step have the same size, so placing one affects only whether its own worker
     // remains a candidate.
     auto candidates = candidatesFor(job, first, workers);
+    if (candidates.empty())
+        largestFree = largestFreeCapacity(usable);
     for (unsigned index = 0; index < state.tasks.size() && !candidates.empty(); ++index) {
         const Job::Task &task = state.tasks[index];
         if (task.phase != TaskPhase::Ready)
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -223,8 +223,13 @@
                     std::vector<PlacementCandidate> &candidates) const;
     /// Whether the candidate can run one more task of the step.
     bool canRunAnother(const StepSpecification &step, const PlacementCandidate &candidate) const;
+    /// The largest free amount of each resource on any of the workers. A task that does not fit
+    /// into it fits on none of them.
+    static TaskSize largestFreeCapacity(const std::vector<Worker *> &workers);
+    /// Places the ready tasks of a step. \a largestFree is an upper bound that earlier placements
+    /// of the pass have left too high; it is brought up to date when the step fits nowhere.
     void placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                   const std::vector<Worker *> &workers);
+                   const std::vector<Worker *> &workers, TaskSize &largestFree);
     void placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                    const std::vector<Worker *> &workers);
     /// Label of the rack for a gang that must run on one rack; empty when none has enough capacity,
--- a/Libraries/LibMembership/MembershipAgent.cpp
+++ b/Libraries/LibMembership/MembershipAgent.cpp
@@ -1,7 +1,6 @@
 #include <LibMembership/MembershipAgent.h>
 
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -121,7 +120,7 @@
         m_hooks.onTick(*m_node, time);
     afterEvent();
     checkStop(time);
-    runAfter(m_timer, tickPeriod, [this] { tick(); });
+    m_timer.runAfter(tickPeriod, [this] { tick(); });
 }
 
 void MembershipAgent::checkStop(TimePoint time)
--- a/Libraries/LibMembership/PacedStore.cpp
+++ b/Libraries/LibMembership/PacedStore.cpp
@@ -1,6 +1,5 @@
 #include <LibMembership/PacedStore.h>
 
-#include <LibBase/RunAfter.h>
 #include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
@@ -117,7 +116,7 @@
         wait = std::min(wait, m_pacer.timeUntilRead(now, m_reads.front().rows));
     if (wait == Duration::max())
         return;
-    runAfter(m_timer, std::max(wait, shortestWait), [this] { pump(); });
+    m_timer.runAfter(std::max(wait, shortestWait), [this] { pump(); });
 }
 
 } // namespace Peridot
--- a/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
+++ b/Libraries/LibMembership/include/LibMembership/MembershipAgent.h
@@ -3,12 +3,12 @@
 #include <Kernel/Membership/MembershipNode.h>
 #include <Kernel/Request/RequestKernel.h>
 #include <LibBase/Error.h>
+#include <LibBase/OneShotTimer.h>
 #include <LibMembership/ProcessClock.h>
 #include <LibPeer/PeerSocket.h>
 #include <LibStore/Store.h>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -92,7 +92,7 @@
     MembershipHooks m_hooks;
     std::shared_ptr<asio::io_context> m_context = std::make_shared<asio::io_context>(1);
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     PeerSocket m_socket;
     std::unique_ptr<Store> m_ownedStore;
     Store *m_store;
--- a/Libraries/LibMembership/include/LibMembership/PacedStore.h
+++ b/Libraries/LibMembership/include/LibMembership/PacedStore.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <LibBase/OneShotTimer.h>
 #include <LibBase/Time.h>
 #include <LibStore/Store.h>
 #include <LibStore/StorePacer.h>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -56,7 +56,7 @@
     Store &m_inner;
     StorePacer m_pacer;
     std::function<TimePoint()> m_clock;
-    asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     std::deque<Call> m_writes;
     std::deque<Call> m_reads;
     std::uint64_t m_readCount = 0;
--- a/Libraries/LibStore/RowFollower.cpp
+++ b/Libraries/LibStore/RowFollower.cpp
@@ -1,6 +1,5 @@
 #include <LibStore/RowFollower.h>
 
-#include <LibBase/RunAfter.h>
 #include <utility>
 
 namespace Peridot {
@@ -86,7 +85,7 @@
 {
     if (m_hooks.onUnavailable)
         m_hooks.onUnavailable();
-    runAfter(m_timer, m_settings.retryPause, std::move(step));
+    m_timer.runAfter(m_settings.retryPause, std::move(step));
 }
 
 } // namespace Peridot
--- a/Libraries/LibStore/include/LibStore/RowFollower.h
+++ b/Libraries/LibStore/include/LibStore/RowFollower.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <LibBase/OneShotTimer.h>
 #include <LibBase/Time.h>
 #include <LibStore/ChangeFeed.h>
 #include <LibStore/Store.h>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -57,7 +57,7 @@
     RowFollowerSettings m_settings;
     std::function<TimePoint()> m_clock;
     Hooks m_hooks;
-    asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     std::vector<Row> m_scanned;
     Version m_revision = absentVersion;
     TimePoint m_scanBegan;
--- a/Services/Entry/Dispatcher.cpp
+++ b/Services/Entry/Dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include "AnswerFormat.h"
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <algorithm>
 #include <asio/post.hpp>
 
@@ -207,10 +206,7 @@
     if (!next || (m_claimTimerEnd && *m_claimTimerEnd <= *next))
         return;
     m_claimTimerEnd = *next;
-    m_claimTimer.expires_after(std::max(*next - now, Duration(0)));
-    m_claimTimer.async_wait([this](const asio::error_code &error) {
-        if (error)
-            return;
+    m_claimTimer.runAfter(std::max(*next - now, Duration(0)), [this] {
         m_claimTimerEnd.reset();
         m_claims->tick(m_settings.clock());
         performActions();
@@ -349,7 +345,7 @@
 
 void Dispatcher::scheduleTick()
 {
-    runAfter(m_tickTimer, tickInterval, [this] { tick(); });
+    m_tickTimer.runAfter(tickInterval, [this] { tick(); });
 }
 
 void Dispatcher::tick()
--- a/Services/Entry/Dispatcher.h
+++ b/Services/Entry/Dispatcher.h
@@ -5,11 +5,11 @@
 #include "RequestLog.h"
 #include "RequestValidator.h"
 #include <Kernel/Request/RequestKernel.h>
+#include <LibBase/OneShotTimer.h>
 #include <LibHttp/BackendTransport.h>
 #include <LibHttp/HttpServer.h>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <mutex>
 #include <thread>
@@ -111,8 +111,8 @@
     RequestLog &m_log;
     asio::io_context m_context{1};
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    asio::steady_timer m_tickTimer;
-    asio::steady_timer m_claimTimer;
+    OneShotTimer m_tickTimer;
+    OneShotTimer m_claimTimer;
     std::optional<TimePoint> m_claimTimerEnd;
     std::unique_ptr<RequestKernel> m_kernel;
     std::unique_ptr<ClaimStore> m_claims;
--- a/Services/Entry/HostWatcher.cpp
+++ b/Services/Entry/HostWatcher.cpp
@@ -3,7 +3,6 @@
 #include <Kernel/Fleet/BuildRoutingTable.h>
 #include <Kernel/Fleet/FleetKeys.h>
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <utility>
 
 namespace Peridot {
@@ -45,7 +44,7 @@
 {
     if (m_stopped)
         return;
-    runAfter(m_timer, watchPeriod, [this] { beginPass(); });
+    m_timer.runAfter(watchPeriod, [this] { beginPass(); });
 }
 
 void HostWatcher::beginPass()
--- a/Services/Entry/HostWatcher.h
+++ b/Services/Entry/HostWatcher.h
@@ -2,10 +2,10 @@
 
 #include <Kernel/Fleet/FleetView.h>
 #include <Kernel/Request/RoutingTable.h>
+#include <LibBase/OneShotTimer.h>
 #include <LibStore/PlatformClient.h>
 #include <LibStore/Store.h>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,7 +36,7 @@
     void schedule();
     void publish();
 
-    asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     Store &m_store;
     PlatformClient &m_platform;
     std::function<TimePoint()> m_clock;
--- a/Services/Fleet/ClaimSweeper.cpp
+++ b/Services/Fleet/ClaimSweeper.cpp
@@ -2,7 +2,6 @@
 
 #include <Kernel/Request/ClaimSweep.h>
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <utility>
 
 namespace Peridot {
@@ -37,7 +36,7 @@
 {
     if (m_stopped)
         return;
-    runAfter(m_timer, delay, [this] { scan(); });
+    m_timer.runAfter(delay, [this] { scan(); });
 }
 
 void ClaimSweeper::scan()
--- a/Services/Fleet/ClaimSweeper.h
+++ b/Services/Fleet/ClaimSweeper.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <LibBase/OneShotTimer.h>
 #include <LibBase/Time.h>
 #include <LibStore/Store.h>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -29,7 +29,7 @@
     void pageRead(const ReadResult &page);
     void next(const std::string &startAfter);
 
-    asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     Store &m_store;
     std::function<TimePoint()> m_clock;
     std::function<bool()> m_mayRun;
--- a/Services/Fleet/FleetPlanner.cpp
+++ b/Services/Fleet/FleetPlanner.cpp
@@ -3,7 +3,6 @@
 #include <Kernel/Fleet/FleetKeys.h>
 #include <Kernel/Fleet/PlacementPolicy.h>
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -84,7 +83,7 @@
 
 void FleetPlanner::schedule(Duration delay)
 {
-    runAfter(m_timer, delay, [this] { beginPass(); });
+    m_timer.runAfter(delay, [this] { beginPass(); });
 }
 
 void FleetPlanner::beginPass()
--- a/Services/Fleet/FleetPlanner.h
+++ b/Services/Fleet/FleetPlanner.h
@@ -2,11 +2,11 @@
 
 #include <Kernel/Fleet/FleetView.h>
 #include <Kernel/Fleet/Reconciler.h>
+#include <LibBase/OneShotTimer.h>
 #include <LibBase/Random.h>
 #include <LibStore/PlatformClient.h>
 #include <LibStore/Store.h>
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -87,7 +87,7 @@
     Store &m_store;
     PlatformClient &m_platform;
     FleetPlannerSettings m_settings;
-    asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     FleetView m_view;
     RandomSource m_random;
     std::vector<std::unique_ptr<Reconciler>> m_reconcilers;
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -2,7 +2,6 @@
 
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <algorithm>
 #include <utility>
 
@@ -99,19 +98,25 @@
 
 void HostSession::loadRows(const std::string &prefix)
 {
-    m_ports.store->scan(
-        prefix, {}, scanPageRows,
-        [this, prefix, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-            if (alive.expired())
-                return;
-            if (result.status == ReadStatus::Ok)
-                return prefix == wavePrefix ? wavesLoaded(result) : ordersLoaded(result);
-            auto timer = std::make_shared<asio::steady_timer>(m_listTimer.get_executor());
-            runAfter(*timer, retryDelay, [this, prefix, timer, alive] {
-                if (!alive.expired())
-                    loadRows(prefix);
-            });
-        });
+    m_ports.store->scan(prefix, {}, scanPageRows,
+                        [this, prefix, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+                            if (alive.expired())
+                                return;
+                            if (result.status == ReadStatus::Ok)
+                                return prefix == wavePrefix ? wavesLoaded(result)
+                                                            : ordersLoaded(result);
+                            repeatLater([this, prefix] { loadRows(prefix); });
+                        });
+}
+
+void HostSession::repeatLater(std::function<void()> step)
+{
+    // The timer keeps itself until it has run, because several steps can wait at the same time.
+    const auto timer = std::make_shared<OneShotTimer>(m_listTimer.get_executor());
+    timer->runAfter(retryDelay, [timer, step = std::move(step), alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            step();
+    });
 }
 
 void HostSession::wavesLoaded(const ReadResult &result)
@@ -186,7 +191,7 @@
         const bool pending = m_planner.hasPendingChanges();
         if (pending)
             m_hooks.refreshWorkers();
-        runAfter(m_listTimer, pending ? pendingListPeriod : listPeriod, [this] { listHosts(); });
+        m_listTimer.runAfter(pending ? pendingListPeriod : listPeriod, [this] { listHosts(); });
     });
 }
 
@@ -270,7 +275,7 @@
             return writeStatus(*status);
         // After a conflict, another process is the scheduler and writes the row.
         if (result.status != CommitStatus::Conflict)
-            writeWave(wave, status);
+            repeatLater([this, wave, status] { writeWave(wave, status); });
     });
 }
 
@@ -288,7 +293,7 @@
             const bool finished = result.status == CommitStatus::Committed
                                   || result.status == CommitStatus::Conflict;
             if (!alive.expired() && !finished)
-                writeStatus(status);
+                repeatLater([this, status] { writeStatus(status); });
         });
 }
 
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -2,8 +2,8 @@
 
 #include "PlatformPorts.h"
 #include <Kernel/Jobs/HostPlanner.h>
+#include <LibBase/OneShotTimer.h>
 #include <LibBase/Time.h>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +68,8 @@
     };
 
     void loadRows(const std::string &prefix);
+    /// Runs a step that failed once more, after a pause.
+    void repeatLater(std::function<void()> step);
     void wavesLoaded(const ReadResult &result);
     void ordersLoaded(const ReadResult &result);
     /// Stores the times of the orders. ordersRecorded() then sends them.
@@ -103,7 +105,7 @@
     TimePoint m_lastPlan;
     /// Request time of the list of hosts that was last passed to the scheduler.
     TimePoint m_appliedListRequestedAt;
-    asio::steady_timer m_listTimer;
+    OneShotTimer m_listTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -2,7 +2,6 @@
 
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <LibMembership/ProcessClock.h>
 #include <algorithm>
 #include <utility>
@@ -200,13 +199,13 @@
 {
     m_election.tick();
     updateSession();
-    runAfter(m_electionTimer, electionTickInterval, [this] { runElection(); });
+    m_electionTimer.runAfter(electionTickInterval, [this] { runElection(); });
 }
 
 void JobService::observeLease()
 {
     m_election.observeLease();
-    runAfter(m_observeTimer, leaseObservationInterval, [this] { observeLease(); });
+    m_observeTimer.runAfter(leaseObservationInterval, [this] { observeLease(); });
 }
 
 void JobService::updateSession()
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -5,6 +5,7 @@
 #include "PlatformPorts.h"
 #include "SchedulerSession.h"
 #include <Kernel/Jobs/SchedulerElection.h>
+#include <LibBase/OneShotTimer.h>
 #include <LibStore/RowFollower.h>
 #include <atomic>
 #include <map>
@@ -94,8 +95,8 @@
     std::unique_ptr<RowFollower> m_operatorFollower;
     MaintenanceWaves m_waves; ///< requested by administrators
     SchedulerElection m_election;
-    asio::steady_timer m_electionTimer;
-    asio::steady_timer m_observeTimer;
+    OneShotTimer m_electionTimer;
+    OneShotTimer m_observeTimer;
     std::unique_ptr<RowFollower> m_transferFollower;
     std::unique_ptr<RowFollower> m_candidateFollower; ///< null: this process does not schedule
     std::unique_ptr<RowFollower> m_leaseFollower; ///< null: not on standby
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -1,7 +1,6 @@
 #include "SchedulerSession.h"
 
 #include <LibBase/Log.h>
-#include <LibBase/RunAfter.h>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -66,8 +65,8 @@
                             if (alive.expired())
                                 return;
                             if (result.status != ReadStatus::Ok)
-                                return runAfter(m_startRetryTimer, retryDelay,
-                                                [this] { claimEpoch(); });
+                                return m_startRetryTimer.runAfter(retryDelay,
+                                                                  [this] { claimEpoch(); });
                             for (const Row &row : result.rows) {
                                 const auto epoch = std::strtoull(row.value.c_str(), nullptr, 10);
                                 if (epoch > m_epoch)
@@ -91,7 +90,7 @@
         if (alive.expired())
             return;
         const bool committed = result.status == CommitStatus::Committed;
-        runAfter(m_startRetryTimer, committed ? Duration{0} : retryDelay, [this] { claimEpoch(); });
+        m_startRetryTimer.runAfter(committed ? Duration{0} : retryDelay, [this] { claimEpoch(); });
     });
 }
 
@@ -258,7 +257,7 @@
         schedulePlan();
     }
     m_readingWorkers = false;
-    runAfter(m_workerTimer, workerReadInterval, [this] { readWorkers({}); });
+    m_workerTimer.runAfter(workerReadInterval, [this] { readWorkers({}); });
 }
 
 WorkerReplyHooks SchedulerSession::replyHooks()
@@ -287,7 +286,7 @@
         plan();
     };
     if (m_hooks.clock() < m_nextPlanAt)
-        return runAfter(m_planTimer, m_nextPlanAt - m_hooks.clock(), runScheduledPlan);
+        return m_planTimer.runAfter(m_nextPlanAt - m_hooks.clock(), runScheduledPlan);
     asio::post(m_context, [runScheduledPlan, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             runScheduledPlan();
@@ -336,7 +335,7 @@
 void SchedulerSession::writePendingCounts()
 {
     const PendingCounts counts{storeTime(), m_scheduler->pendingJobs()};
-    runAfter(m_countTimer, countWriteInterval, [this] { writePendingCounts(); });
+    m_countTimer.runAfter(countWriteInterval, [this] { writePendingCounts(); });
     for (const auto &[queue, count] : counts.byQueue)
         m_metrics.setWaitingJobs(queue, count);
     Transaction transaction;
@@ -372,7 +371,7 @@
     addFinishedJobs();
     commitCleanup();
     plan();
-    runAfter(m_tickTimer, tickInterval, [this] { tick(); });
+    m_tickTimer.runAfter(tickInterval, [this] { tick(); });
 }
 
 void SchedulerSession::reportFenced()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -6,7 +6,7 @@
 #include "PlatformPorts.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
-#include <asio/steady_timer.hpp>
+#include <LibBase/OneShotTimer.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -104,11 +104,11 @@
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
     std::int64_t m_storeTime = 0; ///< latest known time of the store, in milliseconds; 0: none
     TimePoint m_storeTimeUpdatedAt; ///< local time at which m_storeTime was received
-    asio::steady_timer m_startRetryTimer; ///< retries of store calls before the scheduling begins
-    asio::steady_timer m_tickTimer;
-    asio::steady_timer m_planTimer;
-    asio::steady_timer m_workerTimer;
-    asio::steady_timer m_countTimer;
+    OneShotTimer m_startRetryTimer; ///< retries of store calls before the scheduling begins
+    OneShotTimer m_tickTimer;
+    OneShotTimer m_planTimer;
+    OneShotTimer m_workerTimer;
+    OneShotTimer m_countTimer;
     bool m_planScheduled = false;
     TimePoint m_nextPlanAt; ///< earliest time of the next planning pass that events cause
     bool m_readingWorkers = false; ///< a scan of registrations is in progress
