Services/Jobs: Claim both epoch rows at once, and stop without waiting for the store

A take-over needed five calls of the store one after another until its epoch was written; now it reads both rows with one and writes both at the same time, which counts while the store is slow. A process that does not hold the lease no longer waits for the store to confirm that when it stops.

--- a/Kernel/include/Kernel/Jobs/SchedulerElection.h
+++ b/Kernel/include/Kernel/Jobs/SchedulerElection.h
@@ -63,8 +63,8 @@
     std::optional<HeldLease> held() const;
     /// Holder according to the latest known row; empty when released.
     const std::string &observedHolder() const { return m_leaseKeeper.observedHolder(); }
-    /// Whether this process has stopped and certainly does not hold the lease.
-    bool released() const { return m_leaseKeeper.released(); }
+    /// Whether the latest known lease row names another holder than this process, or none.
+    bool released() const { return observedHolder() != m_settings.instance; }
 
 private:
     void leaseRowsRead(const ReadResult &result);
--- a/Libraries/LibStore/RowFollower.cpp
+++ b/Libraries/LibStore/RowFollower.cpp
@@ -14,6 +14,17 @@
 
 RowFollower::~RowFollower() = default;
 
+RowFollower::Hooks RowFollower::changeHooks(std::function<void(const RowChange &)> onChange)
+{
+    Hooks hooks;
+    hooks.onRows = [onChange](const std::vector<Row> &rows) {
+        for (const Row &row : rows)
+            onChange({row, false});
+    };
+    hooks.onChange = std::move(onChange);
+    return hooks;
+}
+
 void RowFollower::start()
 {
     m_scanned.clear();
--- a/Libraries/LibStore/include/LibStore/RowFollower.h
+++ b/Libraries/LibStore/include/LibStore/RowFollower.h
@@ -35,6 +35,9 @@
         std::function<void()> onUnavailable;
     };
 
+    /// Hooks that pass each row of a scan, like each change, to \a onChange.
+    static Hooks changeHooks(std::function<void(const RowChange &)> onChange);
+
     RowFollower(asio::io_context &context, Store &store, ChangeFeed &feed,
                 RowFollowerSettings settings, std::function<TimePoint()> clock, Hooks hooks);
     ~RowFollower();
--- a/Services/Jobs/JobRowReplica.cpp
+++ b/Services/Jobs/JobRowReplica.cpp
@@ -49,12 +49,7 @@
     RowFollowerSettings settings;
     settings.prefix = std::string(prefix);
     settings.wait = replicaFeedWait;
-    RowFollower::Hooks hooks;
-    hooks.onRows = [apply](const std::vector<Row> &rows) {
-        for (const Row &row : rows)
-            apply({row, false});
-    };
-    hooks.onChange = std::move(apply);
+    RowFollower::Hooks hooks = RowFollower::changeHooks(std::move(apply));
     hooks.onCurrent = [this, &currentSince](TimePoint requestedAt) {
         currentSince = requestedAt;
         checkCurrent();
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -135,14 +135,9 @@
     RowFollowerSettings settings;
     settings.prefix = std::string(prefix);
     settings.wait = wait;
-    RowFollower::Hooks hooks;
-    hooks.onRows = [onChange](const std::vector<Row> &rows) {
-        for (const Row &row : rows)
-            onChange({row, false});
-    };
-    hooks.onChange = std::move(onChange);
-    auto follower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
-                                                  settings, m_clock, std::move(hooks));
+    auto follower
+        = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed, settings, m_clock,
+                                        RowFollower::changeHooks(std::move(onChange)));
     follower->start();
     return follower;
 }
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -39,8 +39,8 @@
     /// Transfers the scheduler lease to another process, if this one holds it, and acquires it no
     /// more. Calls are still answered.
     void beginStop();
-    /// Whether this process has stopped and does not schedule any more.
-    bool released() const { return m_election.released(); }
+    /// Whether this process neither schedules nor holds the scheduler lease.
+    bool released() const { return !m_session && m_election.released(); }
     /// Ends the scheduler session, whose state may be inconsistent after \a error, and releases the
     /// lease to another process.
     void recoverFrom(const std::exception &error);
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -62,43 +62,60 @@
 {
     m_ports.store->read({std::string(progressEpochKey), std::string(hostsEpochKey)},
                         [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-                            if (alive.expired())
-                                return;
-                            if (result.status != ReadStatus::Ok)
-                                return m_startRetryTimer.runAfter(retryDelay,
-                                                                  [this] { claimEpoch(); });
-                            for (const Row &row : result.rows) {
-                                const auto epoch = std::strtoull(row.value.c_str(), nullptr, 10);
-                                if (epoch > m_epoch)
-                                    return reportFenced();
-                                if (epoch < m_epoch)
-                                    return writeEpoch(row);
-                            }
-                            epochClaimed(result.rows.front().version, result.rows.back().version);
+                            if (!alive.expired())
+                                epochsRead(result);
                         });
 }
 
-void SchedulerSession::writeEpoch(const Row &row)
+void SchedulerSession::epochsRead(const ReadResult &result)
+{
+    if (result.status != ReadStatus::Ok)
+        return m_startRetryTimer.runAfter(retryDelay, [this] { claimEpoch(); });
+    const auto epochOf = [](const Row &row) {
+        return std::strtoull(row.value.c_str(), nullptr, 10);
+    };
+    const auto claim = std::make_shared<EpochClaim>();
+    std::vector<Row> outdated;
+    for (const Row &row : result.rows) {
+        if (epochOf(row) > m_epoch)
+            return reportFenced();
+        if (epochOf(row) < m_epoch)
+            outdated.push_back(row);
+        claim->versions[row.key] = row.version;
+    }
+    claim->missing = outdated.size();
+    for (const Row &row : outdated)
+        writeEpoch(row, claim);
+    if (outdated.empty()) // written by this session, but the answers were lost
+        epochClaimed(*claim);
+}
+
+void SchedulerSession::writeEpoch(const Row &row, const std::shared_ptr<EpochClaim> &claim)
 {
     // The rows are in different partitions, so that each of them takes a transaction.
     Transaction transaction;
     transaction.operationId = row.key + '/' + std::to_string(m_epoch);
     transaction.checks = {{row.key, row.version}};
     transaction.writes = {{row.key, std::to_string(m_epoch)}};
-    m_ports.store->commit(transaction, [this, alive = std::weak_ptr(m_alive)](
+    m_ports.store->commit(transaction, [this, key = row.key, claim, alive = std::weak_ptr(m_alive)](
                                            const CommitResult &result) {
         if (alive.expired())
             return;
-        const bool committed = result.status == CommitStatus::Committed;
-        m_startRetryTimer.runAfter(committed ? Duration{0} : retryDelay, [this] { claimEpoch(); });
+        claim->failed |= result.status != CommitStatus::Committed;
+        claim->versions[key] = result.revision;
+        if (--claim->missing > 0)
+            return;
+        if (claim->failed)
+            return m_startRetryTimer.runAfter(retryDelay, [this] { claimEpoch(); });
+        epochClaimed(*claim);
     });
 }
 
-void SchedulerSession::epochClaimed(Version progressEpochVersion, Version hostsEpochVersion)
+void SchedulerSession::epochClaimed(const EpochClaim &claim)
 {
     logEvent(LogLevel::Info, "epoch-claimed", {{"epoch", m_epoch}});
-    m_progressEpochVersion = progressEpochVersion;
-    m_hostsEpochVersion = hostsEpochVersion;
+    m_progressEpochVersion = claim.versions.at(std::string(progressEpochKey));
+    m_hostsEpochVersion = claim.versions.at(std::string(hostsEpochKey));
     // From the claim on, no earlier scheduler changes a row, so what was committed before is final.
     m_replica->whenCurrentSince(m_hooks.clock(), [this] { beginScheduling(); });
 }
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -48,11 +48,20 @@
     const JobScheduler *scheduler() const { return m_scheduler.get(); }
 
 private:
+    /// The epoch rows while they are claimed.
+    struct EpochClaim
+    {
+        std::map<std::string, Version> versions; ///< by key
+        std::size_t missing = 0; ///< number of unanswered writes
+        bool failed = false;
+    };
+
     /// Writes the fencing epoch of this session to the epoch rows, or reports that a row has a
     /// higher one.
     void claimEpoch();
-    void writeEpoch(const Row &row);
-    void epochClaimed(Version progressEpochVersion, Version hostsEpochVersion);
+    void epochsRead(const ReadResult &result);
+    void writeEpoch(const Row &row, const std::shared_ptr<EpochClaim> &claim);
+    void epochClaimed(const EpochClaim &claim);
     void beginScheduling();
     /// Passes the jobs of the replica to the scheduler.
     void addLoadedJobs();
--- a/Tests/Kernel/Jobs/TestSchedulerElection.cpp
+++ b/Tests/Kernel/Jobs/TestSchedulerElection.cpp
@@ -139,7 +139,7 @@
             node.election->tick();
         if ((m_steps + static_cast<unsigned>(node.host.back())) % 100 == 0)
             node.election->observeLease();
-        if (node.stopRequestedAt && node.election->released())
+        if (node.stopRequestedAt && node.election->released() && !node.election->held())
             node.election.reset();
     }
 
