--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -286,7 +286,7 @@
     // A stopped run keeps its capacity until the worker reports its end, so that the candidates are
     // the same for all runs.
     const auto workersByPool = candidatesByPool(now);
-    EvacuationRoom room;
+    EvacuationReservations reservations;
     for (auto &[id, worker] : m_workers) {
         if (!worker.unschedulable && !worker.description.draining)
             continue;
@@ -296,17 +296,18 @@
         for (const RunName &name : names) {
             const WorkerRun *run = worker.runs.find(name);
             if (run != nullptr && run->phase == RunPhase::Running && isCurrentRun(name, id))
-                evacuateRun(now, worker, name, workersByPool, room);
+                evacuateRun(now, worker, name, workersByPool, reservations);
         }
     }
 }
 
-bool JobScheduler::reserveRoom(const Job &job, const TaskName &name,
-                               const std::vector<Worker *> &workers, EvacuationRoom &room) const
+bool JobScheduler::reserveForEvacuation(const Job &job, const TaskName &name,
+                                        const std::vector<Worker *> &workers,
+                                        EvacuationReservations &reservations) const
 {
     const TaskSize size = reservedSize(job.step(name.step));
     for (const PlacementCandidate &candidate : candidatesFor(job, name, workers)) {
-        TaskSize &taken = room[candidate.worker->description.id];
+        TaskSize &taken = reservations[candidate.worker->description.id];
         if (!fitsInto(plus(taken, size), candidate.worker->freeCapacity()))
             continue;
         taken = plus(taken, size);
@@ -316,7 +317,8 @@
 }
 
 void JobScheduler::evacuateRun(TimePoint now, Worker &worker, const RunName &name,
-                               const WorkersByPool &workersByPool, EvacuationRoom &room)
+                               const WorkersByPool &workersByPool,
+                               EvacuationReservations &reservations)
 {
     const Job &job = *jobOf(name.task);
     const StepSpecification &step = job.step(name.task.step);
@@ -330,7 +332,8 @@
             return;
     }
     const auto workers = workersByPool.find(queueOf(job).pool);
-    if (workers == workersByPool.end() || !reserveRoom(job, name.task, workers->second, room))
+    if (workers == workersByPool.end()
+        || !reserveForEvacuation(job, name.task, workers->second, reservations))
         return; // a stopped task would only wait for capacity
     observe("run-evacuated", name, worker.description.id);
     stopRun(now, worker, name);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -139,8 +139,8 @@
         std::vector<RowWrite> writes;
     };
     using WorkersByPool = std::map<std::string, std::vector<Worker *>>;
-    /// Room that the evacuations of one pass need, by worker.
-    using EvacuationRoom = std::map<std::string, TaskSize>;
+    /// Capacity that the evacuations of one pass have reserved, by worker.
+    using EvacuationReservations = std::map<std::string, TaskSize>;
     struct PoolQueueEntry
     {
         Job *job = nullptr;
@@ -241,10 +241,11 @@
     /// Stops runs on workers that are draining or unschedulable and whose tasks can move.
     void evacuate(TimePoint now);
     void evacuateRun(TimePoint now, Worker &worker, const RunName &name,
-                     const WorkersByPool &workersByPool, EvacuationRoom &room);
-    /// Reserves room for the task on one of the workers. Returns whether there was enough.
-    bool reserveRoom(const Job &job, const TaskName &name, const std::vector<Worker *> &workers,
-                     EvacuationRoom &room) const;
+                     const WorkersByPool &workersByPool, EvacuationReservations &reservations);
+    /// Reserves capacity for the task on one of the workers. Returns whether one had enough.
+    bool reserveForEvacuation(const Job &job, const TaskName &name,
+                              const std::vector<Worker *> &workers,
+                              EvacuationReservations &reservations) const;
 
     // JobSchedulerOrders.cpp
     /// Finished jobs whose retention has expired, at most as many as fit in one transaction.
--- a/Tests/platform/TestOddMessages.cpp
+++ b/Tests/platform/TestMalformedMessages.cpp
@@ -96,7 +96,8 @@
 
 } // namespace
 
-TEST_CASE("An odd entry among the registrations of workers is refused, and the others are used")
+TEST_CASE(
+    "A malformed entry among the registrations of workers is refused, and the others are used")
 {
     // Guards against entries of other writers that end the process or keep it from following the
     // list.
@@ -104,7 +105,7 @@
     WorkerDecoder decoder([&](const std::string &key, const Error &error) {
         refused.push_back(key + ' ' + error.field);
     });
-    const auto decode = [&](const std::string &text, const std::string &key = "servers/odd") {
+    const auto decode = [&](const std::string &text, const std::string &key = "servers/malformed") {
         return decoder.decode({key, 1, text});
     };
 
@@ -154,12 +155,12 @@
     SECTION("it is reported once, and used as soon as it becomes valid")
     {
         refused.clear();
-        const std::string odd = replaced(workerText, ":8080", ":0");
-        CHECK_FALSE(decode(odd, "servers/i-2"));
-        CHECK_FALSE(decode(odd, "servers/i-2"));
+        const std::string malformed = replaced(workerText, ":8080", ":0");
+        CHECK_FALSE(decode(malformed, "servers/i-2"));
+        CHECK_FALSE(decode(malformed, "servers/i-2"));
         CHECK(refused == std::vector<std::string>{"servers/i-2 address"});
         CHECK(decode(workerText, "servers/i-2"));
-        CHECK_FALSE(decode(odd, "servers/i-2"));
+        CHECK_FALSE(decode(malformed, "servers/i-2"));
         CHECK(refused.size() == 2);
     }
 }
@@ -246,7 +247,7 @@
         decodeAll(text);
         std::size_t others = 0;
         WorkerDecoder decoder([](const std::string &, const Error &) {});
-        decoder.decode({"servers/odd", 1, text});
+        decoder.decode({"servers/malformed", 1, text});
         others += decoder.decode({"servers/i-1", 1, workerText}) ? 1 : 0;
         RC_ASSERT(others == 1U);
     });
