--- a/Libraries/LibBase/include/LibBase/BootClock.h
+++ b/Libraries/LibBase/include/LibBase/BootClock.h
@@ -13,7 +13,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
 
     static time_point now();
 };
--- a/Libraries/LibBase/include/LibBase/OneShotTimer.h
+++ b/Libraries/LibBase/include/LibBase/OneShotTimer.h
@@ -38,7 +38,7 @@
         m_pending.reset();
         m_timer.cancel();
     }
-    asio::steady_timer::executor_type get_executor() { return m_timer.get_executor(); }
+    asio::steady_timer::executor_type executor() { return m_timer.get_executor(); }
 
 private:
     asio::steady_timer m_timer;
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -112,7 +112,7 @@
 void HostSession::repeatLater(std::function<void()> step)
 {
     // The timer keeps itself until it has run, because several steps can wait at the same time.
-    const auto timer = std::make_shared<OneShotTimer>(m_listTimer.get_executor());
+    const auto timer = std::make_shared<OneShotTimer>(m_listTimer.executor());
     timer->runAfter(retryDelay, [timer, step = std::move(step), alive = std::weak_ptr(m_alive)] {
         if (!alive.expired())
             step();
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -131,17 +131,10 @@
 
 void JobFrontend::submitFinished(const PendingCallPointer &pending, const CommitResult &result)
 {
-    switch (result.status) {
-    case CommitStatus::Committed:
+    // After a conflict, another copy of this submission was accepted, by this or another process, or
+    // an earlier write of this call was applied. The id is the same, so it is the same job.
+    if (result.status == CommitStatus::Committed || result.status == CommitStatus::Conflict)
         return answer(pending, {.outcome = CallOutcome::Accepted});
-    case CommitStatus::Conflict:
-        // Another copy of this submission was accepted, by this or another process, or an earlier
-        // write of this call was applied. The id is the same, so it is the same job.
-        return answer(pending, {.outcome = CallOutcome::Accepted});
-    case CommitStatus::Unknown:
-    case CommitStatus::Unavailable:
-        break;
-    }
     retry(pending, [this, pending] { submit(pending); });
 }
 
