--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -131,8 +131,8 @@
 
 void JobFrontend::submitFinished(const PendingCallPointer &pending, const CommitResult &result)
 {
-    // After a conflict, another copy of this submission was accepted, by this or another process, or
-    // an earlier write of this call was applied. The id is the same, so it is the same job.
+    // After a conflict, another copy of this submission was accepted, by this or another process,
+    // or an earlier write of this call was applied. The id is the same, so it is the same job.
     if (result.status == CommitStatus::Committed || result.status == CommitStatus::Conflict)
         return answer(pending, {.outcome = CallOutcome::Accepted});
     retry(pending, [this, pending] { submit(pending); });
