LibHttp: Free connections whose exchange is under way when their pool ends

The callback now refers to the connection without owning it; pending operations keep the connection until they end.

--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -63,16 +63,20 @@
     using std::chrono::milliseconds;
     const auto left = std::chrono::ceil<milliseconds>(request.deadline - BootClock::now());
     connection->exchange(std::move(request.text), false, std::max(left, milliseconds(1)),
-                         [this, endpoint, connection, callback = std::move(request.callback),
+                         // The connection owns this callback, so that it must not be owned by it.
+                         [this, endpoint, weakConnection = std::weak_ptr(connection),
+                          callback = std::move(request.callback),
                           alive = std::weak_ptr(m_alive)](Exchange result) {
-                             if (alive.expired())
+                             const Connection ended = weakConnection.lock();
+                             if (alive.expired() || !ended)
                                  return;
-                             ended(endpoint, connection);
+                             exchangeEnded(endpoint, ended);
                              callback(std::move(result));
                          });
 }
 
-void ClientPool::ended(const asio::ip::tcp::endpoint &endpoint, const Connection &connection)
+void ClientPool::exchangeEnded(const asio::ip::tcp::endpoint &endpoint,
+                               const Connection &connection)
 {
     Server &server = m_servers[endpoint];
     while (!server.waiting.empty()) {
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -50,7 +50,7 @@
     Connection takeIdle(Server &server);
     void send(const asio::ip::tcp::endpoint &endpoint, const Connection &connection,
               Request request);
-    void ended(const asio::ip::tcp::endpoint &endpoint, const Connection &connection);
+    void exchangeEnded(const asio::ip::tcp::endpoint &endpoint, const Connection &connection);
     void dropUnused();
 
     asio::io_context &m_context;
