--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -529,7 +529,7 @@
         self.machines, self.status_s, self.pool = machines, status_s, pool
         self.executors = []
         HttpServer(self.store_port, self.store.handle)
-        HttpServer(self.cloud_port, self.cloud)
+        HttpServer(self.cloud_port, lambda *call: self.cloud(*call))
         self.store.put("op", "config", {
             "version": 3,
             "routes": [{"name": "checks", "hostname": HOST_HEADER, "prefix": PREFIX, "backend": pool,
