--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -328,7 +329,7 @@
         self.capacity, self.labels = capacity, labels
         self.stop_seconds, self.hold_max_ms = stop_seconds, hold_max_ms
         self.sizes = {}  # job -> its steps, set by the test, for the check of LIMIT
-        self.lock = threading.Condition()
+        self.lock = threading.Condition(threading.RLock())
         self.up = False
         self.seq = 0
         self.hole = []
@@ -453,14 +454,17 @@
         if wanted and wanted not in self.labels:
             self.journal.breach("ROUTE", f"task {task}, which requires label {wanted}, starts on {self.id} "
                                          f"(born {self.born}) with labels {self.labels}")
-        used = 0
-        for other, _run in self.runs:
-            other_job, _, other_step, _ = other.split(".")
-            used += self.sizes[other_job][int(other_step)]["cpu"] if other_job in self.sizes else 0
+        used = self.used()
         if used > self.capacity["cpu"]:
             self.journal.breach("LIMIT", f"task {task} starts on {self.id} (born {self.born}), which then runs "
                                          f"{used} of its {self.capacity['cpu']} thousandths of a core")
 
+    def used(self):
+        """What the runs take, in thousandths of a core."""
+        with self.lock:
+            names = [task.split(".") for task, _ in self.runs]
+        return sum(self.sizes[job][int(step)]["cpu"] for job, _, step, _ in names if job in self.sizes)
+
     def run_stop(self, body):
         task, run = body["task"], body["run"]
         self.highest[task] = max(run, self.highest.get(task, 0))
@@ -487,13 +491,21 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+    """Free ports below the range from which the system takes ports of outgoing connections, so that none of them
+    takes the port of an executor while that is down."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="utf-8") as file:
+        highest = int(file.read().split()[0]) - 1
+    ports = []
+    for port in random.sample(range(max(2000, highest - 20_000), highest), 5000):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRun("no free ports")
 
 
 def http_call(port, method, path, body=None, timeout=3.0):
@@ -659,8 +671,8 @@
         end = time.monotonic() + 3.2
         while time.monotonic() < end:
             idle = {name for name in idle if not self.journal.is_running(name)}
-            used = sum(len(entry.runs) for entry in self.executors)
-            highest_use = max(highest_use, used / max(1, self.slots()))
+            used = sum(entry.used() for entry in self.executors)
+            highest_use = max(highest_use, used / max(1, self.capacity()))
             time.sleep(0.05)
         idle = {name for name in idle if self.state(name) != "completed"}
         self.record.say(f"not completed: {len(open_jobs)}, of these with nothing running for 3 s: {len(idle)}; "
@@ -671,9 +683,9 @@
             self.journal.breach("LOST", f"{len(idle)} accepted jobs have nothing running for 3 s beside idle executors, "
                                         f"e.g. {sorted(idle)[0]}")
 
-    def slots(self):
-        """Capacity of the service in tasks of 1,000 thousandths of a core."""
-        return sum(entry.capacity["cpu"] // 1000 for entry in self.executors if entry.up)
+    def capacity(self):
+        """Capacity of the service, in thousandths of a core."""
+        return sum(entry.capacity["cpu"] for entry in self.executors if entry.up)
 
     def exits(self):
         return [process.returncode for process in self.processes if process.poll() is not None]
@@ -698,6 +710,12 @@
     status: 1 if a rule was broken, 0 if all held, 2 if the case could not run."""
     system = None
     status = 2
+
+    def interrupted(_number, _frame):
+        raise CannotRun("the case was ended from outside")
+
+    signal.signal(signal.SIGTERM, interrupted)
+    signal.signal(signal.SIGINT, interrupted)
     try:
         system = make(directory)
         system.record.say(f"trouble: {'yes' if TROUBLE else 'no'}")
