Kernel/Jobs: Keep ordered runs across a restart of their worker

Cause: the first poll of a later incarnation of a worker ended all runs of that worker. Those that the later incarnation had accepted, because a start order was repeated or sent before the scheduler knew of the restart, ran on while their tasks were started elsewhere. An answer to an order does not tell the incarnation.

Change: a run that was ordered stays until the new incarnation lists it (it goes on), or does not list it although its answer came before the poll was sent (its task is queued again). With an unanswered order it is stopped first. Orders carry the incarnation that they are meant for. Polls that decide such a run do not wait, and the answer to an older poll no longer allows one more poll beside a newer one.

The digest of one schedule changes, because restarts are decided differently in it.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -74,7 +74,7 @@
             = std::any_of(worker.runs.begin(), worker.runs.end(),
                           [&](const auto &entry) { return entry.second.createdAt > requestedAt; });
         if (!newRun)
-            endIncarnation(now, worker, worker.description.startedAt);
+            removeWorker(now, worker);
     }
 }
 
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -211,7 +211,7 @@
             if (now < nextStop)
                 continue;
             nextStop = now + m_timing.stopLimit;
-            m_hooks.orders.stop({id, name, m_epoch});
+            m_hooks.orders.stop({id, worker.description.startedAt, name, m_epoch});
         }
         if (needsPoll(worker) && !worker.pollInFlight && now >= worker.nextPoll)
             sendPoll(now, worker);
@@ -225,6 +225,7 @@
         return;
     StartOrder order;
     order.worker = worker.description.id;
+    order.incarnation = worker.description.startedAt;
     order.run = name;
     order.payload = job->submitted().specification.payload;
     order.checkpoint = checkpointOf(*job, name.task);
@@ -257,7 +258,7 @@
     run.orderInFlight = true;
     run.nextOrderAt = now + orderRetryDelay;
     ++run.ordersSent;
-    m_hooks.orders.stop({worker.description.id, name, m_epoch});
+    m_hooks.orders.stop({worker.description.id, worker.description.startedAt, name, m_epoch});
 }
 
 bool JobScheduler::needsPoll(const Worker &worker)
@@ -272,6 +273,7 @@
 {
     PollOrder order;
     order.worker = worker.description.id;
+    order.incarnation = worker.description.startedAt;
     order.fencingEpoch = m_epoch;
     order.acknowledgedEnds
         = m_hooks.defects.acknowledgeEndsBeforeWriting ? worker.processedEnds : worker.durableEnds;
@@ -279,7 +281,8 @@
     const bool hasUnwrittenEnds = worker.processedEnds > worker.durableEnds;
     if (hasUnwrittenEnds && now < worker.lastPoll + unwrittenEndsPollInterval)
         return;
-    if (worker.contacted && !hasUnwrittenEnds && !worker.runs.empty())
+    const bool mayWait = worker.contacted && !hasUnwrittenEnds && !worker.nextPollDecidesRuns();
+    if (mayWait && !worker.runs.empty())
         order.wait = worker.hasBestEffortBesideServing() ? latencyPollWait : pollWait;
     // After a failed poll, the lease is not extended: its end is the time from which the tasks can
     // be placed on other workers.
@@ -321,14 +324,17 @@
     run.throttlePercent = percent;
     run.throttleConfirmed = false;
     run.nextThrottle = now + throttleInterval;
-    m_hooks.orders.throttle({worker.description.id, name, percent, m_epoch});
+    m_hooks.orders.throttle(
+        {worker.description.id, worker.description.startedAt, name, percent, m_epoch});
 }
 
 void JobScheduler::throttleFinished(TimePoint now, const ThrottleOrder &order,
                                     const OrderReply &reply)
 {
-    Worker *worker = answeringWorker(now, order.worker, reply);
-    WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(order.run);
+    Worker *worker = answeringWorker(now, order.worker, order.incarnation, reply);
+    if (worker == nullptr || order.incarnation != worker->description.startedAt)
+        return;
+    WorkerRun *run = worker->runs.find(order.run);
     if (run == nullptr || run->throttlePercent != order.percent)
         return;
     // A failed order may have taken effect. Until one is accepted, each poll sends another.
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -7,7 +7,8 @@
 
 namespace Peridot::Jobs {
 
-Worker *JobScheduler::answeringWorker(TimePoint now, const std::string &id, const OrderReply &reply)
+Worker *JobScheduler::answeringWorker(TimePoint now, const std::string &id,
+                                      std::int64_t incarnation, const OrderReply &reply)
 {
     if (reply.outcome == OrderOutcome::Fenced) {
         m_hooks.fenced();
@@ -17,8 +18,10 @@
     if (found == m_workers.end())
         return nullptr;
     Worker &worker = found->second;
+    if (incarnation != worker.description.startedAt)
+        return &worker;
     if (reply.outcome == OrderOutcome::OtherWorker) {
-        endIncarnation(now, worker, worker.description.startedAt);
+        removeWorker(now, worker);
         return nullptr;
     }
     if (reply.clock)
@@ -26,17 +29,25 @@
     return &worker;
 }
 
+WorkerRun *JobScheduler::answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation)
+{
+    WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(name);
+    if (run == nullptr)
+        return nullptr;
+    run->orderInFlight = false;
+    return incarnation == worker->description.startedAt ? run : nullptr;
+}
+
 void JobScheduler::startFinished(TimePoint now, const StartOrder &order, const OrderReply &reply)
 {
     observe("start-answered", order.run, order.worker,
             std::string(orderOutcomeNames.nameOf(reply.outcome)));
-    Worker *answering = answeringWorker(now, order.worker, reply);
-    WorkerRun *orderedRun = answering == nullptr ? nullptr : answering->runs.find(order.run);
+    Worker *answering = answeringWorker(now, order.worker, order.incarnation, reply);
+    WorkerRun *orderedRun = answeredRun(answering, order.run, order.incarnation);
     if (orderedRun == nullptr)
         return;
     Worker &worker = *answering;
     WorkerRun &run = *orderedRun;
-    run.orderInFlight = false;
     switch (reply.outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::Superseded: // the next poll shows the state of the run
@@ -49,6 +60,8 @@
     case OrderOutcome::Unknown:
         run.earlierOrderUnanswered = true;
         run.nextOrderAt = now + orderRetryDelay;
+        // If the worker has started again, its lease may be as long as the arrival was late.
+        worker.assumeLeasesUntil(now + m_timing.workerLease * maximumLeasePercent / 100);
         if (run.phase == RunPhase::Starting && run.ordersSent >= maximumStartOrders)
             stopRun(now, worker, order.run);
         return;
@@ -86,36 +99,29 @@
 {
     observe("stop-answered", order.run, order.worker,
             std::string(orderOutcomeNames.nameOf(reply.outcome)));
-    Worker *worker = answeringWorker(now, order.worker, reply);
-    WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(order.run);
+    Worker *worker = answeringWorker(now, order.worker, order.incarnation, reply);
+    WorkerRun *run = answeredRun(worker, order.run, order.incarnation);
     if (run == nullptr)
         return;
-    run->orderInFlight = false;
     run->nextOrderAt = now + orderRetryDelay;
     if (reply.outcome != OrderOutcome::Accepted)
         return;
     run->stopAccepted = true;
     run->confirmedAt = now;
+    if (run->isDecidedByNextPoll())
+        worker->pollAgain(now);
 }
 
 void JobScheduler::pollFinished(TimePoint now, const PollOrder &order, const PollReply &reply)
 {
     const auto found = m_workers.find(order.worker);
-    if (found != m_workers.end())
+    if (found != m_workers.end() && order.sentAt >= found->second.lastPoll)
         found->second.pollInFlight = false;
-    // The clock is updated below, when the incarnation that answered is known.
-    Worker *answering = answeringWorker(now, order.worker, {reply.outcome, std::nullopt});
-    if (answering == nullptr)
-        return;
-    Worker &worker = *answering;
-    if (reply.outcome != OrderOutcome::Accepted) {
-        ++worker.failedPolls;
-        const auto doublings = std::min(worker.failedPolls, 4U);
-        worker.nextPoll = now + std::min(initialPollBackoff * (1 << doublings), maximumPollBackoff);
-        observe("look-failed", {}, order.worker,
-                std::string(orderOutcomeNames.nameOf(reply.outcome)));
+    if (reply.outcome != OrderOutcome::Accepted)
+        return pollFailed(now, order, reply.outcome);
+    if (found == m_workers.end())
         return;
-    }
+    Worker &worker = found->second;
     worker.nextPoll = now;
     if (!checkIncarnation(now, worker, order, reply))
         return;
@@ -133,40 +139,15 @@
     throttleBestEffortRuns(now, worker);
 }
 
-bool JobScheduler::checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
-                                    const PollReply &reply)
-{
-    if (reply.startedAt < worker.description.startedAt) {
-        // Replies of an earlier incarnation may arrive after those of a later one. When only the
-        // list has shown the later one, a poll that was sent after it proves the list wrong.
-        if (worker.incarnationReported || order.sentAt < worker.incarnationListedAt)
-            return false;
-        observe("worker-entry-refuted", {}, worker.description.id,
-                std::to_string(worker.description.startedAt));
-        worker.refutedIncarnation = worker.description.startedAt;
-        worker.description.startedAt = reply.startedAt;
-    }
-    if (reply.startedAt > worker.description.startedAt)
-        endIncarnation(now, worker, reply.startedAt);
-    worker.incarnationReported = true;
-    if (worker.announcedIncarnation != 0 && order.sentAt >= worker.announcedAt) {
-        observe("worker-entry-refuted", {}, worker.description.id,
-                std::to_string(worker.announcedIncarnation));
-        worker.refutedIncarnation = std::exchange(worker.announcedIncarnation, 0);
-    }
-    return true;
-}
-
-void JobScheduler::endIncarnation(TimePoint now, Worker &worker, std::int64_t nextIncarnation)
+void JobScheduler::pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome)
 {
-    observe("worker-life-ended", {}, worker.description.id, std::to_string(nextIncarnation));
-    const auto runs = worker.runs.takeAll();
-    const bool sameIncarnation = nextIncarnation == worker.description.startedAt;
-    worker.beginIncarnation(nextIncarnation);
-    if (sameIncarnation) // another worker uses its address, or its host no longer exists
-        worker.listed = false;
-    for (const auto &[name, run] : runs)
-        requeueTask(now, name, RunOutcome::LeaseExpired, worker.description.id);
+    Worker *worker = answeringWorker(now, order.worker, order.incarnation, {outcome, std::nullopt});
+    if (worker == nullptr || order.incarnation != worker->description.startedAt)
+        return;
+    ++worker->failedPolls;
+    const auto doublings = std::min(worker->failedPolls, 4U);
+    worker->nextPoll = now + std::min(initialPollBackoff * (1 << doublings), maximumPollBackoff);
+    observe("look-failed", {}, order.worker, std::string(orderOutcomeNames.nameOf(outcome)));
 }
 
 void JobScheduler::processEnd(TimePoint now, Worker &worker, const EndedRun &end)
@@ -287,6 +268,7 @@
         return;
     }
     WorkerRun &run = *found;
+    run.fromEarlierIncarnation = false;
     if (run.progressPercent != active.progressPercent)
         run.progressChangedAt = now;
     run.progressPercent = active.progressPercent;
@@ -317,14 +299,19 @@
     std::vector<RunName> missing;
     for (const auto &[name, run] : worker.runs) {
         const bool wasConfirmed = run.confirmedAt && *run.confirmedAt <= order.sentAt;
-        // A start order in flight may still reach the worker, unless a stop order prevents it.
-        const bool mayStillStart = run.orderInFlight && run.phase != RunPhase::Stopping;
-        if (wasConfirmed && !mayStillStart && !listed(name))
+        if (wasConfirmed && !listed(name))
             missing.push_back(name);
     }
     for (const RunName &name : missing) {
-        observe("run-missing", name, worker.description.id);
-        discardRun(now, worker, name);
+        const WorkerRun *run = worker.runs.find(name);
+        if (run == nullptr)
+            continue; // it has ended with another run of its gang
+        if (!run->mayStillStart()) {
+            observe("run-missing", name, worker.description.id);
+            discardRun(now, worker, name);
+        } else if (!run->orderInFlight) {
+            stopRun(now, worker, name); // an accepted stop order prevents a later start
+        }
     }
 }
 
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -16,7 +16,6 @@
 void Worker::beginIncarnation(std::int64_t startedAt)
 {
     description.startedAt = startedAt;
-    runs.takeAll();
     orphanedRuns.clear();
     processedEnds = 0;
     durableEnds = 0;
@@ -37,7 +36,12 @@
     announcedIncarnation = startedAt;
     announcedAt = now;
     contacted = false;
-    pollInFlight = false; // the poll in flight may wait for an answer of the earlier incarnation
+    pollAgain(now); // the poll in flight may wait for an answer of the earlier incarnation
+}
+
+void Worker::pollAgain(TimePoint now)
+{
+    pollInFlight = false;
     nextPoll = now;
 }
 
@@ -75,6 +79,12 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+bool Worker::nextPollDecidesRuns() const
+{
+    return std::any_of(runs.begin(), runs.end(),
+                       [](const auto &entry) { return entry.second.isDecidedByNextPoll(); });
+}
+
 bool Worker::hasBestEffortBesideServing() const
 {
     const auto has = [&](auto &&predicate) {
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -175,17 +175,27 @@
     void stopRun(TimePoint now, Worker &worker, const RunName &name);
 
     // JobSchedulerReplies.cpp
-    /// Worker that answered an order, with its clock updated. Null when it is not known, when
-    /// another worker answered in its place, or when this scheduler is fenced.
-    Worker *answeringWorker(TimePoint now, const std::string &id, const OrderReply &reply);
+    /// Worker that an order was sent to. Null when it is not known, when another worker answered in
+    /// its place, or when this scheduler is fenced. Its clock is updated, unless it has started
+    /// again since.
+    Worker *answeringWorker(TimePoint now, const std::string &id, std::int64_t incarnation,
+                            const OrderReply &reply);
+    /// Run whose start or stop order was answered. Null when it is not known, and when its worker
+    /// has started again since: the answer says nothing about the new incarnation.
+    static WorkerRun *answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation);
+    void pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome);
     void markStarted(const TaskName &name);
     /// Compares the incarnation that answered a poll with the known one, and begins a later one.
     /// Returns false for an answer of an earlier incarnation.
     bool checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
                           const PollReply &reply);
-    /// Requeues the tasks whose runs the current incarnation had, and begins the next one. When
-    /// \a nextIncarnation is the current one, the worker counts as not listed.
-    void endIncarnation(TimePoint now, Worker &worker, std::int64_t nextIncarnation);
+    /// Begins a later incarnation of the worker. It may have accepted orders that were meant for
+    /// the earlier one, so that the ordered runs stay until the worker shows that it does not have
+    /// them.
+    void beginIncarnation(TimePoint now, Worker &worker, std::int64_t startedAt);
+    void carryOver(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
+    /// Requeues the tasks of a worker that does not exist any more, and counts it as not listed.
+    void removeWorker(TimePoint now, Worker &worker);
     void processEnd(TimePoint now, Worker &worker, const EndedRun &end);
     void recordRuntime(TimePoint now, const Job &job, const RunName &run, const WorkerRun &ended);
     void completeTask(TimePoint now, Job &job, const TaskName &name);
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -15,13 +15,16 @@
 public:
     explicit Worker(WorkerDescription newDescription) : description(std::move(newDescription)) { }
 
-    /// Discards the state of the previous incarnation of the worker.
+    /// Discards the state of the previous incarnation of the worker, except its runs.
     void beginIncarnation(std::int64_t startedAt);
 
     /// Takes the later incarnation of an entry of the list. Until the worker has confirmed or
     /// refuted it, it gets no new runs, and it is polled without delay.
     void announceIncarnation(TimePoint now, std::int64_t startedAt);
 
+    /// Lets the next poll be sent now, beside the one in flight.
+    void pollAgain(TimePoint now);
+
     void updateClock(WorkerClock clock, TimePoint receivedAt);
     /// Returns a lease end \a length from now on the clock of the worker, and raises leasesEnd()
     /// accordingly. Requires clockKnown().
@@ -37,6 +40,8 @@
     /// Whether runs that the scheduler does not know, and whose size it does not know, use
     /// capacity.
     bool hasOrphanedRuns() const { return !orphanedRuns.empty(); }
+    /// Whether the next poll shows which runs of an earlier incarnation the current one has.
+    bool nextPollDecidesRuns() const;
     /// Whether the worker runs both best-effort tasks and tasks with a latency target, which the
     /// former may slow down.
     bool hasBestEffortBesideServing() const;
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -55,6 +55,7 @@
 struct StartOrder
 {
     std::string worker;
+    std::int64_t incarnation = 0; ///< of the worker, as known when the order was sent
     RunName run;
     std::string payload;
     std::string checkpoint; ///< checkpoint to resume from; empty: none
@@ -66,6 +67,7 @@
 struct StopOrder
 {
     std::string worker;
+    std::int64_t incarnation = 0; ///< of the worker, as known when the order was sent
     RunName run;
     std::uint64_t fencingEpoch = 0;
 };
@@ -74,6 +76,7 @@
 struct ThrottleOrder
 {
     std::string worker;
+    std::int64_t incarnation = 0; ///< of the worker, as known when the order was sent
     RunName run;
     unsigned percent = 100;
     std::uint64_t fencingEpoch = 0;
@@ -83,6 +86,7 @@
 struct PollOrder
 {
     std::string worker;
+    std::int64_t incarnation = 0; ///< of the worker, as known when the order was sent
     std::optional<WorkerClock> leaseEnd; ///< nothing: the lease is not extended
     std::uint64_t fencingEpoch = 0;
     std::uint64_t acknowledgedEnds = 0; ///< the worker may drop ended runs up to this number
--- a/Kernel/include/Kernel/Jobs/WorkerRun.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRun.h
@@ -29,6 +29,9 @@
     /// An earlier start order was not answered and may still take effect.
     bool earlierOrderUnanswered = false;
     bool stopAccepted = false;
+    /// The worker started again after the run was ordered. Its current incarnation may have the run
+    /// as well, until a poll has shown whether it does.
+    bool fromEarlierIncarnation = false;
     unsigned ordersSent = 0; ///< orders sent in this phase
     TimePoint nextOrderAt; ///< earliest time of the next order
     /// The worker knew the run at this time. When a later poll does not list it, it has ended.
@@ -43,6 +46,21 @@
     bool throttleConfirmed = true; ///< the worker accepted the order for throttlePercent
     TimePoint nextThrottle; ///< earliest time of the next throttle order
 
+    bool wasOrdered() const
+    {
+        return phase != RunPhase::Recording && (phase != RunPhase::Starting || ordersSent > 0);
+    }
+    /// Whether the worker may accept a start order from now on that it did not have before.
+    bool mayStillStart() const
+    {
+        const bool startInFlight = orderInFlight && phase != RunPhase::Stopping;
+        return startInFlight || (earlierOrderUnanswered && !stopAccepted);
+    }
+    /// Whether the next poll shows if the current incarnation of the worker has the run.
+    bool isDecidedByNextPoll() const
+    {
+        return fromEarlierIncarnation && confirmedAt && !mayStillStart();
+    }
     bool isOverTarget() const { return latencyTarget.count() > 0 && latency > latencyTarget; }
     /// Whether the latency is so close to the target that best-effort tasks on the same worker
     /// should not use more processor time.
--- a/Tests/Kernel/Jobs/JobSimulation.cpp
+++ b/Tests/Kernel/Jobs/JobSimulation.cpp
@@ -11,6 +11,7 @@
 
 constexpr unsigned maximumAttempts = 3;
 constexpr std::chrono::milliseconds orderTimeout{600};
+constexpr std::chrono::milliseconds listInterval{500};
 constexpr TaskSize workerCapacity{8000, 16000, 0};
 
 JobConfiguration configuration()
@@ -398,12 +399,19 @@
 
 void JobSimulation::listWorkers(SchedulerInstance &instance)
 {
-    std::vector<WorkerDescription> list;
+    if (!m_faults.restarts || m_now >= m_listUpdatedAt + listInterval)
+        updateList();
+    instance.scheduler->setWorkers(m_now, m_list);
+}
+
+void JobSimulation::updateList()
+{
+    m_listUpdatedAt = m_now;
+    m_list.clear();
     for (const auto &[id, worker] : m_workers) {
         if (worker.up)
-            list.push_back(worker.description);
+            m_list.push_back(worker.description);
     }
-    instance.scheduler->setWorkers(m_now, list);
 }
 
 void JobSimulation::planAndCommit(const std::shared_ptr<SchedulerInstance> &instance)
@@ -438,14 +446,10 @@
             SimulatedWorker &chosen = worker->second;
             if (m_faults.takeovers && chance(0.4))
                 startScheduler();
-            if (m_faults.crashes && chance(0.4) && chosen.up) {
-                chosen.up = false;
-                chosen.runs.clear();
-                scheduleAt(m_now + randomDuration(300ms, 9s), [this, &chosen] {
-                    chosen = SimulatedWorker{
-                        chosen.description, true, true, m_now, 0.98, 0, 0, {}, {}, {}, 0};
-                    chosen.description.startedAt = toUnixMilliseconds(m_now);
-                });
+            if (m_faults.restarts && chosen.up) {
+                restart(chosen, randomDuration(0ms, 900ms));
+            } else if (m_faults.crashes && chance(0.4) && chosen.up) {
+                restart(chosen, randomDuration(300ms, 9s));
             } else if (m_faults.partitions && chance(0.4)) {
                 chosen.reachable = false;
                 scheduleAt(m_now + randomDuration(300ms, 9s),
@@ -455,6 +459,16 @@
     }
 }
 
+void JobSimulation::restart(SimulatedWorker &worker, Duration downtime)
+{
+    worker.up = false;
+    worker.runs.clear();
+    scheduleAt(m_now + downtime, [this, &worker] {
+        worker = SimulatedWorker{worker.description, true, true, m_now, 0.98, 0, 0, {}, {}, {}, 0};
+        worker.description.startedAt = toUnixMilliseconds(m_now);
+    });
+}
+
 void JobSimulation::run(Duration loadDuration, Duration drainDuration)
 {
     const TimePoint until = m_now + loadDuration;
--- a/Tests/Kernel/Jobs/JobSimulation.h
+++ b/Tests/Kernel/Jobs/JobSimulation.h
@@ -22,6 +22,9 @@
     double unansweredCommits = 0;
     double refusedCommits = 0; ///< share of transactions that the store refuses
     bool crashes = false; ///< workers crash and restart as new incarnations
+    /// Workers start again under their ids within a second, and the list shows it up to 500 ms
+    /// late.
+    bool restarts = false;
     bool partitions = false; ///< workers become unreachable and keep running
     bool takeovers = false; ///< schedulers are replaced, and keep running for a while
     bool cancellations = false; ///< some jobs are cancelled
@@ -104,6 +107,10 @@
     /// Lets the scheduler plan, and commits its next transaction.
     void planAndCommit(const std::shared_ptr<SchedulerInstance> &instance);
     void listWorkers(SchedulerInstance &instance);
+    /// Takes the registrations of the workers that are up as the list.
+    void updateList();
+    /// The worker crashes, and starts again under its id after \a downtime.
+    void restart(SimulatedWorker &worker, Duration downtime);
     /// Delivers \a order to its worker and the reply to the scheduler, with delays and faults.
     template <typename Order, typename Reply>
     void deliver(const std::shared_ptr<SchedulerInstance> &instance, const Order &order,
@@ -129,6 +136,8 @@
     TimePoint m_now{std::chrono::hours(1)};
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<std::string, SimulatedWorker> m_workers;
+    std::vector<WorkerDescription> m_list; ///< registrations of workers
+    TimePoint m_listUpdatedAt;
     std::map<std::string, SimulatedJob> m_jobs;
     std::shared_ptr<SchedulerInstance> m_instance;
     std::uint64_t m_epoch = 0;
--- a/Tests/Kernel/Jobs/SchedulerFixture.h
+++ b/Tests/Kernel/Jobs/SchedulerFixture.h
@@ -37,6 +37,7 @@
     {
         PollOrder order;
         order.worker = id;
+        order.incarnation = startedAt;
         order.sentAt = now;
         PollReply reply;
         reply.outcome = OrderOutcome::Accepted;
--- a/Tests/Kernel/Jobs/TestJobSchedules.cpp
+++ b/Tests/Kernel/Jobs/TestJobSchedules.cpp
@@ -72,6 +72,11 @@
         faults.partitions = true;
         runSeeds("workers", faults, 10);
     }
+    SECTION("workers start again under their ids before the scheduler learns of it")
+    {
+        faults.restarts = true;
+        runSeeds("restarts", faults, 20);
+    }
     SECTION("schedulers are replaced while the previous one keeps running, and jobs are cancelled")
     {
         faults.takeovers = true;
@@ -80,7 +85,7 @@
     }
     SECTION("all of these faults occur in the same simulation")
     {
-        runSeeds("together", {0.05, 0.03, 0.05, 0.1, 0.1, true, true, true, true}, 20);
+        runSeeds("together", {0.05, 0.03, 0.05, 0.1, 0.1, true, false, true, true, true}, 20);
     }
 }
 
@@ -90,10 +95,11 @@
     // recorded seed cannot be replayed, for example because random numbers are drawn in an
     // unspecified order of evaluation. An intended change of the schedules or of the decisions
     // of the scheduler changes the recorded digest.
-    JobSimulation simulation(firstSeed, {0.05, 0.03, 0.05, 0.1, 0.1, true, true, true, true});
+    JobSimulation simulation(firstSeed,
+                             {0.05, 0.03, 0.05, 0.1, 0.1, true, false, true, true, true});
     simulation.run(15s, 40s);
     CHECK(firstViolation(simulation).empty());
-    CHECK(simulation.digest() == 0xbe86a9e1667695f5);
+    CHECK(simulation.digest() == 0xcdf217fc6c06ccfe);
 }
 
 TEST_CASE("The simulation detects each injected defect of the scheduler")
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -135,6 +135,7 @@
             fixture.now += 1s;
             PollOrder order;
             order.worker = worker;
+            order.incarnation = 1000;
             order.sentAt = fixture.now;
             fixture.scheduler.pollFinished(fixture.now, order, PollReply{});
             fixture.planAndCommit();
--- /dev/null
+++ b/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
@@ -0,0 +1,78 @@
+#include "SchedulerFixture.h"
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace Peridot::Jobs::Test;
+using namespace std::chrono_literals;
+
+TEST_CASE("A task does not run twice when its worker starts again under its id")
+{
+    // Guards against a run that the new incarnation had accepted, and that was started elsewhere as
+    // soon as the scheduler learned of the restart.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 1);
+    const StartOrder first = fixture.starts.front();
+    fixture.starts.clear();
+    const auto addOtherWorker = [&] {
+        fixture.scheduler.setWorkers(
+            fixture.now, {SchedulerFixture::worker("w", 9000), SchedulerFixture::worker("x")});
+        fixture.answerPoll("x");
+    };
+
+    SECTION("which accepted the start order before the scheduler learned of the restart")
+    {
+        fixture.scheduler.startFinished(fixture.now, first, {OrderOutcome::Accepted, {}});
+        fixture.now += 80ms;
+        addOtherWorker();
+        fixture.answerPoll("w", 9000, {{first.run, {}, 50, {}}});
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.empty());
+        REQUIRE(fixture.stops.empty());
+        REQUIRE(fixture.runsOn("w") == 1);
+    }
+    SECTION("which may have accepted a repeated start order that was not answered")
+    {
+        fixture.now += 600ms;
+        fixture.scheduler.startFinished(fixture.now, first, {});
+        addOtherWorker();
+        fixture.answerPoll("w", 9000);
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.empty());
+        REQUIRE(fixture.stops.size() == 1);
+        fixture.now += 5ms;
+
+        SECTION("an answer to the order of before the restart proves nothing")
+        {
+            fixture.scheduler.startFinished(fixture.now, first, {OrderOutcome::Accepted, {}});
+            fixture.now += 5ms;
+            fixture.answerPoll("w", 9000);
+            fixture.planAndCommit();
+            REQUIRE(fixture.starts.empty());
+        }
+        SECTION("it starts elsewhere once the new incarnation accepted a stop and lists no run")
+        {
+            fixture.polls.clear();
+            fixture.scheduler.stopFinished(fixture.now, fixture.stops.front(),
+                                           {OrderOutcome::Accepted, {}});
+            fixture.planAndCommit();
+            REQUIRE(fixture.starts.empty());
+            REQUIRE(fixture.polls.size() == 1);
+            REQUIRE(fixture.polls.front().wait == 0ms);
+            fixture.now += 5ms;
+            fixture.answerPoll("w", 9000);
+            fixture.planAndCommit();
+            REQUIRE(fixture.starts.size() == 1);
+            REQUIRE(fixture.starts.front().run.run == 2);
+        }
+        SECTION("nor while the worker does not answer and may hold a lease")
+        {
+            fixture.now += 5s;
+            fixture.planAndCommit();
+            REQUIRE(fixture.starts.empty());
+        }
+    }
+}
