Kernel/Jobs: Acknowledge ended runs to one incarnation of a worker

What would be seen: a task that ended as done on a worker that had just started again runs once more.

Cause: the number up to which ended runs are stored was sent with each poll, also after a failed one, when the worker may have started again and counts its ends from 1. The new incarnation forgot ends that nobody had seen. The answer to such a poll, and a transaction in flight during the restart, mixed the numbers of two incarnations as well.

Change: a number is sent only when there is one to acknowledge and the last poll was answered. Stored ends are kept with their incarnation, and count only for it.

--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -27,7 +27,7 @@
     if (m_dirty.empty()) {
         for (const auto &[id, worker] : m_workers) {
             if (worker.processedEnds > worker.durableEnds)
-                flush.ends.emplace_back(id, worker.processedEnds);
+                flush.ends.push_back({id, worker.description.startedAt, worker.processedEnds});
         }
     }
     if (now >= m_nextExpiry)
@@ -184,11 +184,11 @@
 
 void JobScheduler::applyDurableEnds(const Flush &flush)
 {
-    for (const auto &[id, number] : flush.ends) {
+    for (const auto &[id, incarnation, highestNumber] : flush.ends) {
         const auto worker = m_workers.find(id);
         // A new incarnation of the worker numbers its ended runs from 1 again.
-        if (worker != m_workers.end() && number <= worker->second.processedEnds)
-            worker->second.durableEnds = std::max(worker->second.durableEnds, number);
+        if (worker != m_workers.end() && worker->second.description.startedAt == incarnation)
+            worker->second.durableEnds = std::max(worker->second.durableEnds, highestNumber);
     }
 }
 
@@ -275,8 +275,13 @@
     order.worker = worker.description.id;
     order.incarnation = worker.description.startedAt;
     order.fencingEpoch = m_epoch;
-    order.acknowledgedEnds
+    // The numbers of ended runs belong to one incarnation, so that none is sent when a later one
+    // may get it.
+    const std::uint64_t storedEnds
         = m_hooks.defects.acknowledgeEndsBeforeWriting ? worker.processedEnds : worker.durableEnds;
+    const bool isKnownIncarnation = worker.contacted && worker.failedPolls == 0;
+    if (isKnownIncarnation && storedEnds > worker.acknowledgedEnds)
+        order.acknowledgedEnds = storedEnds;
     order.sentAt = now;
     const bool hasUnwrittenEnds = worker.processedEnds > worker.durableEnds;
     if (hasUnwrittenEnds && now < worker.lastPoll + unwrittenEndsPollInterval)
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -128,7 +128,8 @@
     worker.failedPolls = 0;
     worker.contacted = worker.announcedIncarnation == 0;
     worker.lastContact = now;
-    worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
+    if (order.incarnation == reply.startedAt)
+        worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
     if (reply.clock)
         worker.updateClock(*reply.clock, now);
     for (const EndedRun &end : reply.ended)
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -122,6 +122,13 @@
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
 private:
+    /// The ended runs of one incarnation of a worker that a transaction stores.
+    struct StoredEnds
+    {
+        std::string worker;
+        std::int64_t incarnation = 0;
+        std::uint64_t highestNumber = 0;
+    };
     /// Changes that are stored by one transaction, or that become final with it.
     struct Flush
     {
@@ -129,8 +136,7 @@
         std::vector<std::string> rows; ///< contents of these rows
         std::vector<std::string> expired; ///< finished jobs whose rows are removed
         std::vector<std::pair<std::string, RunName>> starts; ///< worker and run to start afterwards
-        /// Worker, and the number up to which its ended runs are stored.
-        std::vector<std::pair<std::string, std::uint64_t>> ends;
+        std::vector<StoredEnds> ends;
     };
     /// Writes that are due on one partition of the rows of jobs.
     struct Cleanup
--- a/Tests/Kernel/Jobs/TestJobSchedules.cpp
+++ b/Tests/Kernel/Jobs/TestJobSchedules.cpp
@@ -76,6 +76,10 @@
     {
         faults.restarts = true;
         runSeeds("restarts", faults, 20);
+        faults.lostReplies = 0.05;
+        faults.delayedOrders = 0.03;
+        faults.takeovers = true;
+        runSeeds("restarts together", faults, 20);
     }
     SECTION("schedulers are replaced while the previous one keeps running, and jobs are cancelled")
     {
--- a/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
@@ -76,3 +76,55 @@
         }
     }
 }
+
+TEST_CASE("Ended runs are acknowledged only to the incarnation of a worker that reported them")
+{
+    // Guards against a number of the earlier incarnation: the new one forgot ended runs that the
+    // scheduler had not seen, and their tasks ran again.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001");
+    fixture.submit("0000000000000002");
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 2);
+    const RunName ended = fixture.starts.front().run;
+    const RunName active = fixture.starts.back().run;
+    fixture.acceptStarts();
+    fixture.now += 5ms;
+    const auto answer = [&](std::int64_t startedAt, const std::vector<EndedRun> &ends) {
+        PollOrder order;
+        order.worker = "w";
+        order.incarnation = startedAt;
+        order.sentAt = fixture.now;
+        PollReply reply{OrderOutcome::Accepted,
+                        toUnixMilliseconds(fixture.now),
+                        startedAt,
+                        {{active, {}, 50, {}}},
+                        ends};
+        fixture.scheduler.pollFinished(fixture.now, order, reply);
+    };
+    answer(1000, {{7, ended, RunOutcome::Done, {}}});
+
+    SECTION("after a failed poll none is, because the worker may have started again")
+    {
+        fixture.planAndCommit();
+        REQUIRE(fixture.polls.back().acknowledgedEnds == 7);
+        fixture.now += 700ms;
+        fixture.scheduler.pollFinished(fixture.now, fixture.polls.back(), {});
+        fixture.now += 1s;
+        fixture.planAndCommit();
+        REQUIRE(fixture.polls.back().acknowledgedEnds == 0);
+    }
+    SECTION("a transaction that was sent before the restart stores none of the new incarnation")
+    {
+        REQUIRE(fixture.scheduler.takeTransaction(fixture.now));
+        fixture.now += 5ms;
+        answer(9000, {{9, active, RunOutcome::Done, {}}});
+        CommitResult result;
+        result.status = CommitStatus::Committed;
+        result.revision = 50;
+        fixture.scheduler.transactionFinished(fixture.now, result);
+        REQUIRE(fixture.scheduler.workers().at("w").durableEnds == 0);
+    }
+}
