Kernel/Jobs: Count all entries of a transaction against the limit

Cause: a transaction took up to 45 changed jobs and, beside them, up to 45 removals of expired ones, 136 entries in all. The store takes 100 and refused it; the scheduler repeated it for ever. The limit was kept for one of the lists only.

Change: TransactionBuilder counts checks, writes and removals together, and their encoded bytes. Transactions of the scheduler, its cleanups and the orders for hosts are built by it. What does not fit waits for the next transaction.

Test that failed before, with 136 entries: "A transaction of the scheduler stays within the limits of the store".

--- /dev/null
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -0,0 +1,196 @@
+// Transactions that store the progress of jobs before orders are sent, and that remove old rows.
+
+#include "SchedulerLimits.h"
+#include <Kernel/Jobs/JobScheduler.h>
+#include <Kernel/Jobs/TransactionBuilder.h>
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Peridot::Jobs {
+
+std::optional<Transaction> JobScheduler::takeTransaction(TimePoint now)
+{
+    if (m_flush || now < m_nextFlush)
+        return std::nullopt;
+    TransactionBuilder builder("scheduler/" + std::to_string(m_epoch) + '/'
+                               + std::to_string(now.time_since_epoch().count()));
+    builder.add({{std::string(progressEpochKey), m_epochRowVersion}}, {});
+    Flush flush;
+    addChangedJobs(now, builder, flush);
+    // Ended runs count as stored only with a transaction that writes all changed jobs.
+    if (m_dirty.empty()) {
+        for (const auto &[id, worker] : m_workers) {
+            if (worker.processedEnds > worker.durableEnds)
+                flush.ends.push_back({id, worker.description.startedAt, worker.processedEnds});
+        }
+    }
+    if (now >= m_nextExpiry)
+        removeExpiredJobs(now, builder, flush);
+    if (flush.jobs.empty() && flush.expired.empty()) {
+        applyDurableEnds(flush);
+        return std::nullopt;
+    }
+    takeRecordedStarts(flush);
+    m_flush = std::move(flush);
+    return builder.take();
+}
+
+void JobScheduler::addChangedJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
+{
+    for (const auto &id : m_dirty) {
+        const Job &job = m_jobs.at(id);
+        const std::string key = progressKey(id);
+        const bool fits = flush.jobs.size() < maximumJobsPerTransaction
+                          && builder.add({{key, job.rowVersion}},
+                                         {{key, encodeJobProgress(job.progress(now))}});
+        if (!fits)
+            break;
+        flush.jobs.push_back(id);
+    }
+    for (const auto &id : flush.jobs)
+        m_dirty.erase(id);
+}
+
+void JobScheduler::removeExpiredJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
+{
+    m_nextExpiry = now + expiryPeriod;
+    for (const auto &[id, until] : m_retained) {
+        if (now < until)
+            continue;
+        if (!builder.add({}, {{progressKey(id), std::nullopt}})) {
+            m_nextExpiry = now; // the others are removed with the next transaction
+            return;
+        }
+        flush.expired.push_back(id);
+    }
+}
+
+void JobScheduler::takeRecordedStarts(Flush &flush)
+{
+    const auto firstIncluded
+        = std::stable_partition(m_recording.begin(), m_recording.end(), [&](const auto &entry) {
+              return std::find(flush.jobs.begin(), flush.jobs.end(), entry.second.task.job)
+                     == flush.jobs.end();
+          });
+    flush.starts.assign(firstIncluded, m_recording.end());
+    m_recording.erase(firstIncluded, m_recording.end());
+}
+
+void JobScheduler::transactionFinished(TimePoint now, const CommitResult &result)
+{
+    const Flush flush = *std::exchange(m_flush, std::nullopt);
+    if (result.status == CommitStatus::Committed)
+        return handleCommit(now, flush, result.revision);
+    m_dirty.insert(flush.jobs.begin(), flush.jobs.end());
+    m_recording.insert(m_recording.end(), flush.starts.begin(), flush.starts.end());
+    if (result.status != CommitStatus::Conflict) {
+        m_nextFlush = now + transactionRetryDelay;
+        return;
+    }
+    const auto &conflicts = result.conflicts;
+    if (std::find(conflicts.begin(), conflicts.end(), progressEpochKey) != conflicts.end())
+        return m_hooks.fenced();
+    // Otherwise, an earlier transaction of this scheduler took effect, but its answer was lost.
+    // Only the versions of its rows are new.
+    for (const Row &row : result.currentRows) {
+        if (!row.key.starts_with(progressPrefix))
+            continue;
+        const auto job = m_jobs.find(row.key.substr(progressPrefix.size()));
+        if (job != m_jobs.end())
+            job->second.rowVersion = row.version;
+    }
+}
+
+void JobScheduler::handleCommit(TimePoint now, const Flush &flush, Version revision)
+{
+    for (const auto &id : flush.jobs) {
+        Job &job = m_jobs.at(id);
+        job.rowVersion = revision;
+        // A job that finished while this transaction was in flight is written once more.
+        if (!isFinished(job.phase()) || m_dirty.contains(id))
+            continue;
+        retainJob(now, id, now);
+        std::erase_if(m_advice, [&](const auto &entry) { return entry.first.job == id; });
+        m_jobs.erase(id);
+    }
+    for (const auto &id : flush.expired) {
+        m_retained.erase(id);
+        cleanupOf(now, id).writes.push_back({finishedKey(id), std::nullopt});
+    }
+    applyDurableEnds(flush);
+    for (const auto &[workerId, name] : flush.starts) {
+        const auto worker = m_workers.find(workerId);
+        if (worker == m_workers.end())
+            continue;
+        WorkerRun *run = worker->second.runs.find(name);
+        if (run == nullptr || run->phase != RunPhase::Recording)
+            continue;
+        run->phase = RunPhase::Starting;
+        run->nextOrderAt = now;
+    }
+    sendDueOrders(now);
+}
+
+void JobScheduler::retainJob(TimePoint now, const std::string &id, TimePoint finishedAt)
+{
+    m_retained.emplace(id, finishedAt + m_timing.statusRetention);
+    auto &writes = cleanupOf(now, id).writes;
+    writes.push_back({jobKey(id), std::nullopt});
+    writes.push_back({cancellationKey(id), std::nullopt});
+    writes.push_back({finishedKey(id), "{}"});
+}
+
+JobScheduler::Cleanup &JobScheduler::cleanupOf(TimePoint now, const std::string &job)
+{
+    Cleanup &cleanup = m_cleanups[jobPartition(job)];
+    if (cleanup.writes.empty())
+        cleanup.since = now;
+    return cleanup;
+}
+
+std::optional<Transaction> JobScheduler::takeCleanup(TimePoint now)
+{
+    if (m_cleanupInFlight || now < m_nextCleanup)
+        return std::nullopt;
+    const auto oldest = std::min_element(
+        m_cleanups.begin(), m_cleanups.end(), [](const Cleanup &left, const Cleanup &right) {
+            return std::make_pair(left.writes.empty(), left.since)
+                   < std::make_pair(right.writes.empty(), right.since);
+        });
+    if (oldest->writes.empty() || now < oldest->since + cleanupDelay)
+        return std::nullopt;
+    m_cleanupInFlight = static_cast<unsigned>(oldest - m_cleanups.begin());
+    TransactionBuilder builder("cleanup/" + std::to_string(m_epoch) + '/'
+                               + std::to_string(now.time_since_epoch().count()));
+    std::size_t count = 0;
+    while (count < oldest->writes.size() && builder.add({}, {oldest->writes[count]}))
+        ++count;
+    const auto end = oldest->writes.begin() + static_cast<std::ptrdiff_t>(count);
+    m_cleanupWrites.assign(std::make_move_iterator(oldest->writes.begin()),
+                           std::make_move_iterator(end));
+    oldest->writes.erase(oldest->writes.begin(), end);
+    return builder.take();
+}
+
+void JobScheduler::cleanupFinished(TimePoint now, const CommitResult &result)
+{
+    Cleanup &cleanup = m_cleanups[*std::exchange(m_cleanupInFlight, std::nullopt)];
+    if (result.status == CommitStatus::Committed)
+        return;
+    // The writes may be repeated: they concern finished jobs, whose rows nobody else writes.
+    cleanup.writes.insert(cleanup.writes.begin(), m_cleanupWrites.begin(), m_cleanupWrites.end());
+    m_nextCleanup = now + cleanupDelay;
+}
+
+void JobScheduler::applyDurableEnds(const Flush &flush)
+{
+    for (const auto &[id, incarnation, highestNumber] : flush.ends) {
+        const auto worker = m_workers.find(id);
+        // A new incarnation of the worker numbers its ended runs from 1 again.
+        if (worker != m_workers.end() && worker->second.description.startedAt == incarnation)
+            worker->second.durableEnds = std::max(worker->second.durableEnds, highestNumber);
+    }
+}
+
+} // namespace Peridot::Jobs
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -61,16 +61,12 @@
 
 /// Delay after a transaction that failed for another reason than a conflict.
 constexpr std::chrono::milliseconds transactionRetryDelay{100};
-/// Maximum number of jobs in one transaction: each job takes two of its 100 entries.
+/// Maximum number of changed jobs in one transaction. The entries beside them are for the removal of
+/// old rows.
 constexpr std::size_t maximumJobsPerTransaction = 45;
-/// Size of the rows from which on a transaction takes no further job. The last row can have 64 KiB,
-/// and the encoding of a call adds a third; a call holds at most 1 MB.
-constexpr std::size_t transactionBytes = 512UL * 1024;
 
 /// Rows of finished jobs are removed this long after they became due, many in one transaction.
 constexpr std::chrono::milliseconds cleanupDelay{1500};
-/// Maximum number of writes in one cleanup: a transaction holds 100 entries.
-constexpr std::size_t writesPerCleanup = 90;
 
 /// Resources that a run reserves on its worker. Best-effort tasks use spare processor time, so
 /// they reserve no processors.
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -16,6 +16,8 @@
 
 namespace Peridot::Jobs {
 
+class TransactionBuilder;
+
 struct SchedulerTiming
 {
     /// Length of worker leases. Must leave a successor enough time to take over and extend them.
@@ -133,7 +135,6 @@
     struct Flush
     {
         std::vector<std::string> jobs; ///< jobs whose progress rows are written
-        std::vector<std::string> rows; ///< contents of these rows
         std::vector<std::string> expired; ///< finished jobs whose rows are removed
         std::vector<std::pair<std::string, RunName>> starts; ///< worker and run to start afterwards
         std::vector<StoredEnds> ends;
@@ -263,14 +264,19 @@
                               const std::vector<Worker *> &workers,
                               EvacuationReservations &reservations) const;
 
-    // JobSchedulerOrders.cpp
-    /// Finished jobs whose retention has expired, at most as many as fit in one transaction.
-    std::vector<std::string> expiredJobs(TimePoint now);
-    Transaction makeTransaction(const Flush &flush, TimePoint now) const;
+    // JobSchedulerTransactions.cpp
+    /// Adds the rows of changed jobs, as many as fit.
+    void addChangedJobs(TimePoint now, TransactionBuilder &builder, Flush &flush);
+    /// Adds the removal of jobs whose retention has expired, as many as fit.
+    void removeExpiredJobs(TimePoint now, TransactionBuilder &builder, Flush &flush);
+    /// Takes the starts that wait for the rows of \a flush.
+    void takeRecordedStarts(Flush &flush);
     /// Applies the effects of a committed transaction, and starts the runs that it recorded.
     void handleCommit(TimePoint now, const Flush &flush, Version revision);
     /// Marks the ended runs of \a flush as stored, so that they are acknowledged to their workers.
     void applyDurableEnds(const Flush &flush);
+
+    // JobSchedulerOrders.cpp
     void sendDueOrders(TimePoint now);
     void sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
     void sendStop(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -1,5 +1,6 @@
 #include "HostSession.h"
 
+#include <Kernel/Jobs/TransactionBuilder.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <algorithm>
@@ -16,7 +17,6 @@
 constexpr std::chrono::milliseconds planPeriod{100}; ///< minimum time between planning passes
 constexpr std::chrono::milliseconds retryDelay{200};
 constexpr std::size_t scanPageRows = 500;
-constexpr std::size_t ordersPerTransaction = 50;
 
 std::string waveKey(std::uint64_t wave)
 {
@@ -216,22 +216,25 @@
     // The next lease holder sends no order for a host before holderPause has passed since the
     // latest one, so the times of orders are stored before the orders are sent.
     while (!orders.empty()) {
-        const std::size_t count = std::min(orders.size(), ordersPerTransaction);
-        std::vector<HostOrder> batch(orders.begin(),
-                                     orders.begin() + static_cast<std::ptrdiff_t>(count));
-        orders.erase(orders.begin(), orders.begin() + static_cast<std::ptrdiff_t>(count));
-        Transaction transaction;
-        transaction.operationId
-            = "host-orders/" + std::to_string(m_epoch) + '/' + std::to_string(++m_transactionCount);
-        transaction.checks = {m_epochCheck};
-        for (const HostOrder &order : batch)
-            transaction.writes.push_back(
-                {std::string(orderPrefix) + order.host, std::to_string(m_hooks.storeTime())});
-        m_ports.store->commit(
-            transaction, [this, batch, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
-                if (!alive.expired())
-                    ordersRecorded(batch, result);
-            });
+        TransactionBuilder builder("host-orders/" + std::to_string(m_epoch) + '/'
+                                   + std::to_string(++m_transactionCount));
+        builder.add({m_epochCheck}, {});
+        const std::string time = std::to_string(m_hooks.storeTime());
+        const auto last = std::find_if_not(orders.begin(), orders.end(), [&](const auto &order) {
+            return builder.add({}, {{std::string(orderPrefix) + order.host, time}});
+        });
+        if (last == orders.begin()) { // the store takes no such key
+            m_planner.orderFinished(m_hooks.clock(), *last, HostOrderOutcome::Invalid);
+            orders.erase(last);
+            continue;
+        }
+        const std::vector<HostOrder> batch(orders.begin(), last);
+        orders.erase(orders.begin(), last);
+        m_ports.store->commit(builder.take(), [this, batch, alive = std::weak_ptr(m_alive)](
+                                                  const CommitResult &result) {
+            if (!alive.expired())
+                ordersRecorded(batch, result);
+        });
     }
 }
 
--- /dev/null
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -0,0 +1,78 @@
+#include "SchedulerFixture.h"
+#include <Kernel/Jobs/TransactionBuilder.h>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace Peridot::Jobs::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Sixteen digits, as an id of a job.
+std::string jobId(unsigned number)
+{
+    const std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+std::size_t entriesOf(const Transaction &transaction)
+{
+    return transaction.checks.size() + transaction.writes.size();
+}
+
+} // namespace
+
+TEST_CASE("A transaction of the scheduler stays within the limits of the store")
+{
+    // Guards against a limit that counted the changed jobs, but not the removals beside them: the
+    // store refused the transaction, which was repeated for ever, and no job started any more.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    for (unsigned number = 0; number < 200; ++number)
+        fixture.scheduler.addFinishedJob(jobId(number), fixture.now);
+    fixture.now += 121s;
+    for (unsigned number = 200; number < 320; ++number)
+        fixture.submit(jobId(number));
+    fixture.answerPoll("w");
+    fixture.scheduler.plan(fixture.now);
+    std::size_t removed = 0;
+    std::size_t written = 0;
+    unsigned transactions = 0;
+    while (const auto transaction = fixture.scheduler.takeTransaction(fixture.now)) {
+        REQUIRE(entriesOf(*transaction) <= TransactionLimits{}.entries);
+        for (const RowWrite &write : transaction->writes)
+            ++(write.value ? written : removed);
+        CommitResult result;
+        result.status = CommitStatus::Committed;
+        result.revision = ++fixture.revision;
+        fixture.scheduler.transactionFinished(fixture.now, result);
+        REQUIRE(++transactions < 20);
+    }
+    REQUIRE(removed == 200);
+    REQUIRE(written == 120);
+}
+
+TEST_CASE("A transaction builder adds only what fits")
+{
+    TransactionBuilder builder("operation", {5, 10'000});
+    REQUIRE(builder.add({{"epoch", 1}}, {}));
+    REQUIRE(builder.add({{"a", 1}}, {{"a", "value"}}));
+
+    SECTION("checks, writes and removals count together")
+    {
+        REQUIRE(builder.add({}, {{"b", std::nullopt}}));
+        REQUIRE_FALSE(builder.add({{"c", 1}}, {{"c", "value"}}));
+        REQUIRE(builder.add({}, {{"c", "value"}}));
+        const Transaction transaction = builder.take();
+        REQUIRE(transaction.operationId == "operation");
+        REQUIRE(transaction.checks.size() == 2);
+        REQUIRE(transaction.writes.size() == 3);
+    }
+    SECTION("values count in their encoded size")
+    {
+        REQUIRE_FALSE(builder.add({}, {{"b", std::string(7'500, 'x')}}));
+        REQUIRE(builder.add({}, {{"b", std::string(6'000, 'x')}}));
+        REQUIRE_FALSE(builder.add({}, {{"c", std::string(6'000, 'x')}}));
+    }
+}
