LibStore: Tell a refusal for good from an outage

What callers saw: one transaction that the store refuses stopped the progress of all jobs, and a submission that it refuses was answered as "try later".

Cause: a refusal (400) was decoded as "unavailable", so that the same transaction was made again without end.

Change: CommitStatus::Refused, from the decoder on. The scheduler halves the jobs of a refused transaction until it has found the row, logs it once as row-refused and sets it aside for 5 s at a time, while the others are stored. Ended runs are acknowledged up to the first one whose job is not stored, in place of "all changed jobs are stored". A submission that the store refuses is answered as too large, unless an earlier write of it may have been applied. The in-memory store can refuse by entries and size of a row, and does so in the random schedules.

--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -156,6 +156,7 @@
     if (end.number <= worker.processedEnds)
         return;
     worker.processedEnds = end.number;
+    worker.unstoredEnds[end.number] = end.run.task.job;
     observe("run-ended", end.run, worker.description.id,
             std::string(runOutcomeNames.nameOf(end.outcome)));
     const auto endedRun = worker.runs.take(end.run);
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -18,14 +18,8 @@
     builder.add({{std::string(progressEpochKey), m_epochRowVersion}}, {});
     Flush flush;
     addChangedJobs(now, builder, flush);
-    // Ended runs count as stored only with a transaction that writes all changed jobs.
-    if (m_dirty.empty()) {
-        for (const auto &[id, worker] : m_workers) {
-            if (worker.processedEnds > worker.durableEnds)
-                flush.ends.push_back({id, worker.description.startedAt, worker.processedEnds});
-        }
-    }
-    if (now >= m_nextExpiry)
+    addStoredEnds(flush);
+    if (now >= m_nextExpiry && !mayBeRefused(flush))
         removeExpiredJobs(now, builder, flush);
     if (flush.jobs.empty() && flush.expired.empty()) {
         applyDurableEnds(flush);
@@ -38,18 +32,52 @@
 
 void JobScheduler::addChangedJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
 {
-    for (const auto &id : m_dirty) {
+    for (const auto &id : jobsToStore(now)) {
         const Job &job = m_jobs.at(id);
         const std::string key = progressKey(id);
-        const bool fits = flush.jobs.size() < maximumJobsPerTransaction
-                          && builder.add({{key, job.rowVersion}},
-                                         {{key, encodeJobProgress(job.progress(now))}});
-        if (!fits)
+        if (!builder.add({{key, job.rowVersion}}, {{key, encodeJobProgress(job.progress(now))}}))
             break;
         flush.jobs.push_back(id);
-    }
-    for (const auto &id : flush.jobs)
         m_dirty.erase(id);
+    }
+}
+
+std::vector<std::string> JobScheduler::jobsToStore(TimePoint now) const
+{
+    for (const auto &[id, retryAt] : m_refusedJobs) {
+        if (now >= retryAt)
+            return {id};
+    }
+    if (!m_suspects.empty()) {
+        const auto half = static_cast<std::ptrdiff_t>((m_suspects.size() + 1) / 2);
+        return {m_suspects.begin(), std::next(m_suspects.begin(), half)};
+    }
+    std::vector<std::string> jobs;
+    for (const auto &id : m_dirty) {
+        if (jobs.size() == maximumJobsPerTransaction)
+            break;
+        if (!m_refusedJobs.contains(id))
+            jobs.push_back(id);
+    }
+    return jobs;
+}
+
+bool JobScheduler::mayBeRefused(const Flush &flush) const
+{
+    return !m_suspects.empty()
+           || (!flush.jobs.empty() && m_refusedJobs.contains(flush.jobs.front()));
+}
+
+void JobScheduler::addStoredEnds(Flush &flush) const
+{
+    const auto isUnstored = [this](const std::string &job) {
+        return m_dirty.contains(job);
+    };
+    for (const auto &[id, worker] : m_workers) {
+        const std::uint64_t number = worker.endsStoredUpTo(isUnstored);
+        if (number > worker.durableEnds)
+            flush.ends.push_back({id, worker.description.startedAt, number});
+    }
 }
 
 void JobScheduler::removeExpiredJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
@@ -84,6 +112,8 @@
         return handleCommit(now, flush, result.revision);
     m_dirty.insert(flush.jobs.begin(), flush.jobs.end());
     m_recording.insert(m_recording.end(), flush.starts.begin(), flush.starts.end());
+    if (result.status == CommitStatus::Refused)
+        return handleRefusal(now, flush);
     if (result.status != CommitStatus::Conflict) {
         m_nextFlush = now + transactionRetryDelay;
         return;
@@ -102,11 +132,28 @@
     }
 }
 
+void JobScheduler::handleRefusal(TimePoint now, const Flush &flush)
+{
+    m_nextFlush = now + transactionRetryDelay;
+    const bool isSingleRow = flush.jobs.size() == 1 && flush.expired.empty();
+    if (!isSingleRow) {
+        m_suspects = {flush.jobs.begin(), flush.jobs.end()};
+        m_nextExpiry = now + expiryPeriod;
+        return;
+    }
+    const std::string &id = flush.jobs.front();
+    m_suspects.clear();
+    if (m_refusedJobs.insert_or_assign(id, now + refusedRowDelay).second)
+        observe("row-refused", {{id, 0, 0, 0}, 0}, {});
+}
+
 void JobScheduler::handleCommit(TimePoint now, const Flush &flush, Version revision)
 {
     for (const auto &id : flush.jobs) {
         Job &job = m_jobs.at(id);
         job.rowVersion = revision;
+        m_suspects.erase(id);
+        m_refusedJobs.erase(id);
         // A job that finished while this transaction was in flight is written once more.
         if (!isFinished(job.phase()) || m_dirty.contains(id))
             continue;
@@ -189,7 +236,7 @@
         const auto worker = m_workers.find(id);
         // A new incarnation of the worker numbers its ended runs from 1 again.
         if (worker != m_workers.end() && worker->second.description.startedAt == incarnation)
-            worker->second.durableEnds = std::max(worker->second.durableEnds, highestNumber);
+            worker->second.markEndsStored(highestNumber);
     }
 }
 
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -61,8 +61,10 @@
 
 /// Delay after a transaction that failed for another reason than a conflict.
 constexpr std::chrono::milliseconds transactionRetryDelay{100};
-/// Maximum number of changed jobs in one transaction. The entries beside them are for the removal of
-/// old rows.
+/// Delay after which a row that the store refused is tried again. It may have become smaller.
+constexpr std::chrono::milliseconds refusedRowDelay{5000};
+/// Maximum number of changed jobs in one transaction. The entries beside them are for the removal
+/// of old rows.
 constexpr std::size_t maximumJobsPerTransaction = 45;
 
 /// Rows of finished jobs are removed this long after they became due, many in one transaction.
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -17,6 +17,7 @@
 {
     description.startedAt = startedAt;
     orphanedRuns.clear();
+    unstoredEnds.clear();
     processedEnds = 0;
     durableEnds = 0;
     acknowledgedEnds = 0;
@@ -73,6 +74,20 @@
     m_leasesEnd = std::max(m_leasesEnd, end);
 }
 
+std::uint64_t
+Worker::endsStoredUpTo(const std::function<bool(const std::string &job)> &isUnstored) const
+{
+    const auto first = std::find_if(unstoredEnds.begin(), unstoredEnds.end(),
+                                    [&](const auto &entry) { return isUnstored(entry.second); });
+    return first == unstoredEnds.end() ? processedEnds : first->first - 1;
+}
+
+void Worker::markEndsStored(std::uint64_t number)
+{
+    durableEnds = std::max(durableEnds, number);
+    unstoredEnds.erase(unstoredEnds.begin(), unstoredEnds.upper_bound(durableEnds));
+}
+
 bool Worker::hasLabel(const std::string &label) const
 {
     const auto &labels = description.labels;
--- a/Kernel/Membership/ConfigurationProposer.cpp
+++ b/Kernel/Membership/ConfigurationProposer.cpp
@@ -248,6 +248,7 @@
             {proposal.ticket, ProposalStatus::Proposed, m_headBeingWritten.version, {}, {}});
         return;
     case CommitStatus::Unavailable:
+    case CommitStatus::Refused:
         if (m_outcomeUnknown) {
             m_nextRequestAt = now + m_timing.storeRetry;
             m_step = Step::Resolving;
--- a/Kernel/Membership/LeaseKeeper.cpp
+++ b/Kernel/Membership/LeaseKeeper.cpp
@@ -179,6 +179,7 @@
         return;
     }
     case CommitStatus::Unavailable:
+    case CommitStatus::Refused:
         m_pendingWrites.erase(found);
         m_renewalRequested = isRowHolder();
         m_nextRequestAt = now + m_settings.timing.storeRetry;
--- a/Kernel/Request/ClaimLedger.cpp
+++ b/Kernel/Request/ClaimLedger.cpp
@@ -292,6 +292,7 @@
             storeFailed(now, token, *claim);
         return;
     case CommitStatus::Unavailable:
+    case CommitStatus::Refused:
         m_breaker.failed(now);
         storeFailed(now, token, *claim);
         return;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -267,6 +267,14 @@
     // JobSchedulerTransactions.cpp
     /// Adds the rows of changed jobs, as many as fit.
     void addChangedJobs(TimePoint now, TransactionBuilder &builder, Flush &flush);
+    /// Changed jobs whose rows are written next. After a refusal, half of those that were refused.
+    std::vector<std::string> jobsToStore(TimePoint now) const;
+    /// Whether the store has refused a transaction with these rows.
+    bool mayBeRefused(const Flush &flush) const;
+    /// Adds the ended runs of jobs that have no other change to store.
+    void addStoredEnds(Flush &flush) const;
+    /// Finds the row that the store refuses, and sets it aside.
+    void handleRefusal(TimePoint now, const Flush &flush);
     /// Adds the removal of jobs whose retention has expired, as many as fit.
     void removeExpiredJobs(TimePoint now, TransactionBuilder &builder, Flush &flush);
     /// Takes the starts that wait for the rows of \a flush.
@@ -301,6 +309,9 @@
     std::map<std::string, Job> m_jobs; ///< unfinished, or finished without a durable row yet
     std::map<std::string, Worker> m_workers;
     std::set<std::string> m_dirty; ///< jobs whose progress row is out of date
+    std::set<std::string> m_suspects; ///< jobs of a refused transaction
+    /// Jobs whose row the store refuses, with the time of the next attempt.
+    std::map<std::string, TimePoint> m_refusedJobs;
     /// Worker and name of the runs whose placement is not stored yet.
     std::vector<std::pair<std::string, RunName>> m_recording;
     std::map<std::string, TimePoint> m_retained; ///< finished jobs with the removal time of the row
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Kernel/Jobs/WorkerRuns.h>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,6 +35,12 @@
     /// Raises leasesEnd() to cover leases that a previous scheduler may have extended.
     void assumeLeasesUntil(TimePoint end);
 
+    /// Highest number up to which no ended run belongs to a job for which \a isUnstored.
+    std::uint64_t
+    endsStoredUpTo(const std::function<bool(const std::string &job)> &isUnstored) const;
+    /// Marks the ended runs up to \a number as stored.
+    void markEndsStored(std::uint64_t number);
+
     bool hasLabel(const std::string &label) const;
     bool clockKnown() const { return m_clockKnown; }
     TaskSize freeCapacity() const { return minus(description.capacity, runs.reserved()); }
@@ -58,6 +65,8 @@
     WorkerRuns runs;
     /// Runs of jobs that the scheduler does not know, with the time of the next stop order.
     std::map<RunName, TimePoint> orphanedRuns;
+    /// Jobs of the processed ended runs that are not stored yet, by number.
+    std::map<std::uint64_t, std::string> unstoredEnds;
     std::uint64_t processedEnds = 0; ///< highest number of an ended run that was processed
     std::uint64_t durableEnds = 0; ///< ended runs up to this number are stored in rows
     std::uint64_t acknowledgedEnds = 0; ///< ended runs up to this number were acknowledged
--- a/Libraries/LibStore/GroupCommitter.cpp
+++ b/Libraries/LibStore/GroupCommitter.cpp
@@ -159,6 +159,7 @@
         handleConflict(std::move(operations), result);
         break;
     case CommitStatus::Unavailable:
+    case CommitStatus::Refused:
         m_pacer.failed(m_now);
         handleUnavailable(std::move(operations));
         break;
@@ -381,6 +382,7 @@
         result.conflicts = {operation.row.check.key};
         break;
     case CommitStatus::Unavailable:
+    case CommitStatus::Refused:
         ++m_counters.unavailable;
         break;
     case CommitStatus::Unknown:
--- a/Libraries/LibStore/HttpStore.cpp
+++ b/Libraries/LibStore/HttpStore.cpp
@@ -37,6 +37,8 @@
         return status == statusConflict;
     case CommitStatus::Unavailable:
         return status == statusUnavailable || status == statusBadRequest;
+    case CommitStatus::Refused:
+        return status == statusBadRequest;
     case CommitStatus::Unknown:
         return true;
     }
--- a/Libraries/LibStore/MemoryStore.cpp
+++ b/Libraries/LibStore/MemoryStore.cpp
@@ -41,6 +41,12 @@
     });
 }
 
+void MemoryStore::setLimits(std::size_t entries, std::size_t rowBytes)
+{
+    m_entries = entries;
+    m_rowBytes = rowBytes;
+}
+
 void MemoryStore::performCommit(const Transaction &transaction, const CommitCallback &callback,
                                 const StoreFault &fault)
 {
@@ -50,6 +56,11 @@
     }
     if (const auto down = downAt(m_now))
         return answerCommit(callback, failedCommit(*down), m_toAnswer);
+    if (exceedsLimits(transaction)) {
+        CommitResult refused;
+        refused.status = CommitStatus::Refused;
+        return answerCommit(callback, refused, m_toAnswer);
+    }
     switch (fault.kind) {
     case StoreFaultKind::Refuse:
     case StoreFaultKind::LoseAnswerBeforeEffect:
@@ -111,6 +122,14 @@
     schedule(m_now + delay, [callback, result] { callback(result); });
 }
 
+bool MemoryStore::exceedsLimits(const Transaction &transaction) const
+{
+    const bool hasLargeRow = std::any_of(
+        transaction.writes.begin(), transaction.writes.end(),
+        [this](const RowWrite &write) { return write.value && write.value->size() > m_rowBytes; });
+    return hasLargeRow || transaction.checks.size() + transaction.writes.size() > m_entries;
+}
+
 CommitResult MemoryStore::applyRecorded(const Transaction &transaction)
 {
     std::vector<Row> earlier;
--- a/Libraries/LibStore/include/LibStore/MemoryStore.h
+++ b/Libraries/LibStore/include/LibStore/MemoryStore.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -54,6 +55,10 @@
     /// Time from a call to its effect, and from the effect to the answer.
     void setLatency(Duration toEffect, Duration toAnswer);
 
+    /// Refuses transactions with more checks and writes than \a entries, or with a larger value
+    /// than \a rowBytes.
+    void setLimits(std::size_t entries, std::size_t rowBytes);
+
     /// All rows in key order, as committed.
     std::vector<Row> snapshot() const { return m_table.snapshot(); }
     Row row(const std::string &key) const { return m_table.row(key); }
@@ -92,6 +97,7 @@
                        const StoreFault &fault);
     void startRead(StoreCallKind kind, std::function<ReadResult(const RowTable &)> query,
                    const ReadCallback &callback);
+    bool exceedsLimits(const Transaction &transaction) const;
     CommitResult applyRecorded(const Transaction &transaction);
     RowTable staleTable(std::size_t transactions) const;
 
@@ -100,6 +106,8 @@
     TimePoint m_now{};
     Duration m_toEffect{0};
     Duration m_toAnswer{0};
+    std::size_t m_entries = std::numeric_limits<std::size_t>::max();
+    std::size_t m_rowBytes = std::numeric_limits<std::size_t>::max();
     std::uint64_t m_sequence = 0;
     std::map<QueueKey, Work> m_events;
     std::uint64_t m_callIndex = 0;
--- a/Libraries/LibStore/include/LibStore/Transaction.h
+++ b/Libraries/LibStore/include/LibStore/Transaction.h
@@ -47,6 +47,7 @@
     Committed,
     Conflict,
     Unavailable, ///< certainly not applied
+    Refused, ///< certainly not applied, and will not be: it exceeds a limit of the store
     Unknown, ///< may have been applied; read back to find out
 };
 
@@ -54,6 +55,7 @@
     {CommitStatus::Committed, "committed"},
     {CommitStatus::Conflict, "conflict"},
     {CommitStatus::Unavailable, "unavailable"},
+    {CommitStatus::Refused, "refused"},
     {CommitStatus::Unknown, "unknown"},
 });
 
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -135,6 +135,8 @@
     // or an earlier write of this call was applied. The id is the same, so it is the same job.
     if (result.status == CommitStatus::Committed || result.status == CommitStatus::Conflict)
         return answer(pending, {.outcome = CallOutcome::Accepted});
+    if (result.status == CommitStatus::Refused && !pending->writeMayBeApplied)
+        return answer(pending, {.outcome = CallOutcome::TooLarge});
     retry(pending, [this, pending] { submit(pending); });
 }
 
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -64,6 +64,8 @@
         return {statusConflict, encodeCommitResult(result)};
     case CommitStatus::Unavailable:
         return refusal();
+    case CommitStatus::Refused:
+        return {statusBadRequest, encodeCommitResult(result)};
     case CommitStatus::Unknown:
         break;
     }
--- a/Tests/Kernel/Jobs/JobSimulation.cpp
+++ b/Tests/Kernel/Jobs/JobSimulation.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned maximumAttempts = 3;
 constexpr std::chrono::milliseconds orderTimeout{600};
 constexpr std::chrono::milliseconds listInterval{500};
+constexpr std::size_t storeEntries = 100;
+constexpr std::size_t storeRowBytes = 65'536;
 constexpr TaskSize workerCapacity{8000, 16000, 0};
 
 JobConfiguration configuration()
@@ -31,6 +33,7 @@
 {
     m_store.advanceTo(m_now);
     m_store.setLatency(2ms, 2ms);
+    m_store.setLimits(storeEntries, storeRowBytes);
     setStoreFaults(m_faults.unansweredCommits, m_faults.refusedCommits);
     for (int index = 0; index < 4; ++index) {
         SimulatedWorker worker;
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -53,6 +53,64 @@
     REQUIRE(written == 120);
 }
 
+TEST_CASE("A row that the store refuses does not stop the progress of other jobs")
+{
+    // Guards against a refusal that counted as an outage: the scheduler repeated the transaction
+    // for ever, and no other job progressed.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    for (unsigned number = 0; number < 60; ++number)
+        fixture.submit(jobId(number));
+    fixture.scheduler.plan(fixture.now);
+    const std::string refusedKey = progressKey(jobId(17));
+    std::set<std::string> stored;
+    unsigned refusals = 0;
+    const auto storeFor = [&](Duration time) {
+        for (const TimePoint end = fixture.now + time; fixture.now < end; fixture.now += 50ms) {
+            const auto transaction = fixture.scheduler.takeTransaction(fixture.now);
+            if (!transaction)
+                continue;
+            std::set<std::string> keys;
+            for (const RowWrite &write : transaction->writes)
+                keys.insert(write.key);
+            CommitResult result;
+            result.status
+                = keys.contains(refusedKey) ? CommitStatus::Refused : CommitStatus::Committed;
+            result.revision = ++fixture.revision;
+            if (result.status == CommitStatus::Refused)
+                ++refusals;
+            else
+                stored.insert(keys.begin(), keys.end());
+            fixture.scheduler.transactionFinished(fixture.now, result);
+        }
+    };
+    storeFor(2s);
+    REQUIRE(stored.size() == 59);
+    REQUIRE(refusals <= 7);
+
+    SECTION("the row is tried again after a while, on its own")
+    {
+        storeFor(4s);
+        REQUIRE(refusals <= 8);
+        REQUIRE(fixture.scheduler.takeTransaction(fixture.now) == std::nullopt);
+    }
+    SECTION("ended runs of the other jobs are acknowledged")
+    {
+        const RunName first{{jobId(3), 0, 0, 0}, 1};
+        const RunName refused{{jobId(17), 0, 0, 0}, 1};
+        const RunName last{{jobId(40), 0, 0, 0}, 1};
+        PollOrder order{"w", 1000, {}, 1, 0, 0ms, fixture.now};
+        PollReply reply{OrderOutcome::Accepted, {}, 1000, {}, {}};
+        reply.ended = {{1, first, RunOutcome::Done, {}},
+                       {2, refused, RunOutcome::Done, {}},
+                       {3, last, RunOutcome::Done, {}}};
+        fixture.scheduler.pollFinished(fixture.now, order, reply);
+        storeFor(1s);
+        REQUIRE(fixture.scheduler.workers().at("w").durableEnds == 1);
+    }
+}
+
 TEST_CASE("A transaction builder adds only what fits")
 {
     TransactionBuilder builder("operation", {5, 10'000});
--- a/Tests/Services/Jobs/TestJobFrontend.cpp
+++ b/Tests/Services/Jobs/TestJobFrontend.cpp
@@ -72,6 +72,15 @@
 
 } // namespace
 
+TEST_CASE("A submission that the store refuses is not repeated")
+{
+    // Guards against "try later" for a job that the store will never take.
+    FrontendFixture fixture;
+    fixture.store.setLimits(100, 50);
+    CHECK(fixture.call(CallKind::Submit).outcome == CallOutcome::TooLarge);
+    CHECK(fixture.store.calls(StoreCallKind::Commit) == 1);
+}
+
 TEST_CASE("A submitted job is accepted at most once")
 {
     FrontendFixture fixture;
