Kernel/Jobs: Place tasks only by the entry of a worker's current incarnation

Cause: when a poll showed the restart before the list of workers did, labels, capacity and pool of the earlier incarnation were kept under the new start time, and the worker got tasks by them.

Change: a worker keeps whose entry its description was read from, and gets no run until that is the current incarnation.

Test that failed before: "A worker that came back as another kind gets tasks by its new entry only" (poll first).

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -53,8 +53,10 @@
         return;
     worker.listed = true;
     worker.description = description;
+    worker.describedIncarnation = description.startedAt;
     if (isRefuted) {
         worker.description.startedAt = known;
+        worker.describedIncarnation = known;
     } else if (description.startedAt > known && worker.incarnationReported) {
         // Others may write entries, too. Only the worker itself can tell that its runs have ended.
         worker.description.startedAt = known;
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -63,9 +63,9 @@
 
 bool JobScheduler::acceptsRuns(TimePoint now, const Worker &worker)
 {
-    return worker.listed && worker.contacted && worker.clockKnown() && worker.failedPolls == 0
-           && !worker.unschedulable && !worker.description.draining && !worker.hasOrphanedRuns()
-           && now >= worker.avoidUntil;
+    return worker.listed && worker.contacted && worker.isDescribed() && worker.clockKnown()
+           && worker.failedPolls == 0 && !worker.unschedulable && !worker.description.draining
+           && !worker.hasOrphanedRuns() && now >= worker.avoidUntil;
 }
 
 JobScheduler::WorkersByPool JobScheduler::candidatesByPool(TimePoint now)
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -53,7 +53,12 @@
     /// former may slow down.
     bool hasBestEffortBesideServing() const;
 
+    /// Whether the description was read from an entry of the current incarnation. One that is known
+    /// from a poll only may differ in labels, capacity and pool.
+    bool isDescribed() const { return describedIncarnation == description.startedAt; }
+
     WorkerDescription description;
+    std::int64_t describedIncarnation = 0; ///< whose entry the description was read from
     bool listed = true; ///< the platform's latest list contains the worker
     bool incarnationReported = false; ///< by a reply of the worker, not by the list only
     TimePoint incarnationListedAt; ///< when the list showed the incarnation that is not reported
--- a/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
@@ -77,6 +77,59 @@
     }
 }
 
+TEST_CASE("A worker that came back as another kind gets tasks by its new entry only")
+{
+    // Guards against labels and capacity of the earlier incarnation: a poll showed the restart
+    // before the list did, and the next tasks were placed by an entry that was known to be out of
+    // date.
+    SchedulerFixture fixture;
+    WorkerDescription large = SchedulerFixture::worker("w");
+    large.labels = {"large"};
+    WorkerDescription small = SchedulerFixture::worker("w", 9000);
+    small.labels = {"small"};
+    small.capacity = {1000, 1024, 0};
+    fixture.scheduler.setWorkers(fixture.now, {large});
+    fixture.answerPoll("w");
+    StepSpecification labelled;
+    labelled.requiredLabel = "large";
+    StepSpecification wide;
+    wide.size = {2000, 100, 0};
+    StepSpecification fitting;
+    fitting.size = {500, 100, 0};
+    fitting.requiredLabel = "small";
+    const auto submitAll = [&] {
+        fixture.submit("0000000000000001", labelled);
+        fixture.submit("0000000000000002", wide);
+        fixture.submit("0000000000000003", fitting);
+        fixture.planAndCommit();
+    };
+    fixture.now += 5ms;
+
+    SECTION("when the poll comes first")
+    {
+        fixture.answerPoll("w", 9000);
+        submitAll();
+        REQUIRE(fixture.starts.empty());
+        fixture.scheduler.setWorkers(fixture.now,
+                                     {large}); // read before the worker wrote its entry
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.empty());
+        fixture.scheduler.setWorkers(fixture.now, {small});
+        fixture.answerPoll("w", 9000);
+        fixture.planAndCommit();
+    }
+    SECTION("when the entry comes first")
+    {
+        fixture.scheduler.setWorkers(fixture.now, {small});
+        submitAll();
+        REQUIRE(fixture.starts.empty());
+        fixture.answerPoll("w", 9000);
+        fixture.planAndCommit();
+    }
+    REQUIRE(fixture.starts.size() == 1);
+    REQUIRE(fixture.starts.front().run.task.job == "0000000000000003");
+}
+
 TEST_CASE("Ended runs are acknowledged only to the incarnation of a worker that reported them")
 {
     // Guards against a number of the earlier incarnation: the new one forgot ended runs that the
