Kernel/Jobs: Take back placements that the store refuses

Cause: the tasks of a job whose row is refused were placed, and their placements held capacity while they waited for the row.

Change: when a row is set aside, its placements that are not stored are taken back, and the job is not placed while it is.

Test, extended: "A row that the store refuses does not stop the progress of other jobs" counts the runs on the worker. The job itself stays set aside: no bound on the size of its row yet.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -18,7 +18,7 @@
                 return std::any_of(occurrence.second.steps.begin(), occurrence.second.steps.end(),
                                    [](const auto &step) { return step.ready > 0; });
             });
-        if (!ready)
+        if (!ready || m_refusedJobs.contains(id))
             continue;
         const QueueSettings &queue = queueOf(job);
         PoolQueueEntry entry;
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -145,6 +145,21 @@
     m_suspects.clear();
     if (m_refusedJobs.insert_or_assign(id, now + refusedRowDelay).second)
         observe("row-refused", {{id, 0, 0, 0}, 0}, {});
+    withdrawRecordedStarts(now, id);
+}
+
+void JobScheduler::withdrawRecordedStarts(TimePoint now, const std::string &job)
+{
+    const auto first
+        = std::stable_partition(m_recording.begin(), m_recording.end(),
+                                [&](const auto &entry) { return entry.second.task.job != job; });
+    const std::vector<std::pair<std::string, RunName>> withdrawn(first, m_recording.end());
+    m_recording.erase(first, m_recording.end());
+    for (const auto &[workerId, name] : withdrawn) {
+        const auto worker = m_workers.find(workerId);
+        if (worker != m_workers.end())
+            discardRun(now, worker->second, name);
+    }
 }
 
 void JobScheduler::handleCommit(TimePoint now, const Flush &flush, Version revision)
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -275,6 +275,8 @@
     void addStoredEnds(Flush &flush) const;
     /// Finds the row that the store refuses, and sets it aside.
     void handleRefusal(TimePoint now, const Flush &flush);
+    /// Takes back the placements of the job that are not stored, so that they hold no capacity.
+    void withdrawRecordedStarts(TimePoint now, const std::string &job);
     /// Adds the removal of jobs whose retention has expired, as many as fit.
     void removeExpiredJobs(TimePoint now, TransactionBuilder &builder, Flush &flush);
     /// Takes the starts that wait for the rows of \a flush.
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -88,6 +88,9 @@
     storeFor(2s);
     REQUIRE(stored.size() == 59);
     REQUIRE(refusals <= 7);
+    // Its placement holds no capacity, and it is not placed again.
+    fixture.scheduler.plan(fixture.now);
+    REQUIRE(fixture.runsOn("w") == 59);
 
     SECTION("the row is tried again after a while, on its own")
     {
