Services/Jobs: Read the orders of all hosts at a takeover

Cause: the rows with the times of orders were read by one page of 500, and the rest was taken as absent. Rows of waves as well.

Change: scanAllRows() follows the pages to the end.

Test that failed without it (1,199 hosts ordered in place of 1,197): "A new holder waits for the earlier orders of all hosts".

--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -1,5 +1,6 @@
 #include "HostSession.h"
 
+#include "RowScan.h"
 #include <Kernel/Jobs/TransactionBuilder.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
@@ -16,7 +17,6 @@
 constexpr std::chrono::milliseconds pendingListPeriod{300}; ///< while changes are pending
 constexpr std::chrono::milliseconds planPeriod{100}; ///< minimum time between planning passes
 constexpr std::chrono::milliseconds retryDelay{200};
-constexpr std::size_t scanPageRows = 500;
 
 std::string waveKey(std::uint64_t wave)
 {
@@ -98,15 +98,14 @@
 
 void HostSession::loadRows(const std::string &prefix)
 {
-    m_ports.store->scan(prefix, {}, scanPageRows,
-                        [this, prefix, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-                            if (alive.expired())
-                                return;
-                            if (result.status == ReadStatus::Ok)
-                                return prefix == wavePrefix ? wavesLoaded(result)
-                                                            : ordersLoaded(result);
-                            repeatLater([this, prefix] { loadRows(prefix); });
-                        });
+    scanAllRows(*m_ports.store, prefix,
+                [this, prefix, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+                    if (alive.expired())
+                        return;
+                    if (result.status == ReadStatus::Ok)
+                        return prefix == wavePrefix ? wavesLoaded(result) : ordersLoaded(result);
+                    repeatLater([this, prefix] { loadRows(prefix); });
+                });
 }
 
 void HostSession::repeatLater(std::function<void()> step)
--- /dev/null
+++ b/Tests/Services/Jobs/TestHostSession.cpp
@@ -0,0 +1,127 @@
+#include <Kernel/Jobs/JobRows.h>
+#include <LibStore/MemoryStore.h>
+#include <Services/Jobs/HostSession.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned hostCount = 1200;
+
+std::string hostId(unsigned number)
+{
+    return "host-" + std::to_string(10'000 + number);
+}
+
+/// The session of a scheduler that takes over 1,200 hosts, for each of which the store has the row
+/// of an earlier order. A wave asks for the maintenance of all of them.
+class TakeoverFixture
+{
+public:
+    TakeoverFixture()
+        : scheduler(2, 1, {}, {}, store.now()),
+          session(context, ports, 2, {std::string(hostsEpochKey), 1}, {}, hooks())
+    {
+        ports.store = &store;
+        ports.listHosts = [this](const PlatformPorts::HostListCallback &callback) {
+            callback(hosts);
+        };
+        ports.orderHost
+            = [this](const HostOrder &order, const PlatformPorts::HostOrderCallback &callback) {
+                  ordered.insert(order.host);
+                  callback(order, HostOrderOutcome::Accepted);
+              };
+        ports.waveStatus = [](std::uint64_t, bool) {
+            return RowWrite{"status/wave", "{}"};
+        };
+        write({std::string(hostsEpochKey), "2"});
+        MaintenanceWave wave{1, {}, 10s, hostCount, store.now()};
+        for (unsigned number = 0; number < hostCount; ++number) {
+            hosts.push_back({hostId(number), "pool", HostPhase::Up, {1000, 1000, 0}, {}});
+            wave.hosts.push_back(hostId(number));
+        }
+        waves.emplace(1, wave);
+    }
+
+    void write(const RowWrite &write)
+    {
+        Transaction transaction;
+        transaction.operationId = "test/" + write.key;
+        transaction.writes = {write};
+        store.commit(transaction, [](const CommitResult &) {});
+        store.run();
+    }
+
+    void runFor(Duration time)
+    {
+        for (const TimePoint end = store.now() + time; store.now() < end;) {
+            store.advanceTo(store.now() + 50ms);
+            context.restart();
+            context.poll();
+            session.plan(scheduler, {});
+        }
+    }
+
+    asio::io_context context;
+    MemoryStore store;
+    PlatformPorts ports;
+    MaintenanceWaves waves;
+    std::vector<HostDescription> hosts;
+    std::set<std::string> ordered;
+    JobScheduler scheduler;
+    HostSession session;
+
+private:
+    HostSession::Hooks hooks()
+    {
+        HostSession::Hooks hooks;
+        hooks.clock = [this] {
+            return store.now();
+        };
+        hooks.leaseHeld = [] {
+            return true;
+        };
+        hooks.waves = [this]() -> const MaintenanceWaves & {
+            return waves;
+        };
+        hooks.storeTime = [] {
+            return 1;
+        };
+        hooks.observe = [](std::string_view) {
+        };
+        hooks.refreshWorkers = [] {
+        };
+        return hooks;
+    }
+};
+
+} // namespace
+
+TEST_CASE("A new holder waits for the earlier orders of all hosts")
+{
+    // Guards against a takeover that read one page of the rows of orders: the hosts beyond it got
+    // an order within the pause that two holders must keep.
+    TakeoverFixture fixture;
+    const std::int64_t longAgo
+        = -1'000'000; // milliseconds on the clock of the store, which begins at 0
+    for (unsigned number = 0; number < hostCount; ++number)
+        fixture.write({"host-order/" + hostId(number), std::to_string(longAgo)});
+    const std::vector<std::string> recent = {hostId(3), hostId(700), hostId(hostCount - 1)};
+    for (const std::string &host : recent)
+        fixture.write({"host-order/" + host, "0"});
+    fixture.session.start();
+    fixture.runFor(2s);
+    REQUIRE(fixture.ordered.size() == hostCount - recent.size());
+    for (const std::string &host : recent)
+        CHECK_FALSE(fixture.ordered.contains(host));
+
+    SECTION("and orders them after the pause")
+    {
+        fixture.runFor(2s);
+        REQUIRE(fixture.ordered.size() == hostCount);
+    }
+}
