Kernel/Jobs: Acknowledge the ended runs of all changed jobs together

Acknowledgements of single jobs cause more polls while the scheduling process has no processor time to spare.

No new test: the rule of the test of refused rows is unchanged and passes.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -70,9 +70,16 @@
 
 void JobScheduler::addStoredEnds(Flush &flush) const
 {
+    // Acknowledged together, the ended runs of many jobs take few polls. Only a row that the store
+    // refuses does not hold back the others.
     const auto isUnstored = [this](const std::string &job) {
         return m_dirty.contains(job);
     };
+    const bool changedJobsRemain
+        = std::any_of(m_dirty.begin(), m_dirty.end(),
+                      [this](const std::string &job) { return !m_refusedJobs.contains(job); });
+    if (changedJobsRemain)
+        return;
     for (const auto &[id, worker] : m_workers) {
         const std::uint64_t number = worker.endsStoredUpTo(isUnstored);
         if (number > worker.durableEnds)
