Services/Jobs: Report how far the scheduling process is behind

Once a second, the delay of events, the time of planning passes, the age of the known job rows, the jobs that are not stored and the ended runs that are not acknowledged are set as metrics, and logged while the process is behind.

No test: the report decides nothing.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -239,6 +239,23 @@
     return pending;
 }
 
+SchedulerBacklog JobScheduler::backlog(TimePoint now) const
+{
+    SchedulerBacklog backlog;
+    backlog.jobs = m_jobs.size();
+    backlog.changedJobs = m_dirty.size();
+    for (const auto &[id, worker] : m_workers) {
+        backlog.unacknowledgedEnds += worker.processedEnds - worker.acknowledgedEnds;
+        if (worker.runs.empty())
+            continue;
+        if (worker.failedPolls > 0)
+            ++backlog.unreachableWorkers;
+        const TimePoint contact = std::max(worker.lastContact, m_startedAt);
+        backlog.oldestContact = std::max(backlog.oldestContact, now - contact);
+    }
+    return backlog;
+}
+
 void JobScheduler::stopShortRuns(TimePoint now, const std::string &id)
 {
     const auto found = m_workers.find(id);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -40,6 +40,16 @@
     bool ignoreCapacity = false;
 };
 
+/// What waits in the scheduler, for logs and metrics.
+struct SchedulerBacklog
+{
+    std::size_t jobs = 0; ///< unfinished
+    std::size_t changedJobs = 0; ///< whose progress rows are out of date
+    std::uint64_t unacknowledgedEnds = 0; ///< ended runs that the workers list again
+    std::size_t unreachableWorkers = 0; ///< with runs, and whose latest poll failed
+    Duration oldestContact{0}; ///< age of the oldest successful poll of a worker with runs
+};
+
 /// A decision or observation of the scheduler, for logs and metrics.
 struct SchedulerEvent
 {
@@ -120,6 +130,7 @@
     const std::map<std::string, Worker> &workers() const { return m_workers; }
     /// Number of accepted jobs without a started task, by queue. Periodic jobs are not counted.
     std::map<std::string, unsigned> pendingJobs() const;
+    SchedulerBacklog backlog(TimePoint now) const;
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
--- a/Services/Jobs/JobMetrics.cpp
+++ b/Services/Jobs/JobMetrics.cpp
@@ -29,13 +29,19 @@
                               "Events of the scheduler and the host planner by kind.", m_registry)),
       m_waitingJobs(registerFamily(prometheus::BuildGauge(), "peridot_waiting_jobs",
                                    "Accepted jobs without a started task by queue.", m_registry)),
+      m_schedulerDelays(registerFamily(prometheus::BuildGauge(), "peridot_scheduler_delay_seconds",
+                                       "Longest delays of the scheduler in the latest second.",
+                                       m_registry)),
       m_configurationVersion(registerFamily(prometheus::BuildGauge(),
                                             "peridot_configuration_version",
                                             "Version of the configuration in force.", m_registry)
                                  .Add({})),
       m_scheduling(registerFamily(prometheus::BuildGauge(), "peridot_scheduling",
                                   "1 while this process schedules the jobs.", m_registry)
-                       .Add({}))
+                       .Add({})),
+      m_unacknowledgedEnds(registerFamily(prometheus::BuildGauge(), "peridot_unacknowledged_ends",
+                                          "Ended runs that the workers list again.", m_registry)
+                               .Add({}))
 {
 }
 
@@ -75,6 +81,14 @@
     m_waitingJobs.Add({{"queue", queue}}).Set(jobs);
 }
 
+void JobMetrics::setSchedulerLoad(const SchedulerLoad &load)
+{
+    m_schedulerDelays.Add({{"kind", "event"}}).Set(toSeconds(load.eventDelay));
+    m_schedulerDelays.Add({{"kind", "planning-pass"}}).Set(toSeconds(load.longestPass));
+    m_schedulerDelays.Add({{"kind", "job-rows"}}).Set(toSeconds(load.jobRowsAge));
+    m_unacknowledgedEnds.Set(static_cast<double>(load.unacknowledgedEnds));
+}
+
 std::string JobMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/Services/Jobs/JobMetrics.h
+++ b/Services/Jobs/JobMetrics.h
@@ -14,6 +14,15 @@
 
 namespace Peridot::Jobs {
 
+/// How far the scheduling process is behind.
+struct SchedulerLoad
+{
+    Duration eventDelay{0}; ///< longest delay with which an event was handled
+    Duration longestPass{0}; ///< longest planning pass
+    Duration jobRowsAge{0}; ///< age of the known state of the rows of jobs
+    std::uint64_t unacknowledgedEnds = 0; ///< ended runs that the workers list again
+};
+
 /// Metrics of one job service. serialize() may be called on any thread, the other functions only on
 /// the service's thread.
 class JobMetrics
@@ -27,6 +36,7 @@
     void setConfigurationVersion(std::uint64_t version);
     void setScheduling(bool scheduling);
     void setWaitingJobs(const std::string &queue, unsigned jobs);
+    void setSchedulerLoad(const SchedulerLoad &load);
 
     /// Returns all metrics in the Prometheus text exposition format.
     std::string serialize() const;
@@ -40,8 +50,10 @@
     Family<prometheus::Histogram> &m_answerDurations;
     Family<prometheus::Counter> &m_events;
     Family<prometheus::Gauge> &m_waitingJobs;
+    Family<prometheus::Gauge> &m_schedulerDelays;
     prometheus::Gauge &m_configurationVersion;
     prometheus::Gauge &m_scheduling;
+    prometheus::Gauge &m_unacknowledgedEnds;
     std::map<std::string, prometheus::Counter *, std::less<>> m_eventCounters; ///< by event kind
 };
 
--- a/Services/Jobs/JobRowReplica.h
+++ b/Services/Jobs/JobRowReplica.h
@@ -31,6 +31,8 @@
     Rows takeProgress();
     /// Takes the rows of jobs and cancellations. Later ones are passed to \a onChange instead.
     Rows takeJobs(std::function<void(const RowChange &)> onChange);
+    /// Every change of the rows of jobs that was committed before this time is known.
+    TimePoint jobsCurrentSince() const { return m_jobsCurrentSince; }
 
 private:
     std::unique_ptr<RowFollower> follow(std::string_view prefix, TimePoint &currentSince,
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -32,7 +32,7 @@
     : m_context(context), m_ports(ports), m_metrics(metrics), m_epoch(epoch), m_timing(timing),
       m_hostTiming(hostTiming), m_hooks(std::move(hooks)), m_replica(std::move(replica)),
       m_startRetryTimer(context), m_tickTimer(context), m_planTimer(context),
-      m_workerTimer(context), m_countTimer(context)
+      m_workerTimer(context), m_countTimer(context), m_loadReport(metrics)
 {
 }
 
@@ -246,6 +246,7 @@
     m_scheduler->plan(m_hooks.clock());
     commitTransaction();
     const TimePoint end = m_hooks.clock();
+    m_loadReport.passFinished(end - begin);
     m_nextPlanAt = end + std::min<Duration>((end - begin) * planPauseFactor, maximumPlanPause);
 }
 
@@ -314,7 +315,24 @@
     addFinishedJobs();
     commitCleanup();
     plan();
-    m_tickTimer.runAfter(tickInterval, [this] { tick(); });
+    reportLoad();
+    startTickTimer();
+}
+
+void SchedulerSession::startTickTimer()
+{
+    m_tickDueAt = m_hooks.clock() + tickInterval;
+    m_tickTimer.runAfter(tickInterval, [this] {
+        m_loadReport.timerRan(m_tickDueAt, m_hooks.clock());
+        tick();
+    });
+}
+
+void SchedulerSession::reportLoad()
+{
+    const TimePoint now = m_hooks.clock();
+    if (m_loadReport.isDue(now))
+        m_loadReport.report(now, m_scheduler->backlog(now), now - m_replica->jobsCurrentSince());
 }
 
 void SchedulerSession::reportFenced()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -4,6 +4,7 @@
 #include "JobMetrics.h"
 #include "JobRowReplica.h"
 #include "PlatformPorts.h"
+#include "SchedulerLoadReport.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
 #include <LibBase/OneShotTimer.h>
@@ -90,6 +91,8 @@
     std::int64_t storeTime() const;
     /// Plans periodically, so that orders that are due at a certain time are sent.
     void tick();
+    void startTickTimer();
+    void reportLoad();
     /// Stops planning and calls the hook fenced().
     void reportFenced();
     WorkerReplyHooks replyHooks();
@@ -118,6 +121,8 @@
     OneShotTimer m_planTimer;
     OneShotTimer m_workerTimer;
     OneShotTimer m_countTimer;
+    TimePoint m_tickDueAt;
+    SchedulerLoadReport m_loadReport;
     bool m_planScheduled = false;
     TimePoint m_nextPlanAt; ///< earliest time of the next planning pass that events cause
     bool m_readingWorkers = false; ///< a scan of registrations is in progress
