--- /dev/null
+++ b/Tests/Kernel/Jobs/Overload/TestOverload.cpp
@@ -0,0 +1,114 @@
+#include "../SchedulerFixture.h"
+#include <Kernel/Jobs/JobRows.h>
+#include <set>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace Peridot::Jobs::Test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Many more jobs change between two transactions than one transaction can write.
+constexpr unsigned busyJobs = 400;
+const std::string lastId = "ffffffffffffffff";
+
+std::string busyId(unsigned number)
+{
+    const std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+/// A worker with room for all tasks, and more changed jobs than the scheduler can write.
+class OverloadedScheduler : public SchedulerFixture
+{
+public:
+    OverloadedScheduler()
+    {
+        WorkerDescription large = worker("w");
+        large.capacity = {1'000'000'000, 1'000'000'000, 0};
+        scheduler.setWorkers(now, {large});
+        answerPoll("w");
+        for (unsigned number = 0; number < busyJobs; ++number)
+            submit(busyId(number), serving());
+    }
+
+    static StepSpecification serving()
+    {
+        StepSpecification step;
+        step.longRunning = true;
+        return step;
+    }
+
+    /// A poll of the worker shows that the runs of all busy jobs have ended, and they are placed
+    /// again.
+    void endBusyRuns()
+    {
+        PollOrder order{"w", 1000, {}, 1, 0, 0ms, now};
+        PollReply reply{OrderOutcome::Accepted, {}, 1000, {}, {}};
+        for (const auto &[name, run] : scheduler.workers().at("w").runs) {
+            if (name.task.job != lastId && run.phase == RunPhase::Running)
+                reply.ended.push_back({++m_ends, name, RunOutcome::Stopped, {}});
+            else if (run.phase == RunPhase::Running)
+                reply.active.push_back({name, {}, 100, {}});
+        }
+        scheduler.pollFinished(now, order, reply);
+        scheduler.plan(now);
+    }
+
+    /// Time goes on, one transaction is committed, and what it started ends.
+    void storeAndEnd()
+    {
+        now += 100ms;
+        if (const auto transaction = scheduler.takeTransaction(now)) {
+            for (const RowWrite &write : transaction->writes)
+                stored.insert(write.key);
+            CommitResult result;
+            result.status = CommitStatus::Committed;
+            result.revision = ++revision;
+            scheduler.transactionFinished(now, result);
+        }
+        scheduler.plan(now);
+        for (const StartOrder &order : std::exchange(starts, {})) {
+            started.insert(order.run.task.job);
+            scheduler.startFinished(now, order, {OrderOutcome::Accepted, toUnixMilliseconds(now)});
+        }
+        endBusyRuns();
+    }
+
+    std::set<std::string> stored;
+    std::set<std::string> started;
+
+private:
+    std::uint64_t m_ends = 0;
+};
+
+} // namespace
+
+TEST_CASE("A job is started although more jobs change all the time than can be stored")
+{
+    // Guards against changed jobs that were stored in the order of their ids: while more changed
+    // than one transaction takes, those with the last ids were never started (LOST).
+    OverloadedScheduler fixture;
+    fixture.submit(lastId, OverloadedScheduler::serving());
+    fixture.scheduler.plan(fixture.now);
+    constexpr unsigned transactions = 20; // enough for each job that has changed to be stored once
+    for (unsigned count = 0; count < transactions; ++count)
+        fixture.storeAndEnd();
+    REQUIRE(fixture.started.contains(lastId));
+}
+
+TEST_CASE("Ended runs are acknowledged although more jobs change all the time than can be stored")
+{
+    // Guards against acknowledgements that waited until no job had changed: workers listed all
+    // ended runs again with each poll, and reading them left no time to store jobs (LOST).
+    OverloadedScheduler fixture;
+    fixture.scheduler.plan(fixture.now);
+    constexpr unsigned transactions = 40;
+    for (unsigned count = 0; count < transactions; ++count)
+        fixture.storeAndEnd();
+    const Worker &worker = fixture.scheduler.workers().at("w");
+    REQUIRE(worker.durableEnds > 0);
+    // About as many runs have ended since as the transactions of half the time start.
+    REQUIRE(worker.processedEnds - worker.durableEnds < worker.processedEnds / 2);
+}
