Kernel/Jobs: Store changed jobs in the order in which they changed

Cause: the jobs whose progress rows are out of date were kept by id, and each transaction stored the first 45. While more than 45 change between two transactions, those with late ids never get their turn; a start order is only sent after its row is stored.

The first of the two tests of TestJobsOverload failed before (started: false) and passes now: each changed job is stored after those that changed before it, so that none waits for ever.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -53,7 +53,7 @@
         return {m_suspects.begin(), std::next(m_suspects.begin(), half)};
     }
     std::vector<std::string> jobs;
-    for (const auto &id : m_dirty) {
+    for (const auto &[change, id] : m_dirty.inOrder()) {
         if (jobs.size() == maximumJobsPerTransaction)
             break;
         if (!m_refusedJobs.contains(id))
@@ -75,9 +75,10 @@
     const auto isUnstored = [this](const std::string &job) {
         return m_dirty.contains(job);
     };
+    const auto &changed = m_dirty.inOrder();
     const bool changedJobsRemain
-        = std::any_of(m_dirty.begin(), m_dirty.end(),
-                      [this](const std::string &job) { return !m_refusedJobs.contains(job); });
+        = std::any_of(changed.begin(), changed.end(),
+                      [this](const auto &entry) { return !m_refusedJobs.contains(entry.second); });
     if (changedJobsRemain)
         return;
     for (const auto &[id, worker] : m_workers) {
@@ -117,7 +118,8 @@
     const Flush flush = *std::exchange(m_flush, std::nullopt);
     if (result.status == CommitStatus::Committed)
         return handleCommit(now, flush, result.revision);
-    m_dirty.insert(flush.jobs.begin(), flush.jobs.end());
+    for (const std::string &id : flush.jobs)
+        m_dirty.insert(id);
     m_recording.insert(m_recording.end(), flush.starts.begin(), flush.starts.end());
     if (result.status == CommitStatus::Refused)
         return handleRefusal(now, flush);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/ChangedJobs.h>
 #include <Kernel/Jobs/Job.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
 #include <Kernel/Jobs/RuntimeModel.h>
@@ -321,7 +322,7 @@
     std::map<TaskName, StepAdvice> m_advice; ///< by the first task of the step
     std::map<std::string, Job> m_jobs; ///< unfinished, or finished without a durable row yet
     std::map<std::string, Worker> m_workers;
-    std::set<std::string> m_dirty; ///< jobs whose progress row is out of date
+    ChangedJobs m_dirty;
     std::set<std::string> m_suspects; ///< jobs of a refused transaction
     /// Jobs whose row the store refuses, with the time of the next attempt.
     std::map<std::string, TimePoint> m_refusedJobs;
