Kernel/Jobs: Acknowledge ended runs when the rows of their own jobs are stored

Cause: ended runs were acknowledged only when no changed job was left to store. Under load there always is one, so that nothing was acknowledged, and each poll of a worker returned all its ended runs again: the longer the load, the more work for each poll.

A job counts its changes now, and an ended run is stored with the row that contains its change, whatever other jobs or later changes wait. Under load, a worker's are acknowledged once in an interval of its polls, so that polls do not grow in number.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -131,6 +131,12 @@
     finishJob(now, found->second, JobPhase::Cancelled);
 }
 
+void JobScheduler::markDirty(Job &job)
+{
+    ++job.changes;
+    m_dirty.insert(job.id());
+}
+
 void JobScheduler::finishJob(TimePoint now, Job &job, JobPhase phase)
 {
     observe("job-finished", {{job.id(), 0, 0, 0}, 0}, {}, std::string(jobPhaseNames.nameOf(phase)));
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -156,7 +156,14 @@
     if (end.number <= worker.processedEnds)
         return;
     worker.processedEnds = end.number;
-    worker.unstoredEnds[end.number] = end.run.task.job;
+    applyEnd(now, worker, end);
+    const auto job = m_jobs.find(end.run.task.job);
+    worker.unstoredEnds[end.number]
+        = {end.run.task.job, job == m_jobs.end() ? 0 : job->second.changes};
+}
+
+void JobScheduler::applyEnd(TimePoint now, Worker &worker, const EndedRun &end)
+{
     observe("run-ended", end.run, worker.description.id,
             std::string(runOutcomeNames.nameOf(end.outcome)));
     const auto endedRun = worker.runs.take(end.run);
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -18,7 +18,7 @@
     builder.add({{std::string(progressEpochKey), m_epochRowVersion}}, {});
     Flush flush;
     addChangedJobs(now, builder, flush);
-    addStoredEnds(flush);
+    addStoredEnds(now, flush);
     if (now >= m_nextExpiry && !mayBeRefused(flush))
         removeExpiredJobs(now, builder, flush);
     if (flush.jobs.empty() && flush.expired.empty()) {
@@ -33,11 +33,12 @@
 void JobScheduler::addChangedJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
 {
     for (const auto &id : jobsToStore(now)) {
-        const Job &job = m_jobs.at(id);
+        Job &job = m_jobs.at(id);
         const std::string key = progressKey(id);
         if (!builder.add({{key, job.rowVersion}}, {{key, encodeJobProgress(job.progress(now))}}))
             break;
         flush.jobs.push_back(id);
+        job.writtenChanges = job.changes;
         m_dirty.erase(id);
     }
 }
@@ -68,26 +69,32 @@
            || (!flush.jobs.empty() && m_refusedJobs.contains(flush.jobs.front()));
 }
 
-void JobScheduler::addStoredEnds(Flush &flush) const
+void JobScheduler::addStoredEnds(TimePoint now, Flush &flush) const
 {
-    // Acknowledged together, the ended runs of many jobs take few polls. Only a row that the store
-    // refuses does not hold back the others.
-    const auto isUnstored = [this](const std::string &job) {
-        return m_dirty.contains(job);
-    };
+    // Acknowledged together, the ended runs of many jobs take few polls. While there are always
+    // other jobs to store, those of a worker are acknowledged once in each interval of its polls.
     const auto &changed = m_dirty.inOrder();
     const bool changedJobsRemain
         = std::any_of(changed.begin(), changed.end(),
                       [this](const auto &entry) { return !m_refusedJobs.contains(entry.second); });
-    if (changedJobsRemain)
-        return;
+    const auto unstored = [this](const UnstoredEnd &end) {
+        return isUnstored(end);
+    };
     for (const auto &[id, worker] : m_workers) {
-        const std::uint64_t number = worker.endsStoredUpTo(isUnstored);
+        if (changedJobsRemain && now < worker.lastPoll + unwrittenEndsPollInterval)
+            continue;
+        const std::uint64_t number = worker.endsStoredUpTo(unstored);
         if (number > worker.durableEnds)
             flush.ends.push_back({id, worker.description.startedAt, number});
     }
 }
 
+bool JobScheduler::isUnstored(const UnstoredEnd &end) const
+{
+    const auto job = m_jobs.find(end.job);
+    return job != m_jobs.end() && job->second.writtenChanges < end.change;
+}
+
 void JobScheduler::removeExpiredJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
 {
     m_nextExpiry = now + expiryPeriod;
@@ -118,8 +125,11 @@
     const Flush flush = *std::exchange(m_flush, std::nullopt);
     if (result.status == CommitStatus::Committed)
         return handleCommit(now, flush, result.revision);
-    for (const std::string &id : flush.jobs)
+    for (const std::string &id : flush.jobs) {
+        Job &job = m_jobs.at(id);
+        job.writtenChanges = job.storedChanges;
         m_dirty.insert(id);
+    }
     m_recording.insert(m_recording.end(), flush.starts.begin(), flush.starts.end());
     if (result.status == CommitStatus::Refused)
         return handleRefusal(now, flush);
@@ -176,6 +186,7 @@
     for (const auto &id : flush.jobs) {
         Job &job = m_jobs.at(id);
         job.rowVersion = revision;
+        job.storedChanges = job.writtenChanges;
         m_suspects.erase(id);
         m_refusedJobs.erase(id);
         // A job that finished while this transaction was in flight is written once more.
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -75,7 +75,7 @@
 }
 
 std::uint64_t
-Worker::endsStoredUpTo(const std::function<bool(const std::string &job)> &isUnstored) const
+Worker::endsStoredUpTo(const std::function<bool(const UnstoredEnd &end)> &isUnstored) const
 {
     const auto first = std::find_if(unstoredEnds.begin(), unstoredEnds.end(),
                                     [&](const auto &entry) { return isUnstored(entry.second); });
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -183,7 +183,7 @@
     const QueueSettings &queueOf(const Job &job) const;
     void observe(std::string_view kind, const RunName &run, const std::string &worker,
                  std::string detail = {}) const;
-    void markDirty(const Job &job) { m_dirty.insert(job.id()); }
+    void markDirty(Job &job);
     void finishJob(TimePoint now, Job &job, JobPhase phase);
     /// Keeps the finished job, whose progress row is stored, for its retention, and removes its
     /// other rows.
@@ -216,6 +216,10 @@
     /// Requeues the tasks of a worker that does not exist any more, and counts it as not listed.
     void removeWorker(TimePoint now, Worker &worker);
     void processEnd(TimePoint now, Worker &worker, const EndedRun &end);
+    /// Changes the task of an ended run.
+    void applyEnd(TimePoint now, Worker &worker, const EndedRun &end);
+    /// Whether the row of the job does not contain the ended run, and is not being written with it.
+    bool isUnstored(const UnstoredEnd &end) const;
     void recordRuntime(TimePoint now, const Job &job, const RunName &run, const WorkerRun &ended);
     void completeTask(TimePoint now, Job &job, const TaskName &name);
     void handleTaskFailure(TimePoint now, Job &job, const RunName &run, Worker &worker);
@@ -283,8 +287,8 @@
     std::vector<std::string> jobsToStore(TimePoint now) const;
     /// Whether the store has refused a transaction with these rows.
     bool mayBeRefused(const Flush &flush) const;
-    /// Adds the ended runs of jobs that have no other change to store.
-    void addStoredEnds(Flush &flush) const;
+    /// Adds the ended runs whose jobs have no change left to store.
+    void addStoredEnds(TimePoint now, Flush &flush) const;
     /// Finds the row that the store refuses, and sets it aside.
     void handleRefusal(TimePoint now, const Flush &flush);
     /// Takes back the placements of the job that are not stored, so that they hold no capacity.
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -8,6 +8,13 @@
 
 namespace Peridot::Jobs {
 
+/// An ended run that was processed. It is stored with the row of its job after \a change.
+struct UnstoredEnd
+{
+    std::string job;
+    std::uint64_t change = 0; ///< number of changes of the job with this end
+};
+
 /// Scheduler state of one worker: its clock, leases, runs, and the sequence numbers of the ended
 /// runs that were processed, stored and acknowledged. Apart from the description, it is built up
 /// from the first successful poll of this process under its epoch.
@@ -35,9 +42,9 @@
     /// Raises leasesEnd() to cover leases that a previous scheduler may have extended.
     void assumeLeasesUntil(TimePoint end);
 
-    /// Highest number up to which no ended run belongs to a job for which \a isUnstored.
+    /// Highest number up to which no ended run is one for which \a isUnstored.
     std::uint64_t
-    endsStoredUpTo(const std::function<bool(const std::string &job)> &isUnstored) const;
+    endsStoredUpTo(const std::function<bool(const UnstoredEnd &end)> &isUnstored) const;
     /// Marks the ended runs up to \a number as stored.
     void markEndsStored(std::uint64_t number);
 
@@ -70,8 +77,8 @@
     WorkerRuns runs;
     /// Runs of jobs that the scheduler does not know, with the time of the next stop order.
     std::map<RunName, TimePoint> orphanedRuns;
-    /// Jobs of the processed ended runs that are not stored yet, by number.
-    std::map<std::uint64_t, std::string> unstoredEnds;
+    /// Processed ended runs that are not marked as stored yet, by number.
+    std::map<std::uint64_t, UnstoredEnd> unstoredEnds;
     std::uint64_t processedEnds = 0; ///< highest number of an ended run that was processed
     std::uint64_t durableEnds = 0; ///< ended runs up to this number are stored in rows
     std::uint64_t acknowledgedEnds = 0; ///< ended runs up to this number were acknowledged
