LibHttp: Read large answers in few steps, and to their end while they arrive

What callers saw: tasks start up to 18 s after their job was cancelled (UNASKED), and counts of waiting jobs are wrong (MIXED), while the scheduling process has more to do than its share of the processor allows.

Cause: an answer was read in steps of 4 KB, each a turn of the event loop. Late in its events, the process did not read the changes of the rows of jobs (hundreds of KB) within the timeout, gave the call up, and asked from the same version: the next answer was larger still, until the history of the store was over.

"A large answer is read in time by a process that handles its events late" failed before in two of three sections: timed out with the answer at hand.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -6,6 +6,14 @@
 
 namespace Peridot {
 
+namespace {
+
+// A process that handles its events late reads a large response in few steps.
+constexpr std::size_t receiveBufferBytes = 64UL * 1024;
+constexpr unsigned readsPerStep = 64;
+
+} // namespace
+
 ClientConnection::ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint server,
                                    ClientConnectionSettings settings)
     : m_server(std::move(server)), m_settings(settings), m_socket(context), m_timer(context),
@@ -33,7 +41,9 @@
     m_parser.reset(answersHead);
     m_busy = true;
     ++m_exchangeNumber;
+    m_timeout = timeout;
     m_deadline = std::chrono::steady_clock::now() + timeout;
+    m_latestDeadline = m_deadline + m_settings.receiveExtension;
     m_sendBefore = BootClock::now() + timeout;
     if (!m_connected)
         return connect();
@@ -48,6 +58,8 @@
         [self = shared_from_this(), exchange = m_exchangeNumber](const asio::error_code &error) {
             if (error || exchange != self->m_exchangeNumber || !self->m_busy)
                 return;
+            if (self->m_connected && std::chrono::steady_clock::now() < self->m_deadline)
+                return self->armTimer(self->m_deadline);
             self->finish(self->m_connected ? ExchangeEnd::TimedOut : ExchangeEnd::NotConnected);
         });
 }
@@ -77,6 +89,7 @@
         self->m_connected = true;
         asio::error_code ignored;
         self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->m_socket.non_blocking(true, ignored);
         self->armTimer(self->m_deadline);
         self->write();
     });
@@ -109,8 +122,16 @@
     // Between exchanges a server has nothing to say; bytes would belong to no request.
     if (!m_busy)
         return close();
-    if (!error)
-        return received({m_buffer.data(), length});
+    if (error)
+        return responseEnded();
+    const std::uint64_t exchange = m_exchangeNumber;
+    received({m_buffer.data(), length});
+    if (exchange == m_exchangeNumber)
+        readAvailable();
+}
+
+void ClientConnection::responseEnded()
+{
     const bool started = m_parser.started();
     m_parser.feedEnd();
     // Without a stated length, a truncated body would look whole.
@@ -125,11 +146,34 @@
     if (m_parser.failed())
         return finish(ExchangeEnd::Incomplete);
     if (!m_parser.complete())
-        return read();
+        return extendDeadline();
     // Bytes after the response belong to no request.
     finish(used == bytes.size() ? ExchangeEnd::Complete : ExchangeEnd::Incomplete);
 }
 
+void ClientConnection::readAvailable()
+{
+    static thread_local std::array<char, receiveBufferBytes> buffer;
+    const std::uint64_t exchange = m_exchangeNumber;
+    for (unsigned reads = 0; reads < readsPerStep && exchange == m_exchangeNumber; ++reads) {
+        asio::error_code error;
+        const std::size_t length = m_socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block)
+            break;
+        if (error)
+            return responseEnded();
+        received({buffer.data(), length});
+    }
+    if (exchange == m_exchangeNumber)
+        read();
+}
+
+void ClientConnection::extendDeadline()
+{
+    const auto extended = std::chrono::steady_clock::now() + m_timeout;
+    m_deadline = std::max(m_deadline, std::min(extended, m_latestDeadline));
+}
+
 void ClientConnection::finish(ExchangeEnd end)
 {
     m_busy = false;
--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -56,10 +56,11 @@
 void ClientPool::send(const asio::ip::tcp::endpoint &endpoint, const Connection &idle,
                       Request request)
 {
-    const Connection connection
-        = idle ? idle
-               : std::make_shared<ClientConnection>(
-                   m_context, endpoint, ClientConnectionSettings{m_settings.connectTimeout, true});
+    const Connection connection = idle ? idle
+                                       : std::make_shared<ClientConnection>(
+                                           m_context, endpoint,
+                                           ClientConnectionSettings{m_settings.connectTimeout, true,
+                                                                    m_settings.receiveExtension});
     using std::chrono::milliseconds;
     const auto left = std::chrono::ceil<milliseconds>(request.deadline - BootClock::now());
     connection->exchange(std::move(request.text), false, std::max(left, milliseconds(1)),
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -43,6 +43,9 @@
     /// Closes the connection as soon as the server does, also between exchanges, so that the next
     /// exchange connects anew instead of ending as Closed.
     bool watchIdle = false;
+    /// A response that has begun to arrive may take this much longer than the timeout, as long as
+    /// the server does not fall silent for the timeout.
+    std::chrono::milliseconds receiveExtension{0};
 };
 
 /// One plain HTTP/1.1 client connection. It sends exactly the bytes it is given, one request at a
@@ -70,7 +73,13 @@
     void write();
     void read();
     void readEnded(const asio::error_code &error, std::size_t length);
+    /// The server closed the connection.
+    void responseEnded();
+    /// Ends the exchange when the response is whole or malformed.
     void received(std::string_view bytes);
+    /// Reads what has arrived already, without waiting.
+    void readAvailable();
+    void extendDeadline();
     void armTimer(std::chrono::steady_clock::time_point expiry);
     void finish(ExchangeEnd end);
 
@@ -82,6 +91,8 @@
     std::array<char, 4UL * 1024> m_buffer{};
     std::string m_requestText;
     std::chrono::steady_clock::time_point m_deadline; ///< of the exchange
+    std::chrono::milliseconds m_timeout{0}; ///< of the exchange
+    std::chrono::steady_clock::time_point m_latestDeadline; ///< to which m_deadline may be extended
     BootClock::time_point m_sendBefore; ///< the request is not sent after this time
     Callback m_callback;
     bool m_connected = false;
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -14,6 +14,9 @@
 {
     std::chrono::milliseconds connectTimeout{500};
     std::size_t connectionsPerServer = 8;
+    /// A response that has begun to arrive may take this much longer than the timeout of its
+    /// request.
+    std::chrono::milliseconds receiveExtension{0};
 };
 
 /// Sends requests to many servers over reused plain connections. Requests to a server that has all
--- a/Tests/LibHttp/TestClientPool.cpp
+++ b/Tests/LibHttp/TestClientPool.cpp
@@ -2,6 +2,9 @@
 
 #include <LibHttp/ClientPool.h>
 #include <asio/executor_work_guard.hpp>
+#include <asio/read.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -10,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::seconds farTimeout{60}; // never reached unless a request is stuck
+constexpr std::chrono::seconds receiveExtension{5};
+constexpr std::size_t pieceBytes = 256UL * 1024; // of a large answer
 
 /// Answers one request on each connection and closes it, although it said it would stay open.
 class ClosingServer
@@ -50,12 +55,48 @@
     asio::ip::tcp::acceptor m_acceptor;
 };
 
+/// Answers one request with a body of \a bodyBytes, in pieces with a pause after each of them.
+class LargeAnswerServer
+{
+public:
+    LargeAnswerServer(std::size_t bodyBytes, std::chrono::milliseconds pause)
+        : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_thread([this, bodyBytes, pause] { serve(bodyBytes, pause); })
+    {
+    }
+    ~LargeAnswerServer() { m_thread.join(); }
+    asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+private:
+    void serve(std::size_t bodyBytes, std::chrono::milliseconds pause)
+    {
+        asio::ip::tcp::socket socket = m_acceptor.accept();
+        std::string input;
+        asio::error_code ignored; // the client may give up
+        asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", ignored);
+        const std::string head
+            = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        asio::write(socket, asio::buffer(head), ignored);
+        const std::string piece(pieceBytes, 'x');
+        for (std::size_t sent = 0; sent < bodyBytes && !ignored; sent += pieceBytes) {
+            asio::write(socket, asio::buffer(piece), ignored);
+            std::this_thread::sleep_for(pause);
+        }
+        asio::read(socket, asio::dynamic_buffer(input), ignored); // until the client closes
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
 /// A pool and a count of the ends of its exchanges.
 struct PoolFixture
 {
-    void start(const asio::ip::tcp::endpoint &server)
+    void start(const asio::ip::tcp::endpoint &server,
+               std::chrono::milliseconds timeout = farTimeout)
     {
-        pool->exchange(server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", farTimeout,
+        pool->exchange(server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", timeout,
                        [this](const Exchange &exchange) { ends.push_back(exchange.end); });
     }
     void runUntilEnded(std::size_t count)
@@ -68,6 +109,7 @@
         ClientPoolSettings settings;
         settings.connectTimeout = farTimeout;
         settings.connectionsPerServer = connectionsPerServer;
+        settings.receiveExtension = receiveExtension;
         pool = std::make_unique<ClientPool>(context, settings);
     }
 
@@ -159,3 +201,44 @@
     asio::error_code error;
     CHECK(accepted.available(error) == 0);
 }
+
+TEST_CASE("A large answer is read in time by a process that handles its events late")
+{
+    // Guards against answers that were read in many small steps, each of them late: the change feed
+    // of the store timed out, and its next answer was larger still, so that no change was ever
+    // learned of (UNASKED, MIXED).
+    constexpr std::size_t bodyBytes = 16 * pieceBytes;
+    constexpr std::chrono::milliseconds eventDelay{20};
+    PoolFixture fixture;
+    fixture.makePool(1);
+    std::function<void()> delayEvents = [&] {
+        std::this_thread::sleep_for(eventDelay);
+        if (fixture.ends.empty())
+            asio::post(fixture.context, delayEvents);
+    };
+    asio::post(fixture.context, delayEvents);
+    const auto endOfAnswer
+        = [&](std::chrono::milliseconds pause, std::chrono::milliseconds timeout) {
+              LargeAnswerServer server(bodyBytes, pause);
+              fixture.start(server.endpoint(), timeout);
+              fixture.runUntilEnded(1);
+              fixture.pool.reset();
+              return fixture.ends.front();
+          };
+
+    SECTION("when the server sends it at once")
+    {
+        REQUIRE(endOfAnswer(std::chrono::milliseconds(0), std::chrono::milliseconds(2000))
+                == ExchangeEnd::Complete);
+    }
+    SECTION("when the timeout passes while the answer is arriving")
+    {
+        REQUIRE(endOfAnswer(std::chrono::milliseconds(50), std::chrono::milliseconds(300))
+                == ExchangeEnd::Complete);
+    }
+    SECTION("but a server that falls silent meets the timeout")
+    {
+        REQUIRE(endOfAnswer(std::chrono::milliseconds(1000), std::chrono::milliseconds(300))
+                == ExchangeEnd::TimedOut);
+    }
+}
