Services/Jobs: Release the lease after the scheduler was fenced

Cause: a session that was fenced ended, but its process went on renewing the scheduler lease, and never began a session under that epoch again. No other process could acquire the lease. A worker that has seen a higher epoch than the lease's is enough.

"A scheduler that was fenced while it holds the lease does not keep the lease" failed before (no poll under a later epoch in 15 s). The process resigns the lease now; the next holder, which may be the same process, schedules under a higher epoch.

--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -241,8 +241,12 @@
     };
     hooks.fenced = [this, epoch] {
         m_fencedEpoch = std::max(m_fencedEpoch, epoch);
-        if (m_session && m_sessionEpoch == epoch)
-            endSession("fenced");
+        if (!m_session || m_sessionEpoch != epoch)
+            return;
+        endSession("fenced");
+        // Under a higher epoch, the next holder can schedule.
+        if (m_election.held())
+            m_election.resign();
     };
     if (!m_replica) {
         m_replica = std::make_unique<JobRowReplica>(m_context, m_ports, m_clock);
