platform: Extend only the answers of the store's reads while they arrive

An answer of a worker to a poll may arrive for longer than its lease lasts: the extension of 5 s beside the timeout of 2.2 s was more than the 6 s of the lease, while no other poll extends it. The extension is a part of the timeout of each call now, and only reads of the store have one.

--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -33,18 +33,18 @@
     return text + "\r\n" + request.body;
 }
 
-void ClientConnection::exchange(std::string requestText, bool answersHead,
-                                std::chrono::milliseconds timeout, Callback callback)
+void ClientConnection::exchange(std::string requestText, bool answersHead, ExchangeTimeout timeout,
+                                Callback callback)
 {
     m_requestText = std::move(requestText);
     m_callback = std::move(callback);
     m_parser.reset(answersHead);
     m_busy = true;
     ++m_exchangeNumber;
-    m_timeout = timeout;
-    m_deadline = std::chrono::steady_clock::now() + timeout;
-    m_latestDeadline = m_deadline + m_settings.receiveExtension;
-    m_sendBefore = BootClock::now() + timeout;
+    m_timeout = timeout.total;
+    m_deadline = std::chrono::steady_clock::now() + timeout.total;
+    m_latestDeadline = m_deadline + timeout.receiveExtension;
+    m_sendBefore = BootClock::now() + timeout.total;
     if (!m_connected)
         return connect();
     armTimer(m_deadline);
--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -28,12 +28,13 @@
 }
 
 void ClientPool::exchange(const asio::ip::tcp::endpoint &endpoint, std::string requestText,
-                          std::chrono::milliseconds timeout, ClientConnection::Callback callback)
+                          ExchangeTimeout timeout, ClientConnection::Callback callback)
 {
     if (++m_requestsSinceDrop >= requestsBetweenDrops)
         dropUnused();
     Server &server = m_servers[endpoint];
-    Request request{std::move(requestText), BootClock::now() + timeout, std::move(callback)};
+    Request request{std::move(requestText), BootClock::now() + timeout.total,
+                    timeout.receiveExtension, std::move(callback)};
     if (server.busy >= m_settings.connectionsPerServer) {
         server.waiting.push_back(std::move(request));
         return;
@@ -56,24 +57,23 @@
 void ClientPool::send(const asio::ip::tcp::endpoint &endpoint, const Connection &idle,
                       Request request)
 {
-    const Connection connection = idle ? idle
-                                       : std::make_shared<ClientConnection>(
-                                           m_context, endpoint,
-                                           ClientConnectionSettings{m_settings.connectTimeout, true,
-                                                                    m_settings.receiveExtension});
+    const Connection connection
+        = idle ? idle
+               : std::make_shared<ClientConnection>(
+                   m_context, endpoint, ClientConnectionSettings{m_settings.connectTimeout, true});
     using std::chrono::milliseconds;
     const auto left = std::chrono::ceil<milliseconds>(request.deadline - BootClock::now());
-    connection->exchange(std::move(request.text), false, std::max(left, milliseconds(1)),
-                         // The connection owns this callback, so that it must not be owned by it.
-                         [this, endpoint, weakConnection = std::weak_ptr(connection),
-                          callback = std::move(request.callback),
-                          alive = std::weak_ptr(m_alive)](Exchange result) {
-                             const Connection ended = weakConnection.lock();
-                             if (alive.expired() || !ended)
-                                 return;
-                             exchangeEnded(endpoint, ended);
-                             callback(std::move(result));
-                         });
+    connection->exchange(
+        std::move(request.text), false, {std::max(left, milliseconds(1)), request.receiveExtension},
+        // The connection owns this callback, so that it must not be owned by it.
+        [this, endpoint, weakConnection = std::weak_ptr(connection),
+         callback = std::move(request.callback), alive = std::weak_ptr(m_alive)](Exchange result) {
+            const Connection ended = weakConnection.lock();
+            if (alive.expired() || !ended)
+                return;
+            exchangeEnded(endpoint, ended);
+            callback(std::move(result));
+        });
 }
 
 void ClientPool::exchangeEnded(const asio::ip::tcp::endpoint &endpoint,
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -36,6 +36,21 @@
     ResponseMessage response;
 };
 
+/// Time limits of one exchange.
+struct ExchangeTimeout
+{
+    ExchangeTimeout(std::chrono::milliseconds limit,
+                    std::chrono::milliseconds extension = std::chrono::milliseconds(0))
+        : total(limit), receiveExtension(extension)
+    {
+    }
+
+    std::chrono::milliseconds total;
+    /// A response that has begun to arrive may take this much longer, as long as the server does
+    /// not fall silent for the total time.
+    std::chrono::milliseconds receiveExtension;
+};
+
 struct ClientConnectionSettings
 {
     /// An exchange that has no connection after this time ends as NotConnected. 0: its own timeout.
@@ -43,9 +58,6 @@
     /// Closes the connection as soon as the server does, also between exchanges, so that the next
     /// exchange connects anew instead of ending as Closed.
     bool watchIdle = false;
-    /// A response that has begun to arrive may take this much longer than the timeout, as long as
-    /// the server does not fall silent for the timeout.
-    std::chrono::milliseconds receiveExtension{0};
 };
 
 /// One plain HTTP/1.1 client connection. It sends exactly the bytes it is given, one request at a
@@ -63,7 +75,7 @@
 
     /// A request that could not be sent within \a timeout, because the connection was not
     /// established or the host was suspended, is not sent later and ends as NotConnected.
-    void exchange(std::string requestText, bool answersHead, std::chrono::milliseconds timeout,
+    void exchange(std::string requestText, bool answersHead, ExchangeTimeout timeout,
                   Callback callback);
     void close();
     bool connected() const { return m_connected; }
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -14,9 +14,6 @@
 {
     std::chrono::milliseconds connectTimeout{500};
     std::size_t connectionsPerServer = 8;
-    /// A response that has begun to arrive may take this much longer than the timeout of its
-    /// request.
-    std::chrono::milliseconds receiveExtension{0};
 };
 
 /// Sends requests to many servers over reused plain connections. Requests to a server that has all
@@ -33,7 +30,7 @@
     /// destroyed before. A request that was not sent within \a timeout, which includes the time
     /// during which the host was suspended, ends as NotConnected.
     void exchange(const asio::ip::tcp::endpoint &server, std::string requestText,
-                  std::chrono::milliseconds timeout, ClientConnection::Callback callback);
+                  ExchangeTimeout timeout, ClientConnection::Callback callback);
 
 private:
     using Connection = std::shared_ptr<ClientConnection>;
@@ -41,6 +38,7 @@
     {
         std::string text;
         BootClock::time_point deadline;
+        std::chrono::milliseconds receiveExtension;
         ClientConnection::Callback callback;
     };
     struct Server
--- a/Tests/LibHttp/TestClientPool.cpp
+++ b/Tests/LibHttp/TestClientPool.cpp
@@ -96,7 +96,7 @@
     void start(const asio::ip::tcp::endpoint &server,
                std::chrono::milliseconds timeout = farTimeout)
     {
-        pool->exchange(server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", timeout,
+        pool->exchange(server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", {timeout, receiveExtension},
                        [this](const Exchange &exchange) { ends.push_back(exchange.end); });
     }
     void runUntilEnded(std::size_t count)
@@ -109,7 +109,6 @@
         ClientPoolSettings settings;
         settings.connectTimeout = farTimeout;
         settings.connectionsPerServer = connectionsPerServer;
-        settings.receiveExtension = receiveExtension;
         pool = std::make_unique<ClientPool>(context, settings);
     }
 
