Kernel/Jobs: Do not let a poll wait after a failed one

What callers see: long-running tasks end with their lease although their worker runs and answers.

Cause: after a failed poll, the next one does not extend the lease, as its end is the time from which the tasks can run elsewhere. But it waited at the worker for the end of a run, up to 1.5 s, so that two lost answers in a row (2.2 s each) used up the lease of 6 s.

"A poll that was lost is repeated without a wait" failed before (1.5 s instead of 0).

--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -101,7 +101,9 @@
     const bool hasUnwrittenEnds = worker.processedEnds > worker.durableEnds;
     if (hasUnwrittenEnds && now < worker.lastPoll + unwrittenEndsPollInterval)
         return;
-    const bool mayWait = worker.contacted && !hasUnwrittenEnds && !worker.nextPollDecidesRuns();
+    // A poll after a failed one does not extend the lease, so that the next one must follow soon.
+    const bool mayWait = worker.contacted && worker.failedPolls == 0 && !hasUnwrittenEnds
+                         && !worker.nextPollDecidesRuns();
     if (mayWait && !worker.runs.empty())
         order.wait = worker.hasBestEffortBesideServing() ? latencyPollWait : pollWait;
     // After a failed poll, the lease is not extended: its end is the time from which the tasks can
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -250,3 +250,38 @@
     fixture.planAndCommit();
     REQUIRE(fixture.stops.size() == 2);
 }
+
+TEST_CASE("A poll that was lost is repeated without a wait")
+{
+    // Guards against leases that lapse although the worker answers: a poll that follows a failed
+    // one extends no lease, and waited at the worker for the end of a run.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    fixture.acceptStarts();
+    fixture.now += 10ms;
+    fixture.scheduler.plan(fixture.now);
+    REQUIRE_FALSE(fixture.polls.empty());
+    const PollOrder lost = fixture.polls.back();
+    REQUIRE(lost.wait > 0ms);
+    REQUIRE(lost.leaseEnd);
+
+    fixture.now += lost.wait + 700ms;
+    fixture.scheduler.pollFinished(fixture.now, lost, {OrderOutcome::Unknown, {}, 0, {}, {}});
+    fixture.now += 500ms;
+    fixture.polls.clear();
+    fixture.scheduler.plan(fixture.now);
+    REQUIRE(fixture.polls.size() == 1);
+    REQUIRE(fixture.polls.front().wait == 0ms);
+    REQUIRE_FALSE(fixture.polls.front().leaseEnd);
+
+    SECTION("and the next one extends the lease")
+    {
+        fixture.answerPoll("w");
+        fixture.scheduler.plan(fixture.now);
+        REQUIRE(fixture.polls.size() == 2);
+        REQUIRE(fixture.polls.back().leaseEnd);
+    }
+}
