Services/Jobs: Give counts of waiting jobs the age of the rows they count

The change feed of jobs waits 0.5 s instead of 1 s for a change, so that counts of a calm time stay younger than 2 s.

--- a/Services/Jobs/JobRowReplica.cpp
+++ b/Services/Jobs/JobRowReplica.cpp
@@ -10,7 +10,8 @@
 
 // Until the rows are taken, a takeover waits for the end of such a call when no row changes.
 constexpr std::chrono::milliseconds replicaFeedWait{100};
-constexpr std::chrono::milliseconds jobFeedWait{1000};
+// Counts of waiting jobs are as old as the latest answer of this call.
+constexpr std::chrono::milliseconds jobFeedWait{500};
 
 void applyChange(JobRowReplica::Rows &rows, const RowChange &change)
 {
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -278,7 +278,9 @@
 
 void SchedulerSession::writePendingCounts()
 {
-    const PendingCounts counts{storeTime(), m_scheduler->pendingJobs()};
+    // The counts are as old as the knowledge of the rows of jobs.
+    const PendingCounts counts{storeTimeAt(m_replica->jobsCurrentSince()),
+                               m_scheduler->pendingJobs()};
     m_countTimer.runAfter(countWriteInterval, [this] { writePendingCounts(); });
     for (const auto &[queue, count] : counts.byQueue)
         m_metrics.setWaitingJobs(queue, count);
@@ -302,14 +304,19 @@
     m_storeTimeUpdatedAt = m_hooks.clock();
 }
 
-std::int64_t SchedulerSession::storeTime() const
+std::int64_t SchedulerSession::storeTimeAt(TimePoint time) const
 {
     if (m_storeTime == 0)
         return 0;
-    const Duration elapsed = m_hooks.clock() - m_storeTimeUpdatedAt;
+    const Duration elapsed = time - m_storeTimeUpdatedAt;
     return m_storeTime + std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
 }
 
+std::int64_t SchedulerSession::storeTime() const
+{
+    return storeTimeAt(m_hooks.clock());
+}
+
 void SchedulerSession::tick()
 {
     addFinishedJobs();
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -87,8 +87,9 @@
     /// Writes the number of waiting jobs of each queue, periodically.
     void writePendingCounts();
     void updateStoreTime(std::int64_t milliseconds);
-    /// Estimates the current time of the store's clock in milliseconds; 0: not known.
+    /// Estimates the time of the store's clock in milliseconds now, or at \a time; 0: not known.
     std::int64_t storeTime() const;
+    std::int64_t storeTimeAt(TimePoint time) const;
     /// Plans periodically, so that orders that are due at a certain time are sent.
     void tick();
     void startTickTimer();
