Kernel/Jobs: Acknowledge stored ends whatever the time of the latest poll

Cause: while changed jobs remained, a worker's ended runs were acknowledged only if its latest poll was 400 ms ago. A planning pass, which sends the polls that are due, comes before each transaction, so that this hardly ever held, and the ended runs were listed again.

The test of acknowledgements now plans before each transaction, as the process does, and failed before (no ended run acknowledged).

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -18,7 +18,7 @@
     builder.add({{std::string(progressEpochKey), m_epochRowVersion}}, {});
     Flush flush;
     addChangedJobs(now, builder, flush);
-    addStoredEnds(now, flush);
+    addStoredEnds(flush);
     if (now >= m_nextExpiry && !mayBeRefused(flush))
         removeExpiredJobs(now, builder, flush);
     if (flush.jobs.empty() && flush.expired.empty()) {
@@ -69,20 +69,12 @@
            || (!flush.jobs.empty() && m_refusedJobs.contains(flush.jobs.front()));
 }
 
-void JobScheduler::addStoredEnds(TimePoint now, Flush &flush) const
+void JobScheduler::addStoredEnds(Flush &flush) const
 {
-    // Acknowledged together, the ended runs of many jobs take few polls. While there are always
-    // other jobs to store, those of a worker are acknowledged once in each interval of its polls.
-    const auto &changed = m_dirty.inOrder();
-    const bool changedJobsRemain
-        = std::any_of(changed.begin(), changed.end(),
-                      [this](const auto &entry) { return !m_refusedJobs.contains(entry.second); });
     const auto unstored = [this](const UnstoredEnd &end) {
         return isUnstored(end);
     };
     for (const auto &[id, worker] : m_workers) {
-        if (changedJobsRemain && now < worker.lastPoll + unwrittenEndsPollInterval)
-            continue;
         const std::uint64_t number = worker.endsStoredUpTo(unstored);
         if (number > worker.durableEnds)
             flush.ends.push_back({id, worker.description.startedAt, number});
--- a/Kernel/include/Kernel/Jobs/ChangedJobs.h
+++ b/Kernel/include/Kernel/Jobs/ChangedJobs.h
@@ -6,7 +6,8 @@
 
 namespace Peridot::Jobs {
 
-/// Ids of jobs whose progress rows are out of date, in the order in which they changed.
+/// Ids of jobs whose progress rows are out of date, in the order in which they changed. Those whose
+/// write has failed are inserted again, after the others.
 class ChangedJobs
 {
 public:
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -86,10 +86,9 @@
 
     /// Version of the progress row; absentVersion before the first write.
     Version rowVersion = absentVersion;
-    std::uint64_t changes = 0; ///< number of changes since the job was added
-    std::uint64_t writtenChanges
-        = 0; ///< those in the stored row, or in the one that is being written
-    std::uint64_t storedChanges = 0; ///< those in the stored row
+    std::uint64_t changes = 0; ///< since the job was added
+    std::uint64_t writtenChanges = 0; ///< in the row that is stored, or that is being written
+    std::uint64_t storedChanges = 0; ///< in the row that is stored
     TimePoint receivedAt; ///< when this process first read the job
     bool started = false; ///< a worker confirmed a run, or a previous scheduler had placed one
 
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -287,8 +287,8 @@
     std::vector<std::string> jobsToStore(TimePoint now) const;
     /// Whether the store has refused a transaction with these rows.
     bool mayBeRefused(const Flush &flush) const;
-    /// Adds the ended runs whose jobs have no change left to store.
-    void addStoredEnds(TimePoint now, Flush &flush) const;
+    /// Adds the ended runs that are stored, or are being stored with the jobs of \a flush.
+    void addStoredEnds(Flush &flush) const;
     /// Finds the row that the store refuses, and sets it aside.
     void handleRefusal(TimePoint now, const Flush &flush);
     /// Takes back the placements of the job that are not stored, so that they hold no capacity.
--- a/Tests/Kernel/Jobs/Overload/TestOverload.cpp
+++ b/Tests/Kernel/Jobs/Overload/TestOverload.cpp
@@ -56,10 +56,12 @@
         scheduler.plan(now);
     }
 
-    /// Time goes on, one transaction is committed, and what it started ends.
+    /// Time goes on, one transaction is committed, and what it started ends. As in the process, a
+    /// planning pass, which sends the polls that are due, comes before the transaction.
     void storeAndEnd()
     {
         now += 100ms;
+        scheduler.plan(now);
         if (const auto transaction = scheduler.takeTransaction(now)) {
             for (const RowWrite &write : transaction->writes)
                 stored.insert(write.key);
