Services/Jobs: Release the lease also when the fencing is noticed later

A session that was fenced while its lease had lapsed, or that ended for another reason before, left the lease to be renewed by a process that does not schedule. Found by the review, by reading. The lease is released whenever one with a fenced epoch is held. The test of fenced schedulers passes before and after: it has the plain case only.

--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -209,8 +209,9 @@
     const auto held = m_election.held();
     if (held) {
         m_leaseHeldAt = now;
+        // The next holder, which may be this process, can schedule under a higher epoch.
         if (held->fencingEpoch <= m_fencedEpoch)
-            return;
+            return m_election.resign();
         if (!m_session || m_sessionEpoch != held->fencingEpoch)
             beginSession(held->fencingEpoch);
         return;
@@ -241,12 +242,8 @@
     };
     hooks.fenced = [this, epoch] {
         m_fencedEpoch = std::max(m_fencedEpoch, epoch);
-        if (!m_session || m_sessionEpoch != epoch)
-            return;
-        endSession("fenced");
-        // Under a higher epoch, the next holder can schedule.
-        if (m_election.held())
-            m_election.resign();
+        if (m_session && m_sessionEpoch == epoch)
+            endSession("fenced");
     };
     if (!m_replica) {
         m_replica = std::make_unique<JobRowReplica>(m_context, m_ports, m_clock);
