--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -41,7 +41,7 @@
     m_parser.reset(answersHead);
     m_busy = true;
     ++m_exchangeNumber;
-    m_timeout = timeout.total;
+    m_silenceLimit = timeout.total;
     m_deadline = std::chrono::steady_clock::now() + timeout.total;
     m_latestDeadline = m_deadline + timeout.receiveExtension;
     m_sendBefore = BootClock::now() + timeout.total;
@@ -170,7 +170,7 @@
 
 void ClientConnection::extendDeadline()
 {
-    const auto extended = std::chrono::steady_clock::now() + m_timeout;
+    const auto extended = std::chrono::steady_clock::now() + m_silenceLimit;
     m_deadline = std::max(m_deadline, std::min(extended, m_latestDeadline));
 }
 
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -73,7 +73,7 @@
     /// Text of a request with Content-Length.
     static std::string format(const RequestMessage &request);
 
-    /// A request that could not be sent within \a timeout, because the connection was not
+    /// A request that could not be sent within its total time, because the connection was not
     /// established or the host was suspended, is not sent later and ends as NotConnected.
     void exchange(std::string requestText, bool answersHead, ExchangeTimeout timeout,
                   Callback callback);
@@ -85,7 +85,7 @@
     void write();
     void read();
     void readEnded(const asio::error_code &error, std::size_t length);
-    /// The server closed the connection.
+    /// The connection was closed, or reading from it failed.
     void responseEnded();
     /// Ends the exchange when the response is whole or malformed.
     void received(std::string_view bytes);
@@ -103,7 +103,7 @@
     std::array<char, 4UL * 1024> m_buffer{};
     std::string m_requestText;
     std::chrono::steady_clock::time_point m_deadline; ///< of the exchange
-    std::chrono::milliseconds m_timeout{0}; ///< of the exchange
+    std::chrono::milliseconds m_silenceLimit{0}; ///< while the response arrives
     std::chrono::steady_clock::time_point m_latestDeadline; ///< to which m_deadline may be extended
     BootClock::time_point m_sendBefore; ///< the request is not sent after this time
     Callback m_callback;
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -27,7 +27,7 @@
     ClientPool &operator=(const ClientPool &) = delete;
 
     /// Calls \a callback exactly once, after this function has returned, unless this object is
-    /// destroyed before. A request that was not sent within \a timeout, which includes the time
+    /// destroyed before. A request that was not sent within its total time, which includes the time
     /// during which the host was suspended, ends as NotConnected.
     void exchange(const asio::ip::tcp::endpoint &server, std::string requestText,
                   ExchangeTimeout timeout, ClientConnection::Callback callback);
