--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -39,7 +39,8 @@
 /// Time limits of one exchange.
 struct ExchangeTimeout
 {
-    ExchangeTimeout(std::chrono::milliseconds limit,
+    template <typename Rep, typename Period>
+    ExchangeTimeout(std::chrono::duration<Rep, Period> limit,
                     std::chrono::milliseconds extension = std::chrono::milliseconds(0))
         : total(limit), receiveExtension(extension)
     {
