Meta: Give each run of real processes ports of its own

Cause: runs drew a random first port and took the following ones on which nothing listened yet; the ports of backend servers were not tried, and check-jobs.py had a fixed range. Ruled out: the relays and the services, which started and answered.

Change: a run locks a block of ports until all its processes have ended.

Before: end-to-end-concurrent-runs failed, both runs had the same ten ports.

--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -69,7 +69,7 @@
 start_backends() { # COUNT
     local index
     # The manifest counts the ports up from the first one, so they are taken as one range.
-    backend_port=$((30000 + RANDOM % 1000))
+    free_ports "$1"; backend_port="$port"
     backend_controls=()
     for index in $(seq 0 $(($1 - 1))); do
         free_port
--- a/Meta/processes.sh
+++ b/Meta/processes.sh
@@ -1,16 +1,43 @@
 # Shell functions that start and end real processes on loopback. Sourced by cluster.sh and by the end-to-end
-# tests. begin_run makes the run directory work and ends every process when the script exits.
+# tests. begin_run makes the run directory work, takes ports for the run, and ends every process when the script
+# exits.
 
 declare -gA process_of=()
-next_port=$((20000 + RANDOM % 8000))
+# Below the ephemeral ports, so that no outgoing connection has them.
+readonly first_port=20000 ports_per_run=250 concurrent_runs=40
 
-# Ports come from a range below the ephemeral ports, so that no outgoing connection has them.
-free_port() {
-    while :; do
-        next_port=$((next_port + 1))
-        (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null || break
+# Takes a block of ports that no other run on this machine uses. The lock is held until this shell and all processes
+# that it started have ended.
+claim_ports() {
+    local block
+    for block in $(shuf --input-range="0-$((concurrent_runs - 1))"); do
+        exec {port_lock}>> "${TMPDIR:-/tmp}/peridot-ports-$UID-$block"
+        if flock --nonblock "$port_lock"; then
+            next_port=$((first_port + block * ports_per_run))
+            last_port=$((next_port + ports_per_run - 1))
+            return
+        fi
+        exec {port_lock}>&-
     done
+    echo "all $concurrent_runs blocks of ports are in use" >&2
+    return 1
+}
+
+# Sets port to the first of COUNT consecutive ports on which nothing listens.
+free_ports() { # COUNT
+    local candidate
     port="$next_port"
+    for ((candidate = port; candidate < port + $1; ++candidate)); do
+        if (exec 3<>"/dev/tcp/127.0.0.1/$candidate") 2>/dev/null; then port=$((candidate + 1)); fi
+    done
+    next_port=$((port + $1))
+    [ "$next_port" -le $((last_port + 1)) ] && return
+    echo "the run needs more than $ports_per_run ports" >&2
+    return 1
+}
+
+free_port() {
+    free_ports 1
 }
 
 wait_for_port() {
@@ -69,4 +96,5 @@
 begin_run() {
     work="$(mktemp -d)"
     trap end_run EXIT
+    claim_ports
 }
--- a/Tests/EndToEnd/check-jobs.py
+++ b/Tests/EndToEnd/check-jobs.py
@@ -2,7 +2,8 @@
 progress, and checks through the interfaces for callers and workers that every accepted job completes
 and that no task runs twice.
 
-Usage: check-jobs.py PROGRAM, where PROGRAM is the path of peridot-jobs.
+Usage: check-jobs.py PROGRAM PORT, where PROGRAM is the path of peridot-jobs. The store of the stand-in listens on PORT,
+the other processes on the 125 ports after it.
 """
 import http.client
 import json
@@ -13,7 +14,7 @@
 import tempfile
 import time
 
-BASE_PORT = 21500  # of the stand-in's store; the other ports follow
+BASE_PORT = int(sys.argv[2])  # of the stand-in's store; the other ports follow
 HOSTS = 3
 JOBS = 24
 TASKS = 4
--- a/Tests/EndToEnd/jobs-on-platform.sh
+++ b/Tests/EndToEnd/jobs-on-platform.sh
@@ -5,4 +5,7 @@
 set -euo pipefail
 build=$(realpath "$1")
 cd "$(dirname "${BASH_SOURCE[0]}")"
-exec python3 check-jobs.py "$build/platform/peridot-jobs"
+source ../../Meta/processes.sh
+begin_run
+free_ports 126
+python3 check-jobs.py "$build/platform/peridot-jobs" "$port"
