Services/Jobs: Store the next jobs at once while many have changed

Cause: a transaction, which takes at most 45 jobs, was sent only at the end of a planning pass. With 6 to 10 passes a second under load, 270 to 450 changes a second were stored, and each job needs at least two.

Change: when more jobs have changed than one transaction takes, the next one follows on the answer. Below that, changes are gathered as before. The starts of a transaction are found in a set of its jobs instead of a list.

Test: "While many jobs wait to be stored, a transaction follows at once on the one before" stored 45 of 400 jobs before, all but the last ones after.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -30,6 +30,11 @@
     return builder.take();
 }
 
+bool JobScheduler::hasFullTransaction() const
+{
+    return m_dirty.size() >= maximumJobsPerTransaction;
+}
+
 void JobScheduler::addChangedJobs(TimePoint now, TransactionBuilder &builder, Flush &flush)
 {
     for (const auto &id : jobsToStore(now)) {
@@ -103,10 +108,10 @@
 
 void JobScheduler::takeRecordedStarts(Flush &flush)
 {
+    const std::set<std::string_view> included(flush.jobs.begin(), flush.jobs.end());
     const auto firstIncluded
         = std::stable_partition(m_recording.begin(), m_recording.end(), [&](const auto &entry) {
-              return std::find(flush.jobs.begin(), flush.jobs.end(), entry.second.task.job)
-                     == flush.jobs.end();
+              return !included.contains(entry.second.task.job);
           });
     flush.starts.assign(firstIncluded, m_recording.end());
     m_recording.erase(firstIncluded, m_recording.end());
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -113,6 +113,9 @@
     /// Next rows to write; nothing when there are none or a transaction is in flight.
     std::optional<Transaction> takeTransaction(TimePoint now);
     void transactionFinished(TimePoint now, const CommitResult &result);
+    /// Whether as many jobs have changed as one transaction takes, so that waiting for further
+    /// changes saves none.
+    bool hasFullTransaction() const;
     /// Next removal of rows that are not needed any more. Independent of takeTransaction(); nothing
     /// when there is none due or one is in flight.
     std::optional<Transaction> takeCleanup(TimePoint now);
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -260,6 +260,8 @@
                               if (alive.expired())
                                   return;
                               m_scheduler->transactionFinished(m_hooks.clock(), result);
+                              if (m_scheduler->hasFullTransaction())
+                                  commitTransaction();
                               schedulePlan();
                           });
 }
--- a/Tests/Services/Jobs/ServiceFixture.h
+++ b/Tests/Services/Jobs/ServiceFixture.h
@@ -102,6 +102,8 @@
             WorkerDescription worker;
             worker.id = "w";
             worker.address = "10.0.0.1";
+            worker.pool = "pool";
+            worker.capacity = {1'000'000, 1'000'000, 0};
             worker.startedAt = 1000;
             return std::optional(worker);
         };
@@ -109,6 +111,11 @@
         };
         ports.connectWorkers = [this](WorkerReplyHooks replies) {
             WorkerOrderHooks hooks;
+            hooks.start = [this, started = replies.started](const StartOrder &order) {
+                asio::post(context, [started, order] {
+                    started(order, {OrderOutcome::Accepted, 1});
+                });
+            };
             hooks.poll = [this, replies = std::move(replies)](const PollOrder &order) {
                 asio::post(context,
                            [this, replies, order] { replies.polled(order, onPoll(order)); });
@@ -158,6 +165,7 @@
     {
         PollReply reply;
         reply.outcome = OrderOutcome::Accepted;
+        reply.clock = 1;
         reply.startedAt = 1000;
         return reply;
     }
