platform: Give the calls of callers connections of their own to the store

A store that answers slowly, with many callers, delayed the renewals and reads of the scheduler's lease behind the calls that answer callers.

--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -26,7 +26,7 @@
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
       m_clock(processNow),
-      m_frontend(context, *m_ports.store,
+      m_frontend(context, *m_ports.callerStore,
                  {m_clock, [this] { return configuration(); },
                   [this](const JobCall &call, CallOutcome outcome, Duration duration) {
                       m_metrics.recordAnswer(call, outcome, duration);
--- a/Services/Jobs/PlatformPorts.h
+++ b/Services/Jobs/PlatformPorts.h
@@ -27,6 +27,9 @@
 struct PlatformPorts
 {
     Store *store = nullptr;
+    /// The same store for calls that answer callers. Their number is not bounded, so that they must
+    /// not delay those of the scheduler, above all renewals of its lease.
+    Store *callerStore = nullptr;
     ChangeFeed *feed = nullptr;
     std::string operatorPrefix; ///< key prefix of the rows that administrators write
     std::string workerPrefix; ///< key prefix of the rows in which workers register themselves
--- a/Tests/Services/Jobs/ServiceFixture.h
+++ b/Tests/Services/Jobs/ServiceFixture.h
@@ -89,6 +89,7 @@
         write({"servers/w", "{}"});
         PlatformPorts ports;
         ports.store = &store;
+        ports.callerStore = &store;
         ports.feed = &feed;
         ports.operatorPrefix = "op/";
         ports.workerPrefix = "servers/";
