Services/Jobs: Count the way of an order into the pause of its successor

Cause: the successor waits from the time that is stored for an order. The order itself is sent when the transaction is done, and arrives later still; nothing bounded that delay.

Change: an order whose transaction took over 0.5 s is not sent, and is planned again.

Tests that failed before: "An order is not sent long after the time that is stored for it", and "A new holder waits for the earlier orders of all hosts", which asks for the longer pause (3.5 s in place of 2 s).

--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds pendingListPeriod{300}; ///< while changes are pending
 constexpr std::chrono::milliseconds planPeriod{100}; ///< minimum time between planning passes
 constexpr std::chrono::milliseconds retryDelay{200};
+// An order arrives later than at the time that is stored for it: it waits for the transaction, and
+// takes a while to the provider. A successor adds the whole delay to its pause.
+constexpr std::chrono::milliseconds maximumRecordDelay{500};
+constexpr std::chrono::milliseconds maximumOrderDelay{700};
 
 std::string waveKey(std::uint64_t wave)
 {
@@ -135,9 +139,10 @@
     for (const Row &row : result.rows) {
         const auto orderedAt = std::strtoll(row.value.c_str(), nullptr, 10);
         const Duration age = std::chrono::milliseconds(result.storeMilliseconds - orderedAt);
-        if (age < m_holderPause)
+        const Duration pause = m_holderPause + maximumOrderDelay;
+        if (age < pause)
             m_planner.deferOrders(row.key.substr(orderPrefix.size()),
-                                  m_hooks.clock() + m_holderPause - age);
+                                  m_hooks.clock() + pause - age);
     }
 }
 
@@ -229,17 +234,20 @@
         }
         const std::vector<HostOrder> batch(orders.begin(), last);
         orders.erase(orders.begin(), last);
-        m_ports.store->commit(builder.take(), [this, batch, alive = std::weak_ptr(m_alive)](
-                                                  const CommitResult &result) {
-            if (!alive.expired())
-                ordersRecorded(batch, result);
-        });
+        m_ports.store->commit(builder.take(),
+                              [this, batch, recordedAt = m_hooks.clock(),
+                               alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+                                  if (!alive.expired())
+                                      ordersRecorded(batch, recordedAt, result);
+                              });
     }
 }
 
-void HostSession::ordersRecorded(const std::vector<HostOrder> &orders, const CommitResult &result)
+void HostSession::ordersRecorded(const std::vector<HostOrder> &orders, TimePoint recordedAt,
+                                 const CommitResult &result)
 {
-    const bool recorded = result.status == CommitStatus::Committed && m_hooks.leaseHeld();
+    const bool inTime = m_hooks.clock() <= recordedAt + maximumRecordDelay;
+    const bool recorded = result.status == CommitStatus::Committed && inTime && m_hooks.leaseHeld();
     for (const HostOrder &order : orders) {
         if (recorded)
             sendOrder(order);
--- a/Services/Jobs/HostSession.h
+++ b/Services/Jobs/HostSession.h
@@ -74,7 +74,8 @@
     void ordersLoaded(const ReadResult &result);
     /// Stores the times of the orders. ordersRecorded() then sends them.
     void recordOrders(std::vector<HostOrder> orders);
-    void ordersRecorded(const std::vector<HostOrder> &orders, const CommitResult &result);
+    void ordersRecorded(const std::vector<HostOrder> &orders, TimePoint recordedAt,
+                        const CommitResult &result);
     void listHosts();
     void sendOrder(const HostOrder &order);
     void addNewWaves();
--- a/Tests/Services/Jobs/TestHostSession.cpp
+++ b/Tests/Services/Jobs/TestHostSession.cpp
@@ -114,14 +114,29 @@
     for (const std::string &host : recent)
         fixture.write({"host-order/" + host, "0"});
     fixture.session.start();
-    fixture.runFor(2s);
+    // The earlier holder may have sent them some time after the one in the row.
+    fixture.runFor(3500ms);
     REQUIRE(fixture.ordered.size() == hostCount - recent.size());
     for (const std::string &host : recent)
         CHECK_FALSE(fixture.ordered.contains(host));
 
     SECTION("and orders them after the pause")
     {
-        fixture.runFor(2s);
+        fixture.runFor(1s);
         REQUIRE(fixture.ordered.size() == hostCount);
     }
 }
+
+TEST_CASE("An order is not sent long after the time that is stored for it")
+{
+    // Guards against a successor that waits from the stored time on, while the order of its
+    // predecessor, whose transaction took long, arrives later.
+    TakeoverFixture fixture;
+    fixture.session.start();
+    fixture.store.setLatency(300ms, 300ms);
+    fixture.runFor(5s);
+    REQUIRE(fixture.ordered.empty());
+    fixture.store.setLatency(2ms, 2ms);
+    fixture.runFor(5s);
+    REQUIRE(fixture.ordered.size() == hostCount);
+}
