Kernel/Jobs: Bound the progress row of a job by its open occurrences

Cause: all due occurrences were started at once, however many, and the row listed each finished occurrence and each detail of tasks that are done.

Change: an occurrence starts only while the row surely has room for it, and at least one at a time. The row names the highest finished occurrence only: lower ones that it doesn't list are finished.

--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -5,6 +5,44 @@
 
 namespace Peridot::Jobs {
 
+namespace {
+
+// Upper bounds of what each part takes in the encoded progress row. The store takes rows of 64 KiB,
+// and a checkpoint may still become longer.
+constexpr std::size_t maximumOccurrencesBytes = 56UL * 1024;
+constexpr std::size_t occurrenceBytes = 64;
+constexpr std::size_t stepBytes = 4;
+constexpr std::size_t doneTaskBytes = 16;
+constexpr std::size_t unfinishedTaskBytes = 128; // with its run and its worker
+constexpr std::size_t failedRunBytes = 21;
+
+std::size_t maximumBytes(const Job::Occurrence &occurrence)
+{
+    std::size_t bytes = occurrenceBytes;
+    for (const Job::Step &step : occurrence.steps) {
+        bytes += stepBytes + step.done * doneTaskBytes;
+        if (step.done == step.tasks.size())
+            continue;
+        for (const Job::Task &task : step.tasks) {
+            if (task.phase != TaskPhase::Done)
+                bytes += unfinishedTaskBytes + task.checkpoint.size()
+                         + task.failedRuns.size() * failedRunBytes;
+        }
+    }
+    return bytes;
+}
+
+TaskProgress progressOf(const Job::Task &task)
+{
+    if (task.phase != TaskPhase::Done)
+        return {false, task.failedRuns, task.checkpoint, task.run, task.worker};
+    TaskProgress done;
+    done.done = true;
+    return done;
+}
+
+} // namespace
+
 Job::Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now)
     : receivedAt(now), m_submitted(std::move(submitted)), m_criticalPathEstimate(criticalPath())
 {
@@ -15,7 +53,7 @@
 void Job::restore(const JobProgress &progress)
 {
     m_phase = progress.phase;
-    m_finished.insert(progress.finishedOccurrences.begin(), progress.finishedOccurrences.end());
+    m_lastFinished = progress.lastFinishedOccurrence;
     for (const auto &stored : progress.occurrences) {
         if (m_occurrences.contains(stored.occurrence))
             continue; // the row is malformed
@@ -43,8 +81,8 @@
     }
     for (const auto &[number, occurrence] : m_occurrences)
         m_nextOccurrence = std::max(m_nextOccurrence, number + 1);
-    if (!m_finished.empty())
-        m_nextOccurrence = std::max(m_nextOccurrence, *m_finished.rbegin() + 1);
+    if (m_lastFinished)
+        m_nextOccurrence = std::max(m_nextOccurrence, *m_lastFinished + 1);
 }
 
 bool Job::longRunning() const
@@ -77,7 +115,8 @@
 bool Job::startDueOccurrences(TimePoint now)
 {
     bool started = false;
-    for (auto due = nextDueTime(); due && *due <= now; due = nextDueTime()) {
+    for (auto due = nextDueTime(); due && *due <= now && hasRoomForOccurrence();
+         due = nextDueTime()) {
         Occurrence occurrence = makeOccurrence(m_nextOccurrence);
         unblockSteps(occurrence);
         m_occurrences.emplace(m_nextOccurrence, std::move(occurrence));
@@ -87,6 +126,19 @@
     return started;
 }
 
+bool Job::hasRoomForOccurrence() const
+{
+    if (m_occurrences.empty())
+        return true;
+    std::size_t newTasks = 0;
+    for (const auto &step : m_submitted.specification.steps)
+        newTasks += step.count;
+    std::size_t bytes = newTasks * unfinishedTaskBytes + occurrenceBytes;
+    for (const auto &[number, occurrence] : m_occurrences)
+        bytes += maximumBytes(occurrence);
+    return bytes <= maximumOccurrencesBytes;
+}
+
 Job::Occurrence Job::makeOccurrence(unsigned number) const
 {
     Occurrence occurrence;
@@ -200,7 +252,7 @@
     });
     if (!finished)
         return;
-    m_finished.insert(number);
+    m_lastFinished = std::max(m_lastFinished.value_or(number), number);
     m_occurrences.erase(number);
 }
 
@@ -263,15 +315,14 @@
     progress.changedAt = now;
     if (isFinished(m_phase))
         return progress;
-    progress.finishedOccurrences.assign(m_finished.begin(), m_finished.end());
+    progress.lastFinishedOccurrence = m_lastFinished;
     for (const auto &[number, occurrence] : m_occurrences) {
         OccurrenceProgress &entry = progress.occurrences.emplace_back();
         entry.occurrence = number;
         for (const auto &step : occurrence.steps) {
             auto &tasks = entry.steps.emplace_back();
             for (const auto &task : step.tasks)
-                tasks.push_back({task.phase == TaskPhase::Done, task.failedRuns, task.checkpoint,
-                                 task.run, task.worker});
+                tasks.push_back(progressOf(task));
         }
     }
     return progress;
--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -2,6 +2,7 @@
 
 #include "RecordFields.h"
 #include <LibBase/Json.h>
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -213,8 +214,9 @@
     Json::Value object(Json::objectValue);
     object["phase"] = std::string(jobPhaseNames.nameOf(progress.phase));
     object["changed_ms"] = toJson(progress.changedAt);
-    for (const unsigned number : progress.finishedOccurrences)
-        object["finished"].append(number);
+    // A list, because rows of earlier versions name all finished occurrences.
+    if (progress.lastFinishedOccurrence)
+        object["finished"].append(*progress.lastFinishedOccurrence);
     for (const auto &occurrence : progress.occurrences)
         object["occurrences"].append(encodeOccurrence(occurrence));
     return writeJson(object);
@@ -232,7 +234,10 @@
     progress.phase = *phase;
     RecordReader reader(object);
     reader.member("changed_ms", progress.changedAt);
-    reader.member("finished", progress.finishedOccurrences);
+    std::vector<unsigned> finished;
+    reader.member("finished", finished);
+    if (!finished.empty())
+        progress.lastFinishedOccurrence = *std::max_element(finished.begin(), finished.end());
     if (!reader.invalid().empty())
         return makeError(ErrorCode::ProtocolViolation, reader.invalid());
     const Json::Value &occurrences = object["occurrences"];
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -4,7 +4,6 @@
 #include <LibStore/Transaction.h>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +55,9 @@
     std::map<unsigned, Occurrence> &occurrences() { return m_occurrences; }
     const std::map<unsigned, Occurrence> &occurrences() const { return m_occurrences; }
 
-    /// Starts the occurrences that are due. Returns whether there were any.
+    /// Starts the occurrences that are due, as long as the progress row of the job surely stays
+    /// within the limit of the store. The others start when earlier ones have finished. Returns
+    /// whether there were any.
     bool startDueOccurrences(TimePoint now);
     /// Due time of the next occurrence; nothing when none is left.
     std::optional<TimePoint> nextDueTime() const;
@@ -100,6 +101,8 @@
     /// Makes the tasks of all steps ready whose dependencies are done.
     void unblockSteps(Occurrence &occurrence);
     Occurrence makeOccurrence(unsigned number) const;
+    /// Whether the progress row has room for one more occurrence.
+    bool hasRoomForOccurrence() const;
     void restore(const JobProgress &progress);
     /// Removes the occurrence when all its tasks are done.
     void closeFinishedOccurrence(unsigned number);
@@ -111,7 +114,7 @@
     Duration m_criticalPathEstimate;
     JobPhase m_phase = JobPhase::Queued;
     std::map<unsigned, Occurrence> m_occurrences; ///< started and unfinished, by number
-    std::set<unsigned> m_finished; ///< numbers of the finished occurrences
+    std::optional<unsigned> m_lastFinished; ///< highest number of a finished occurrence
     unsigned m_nextOccurrence = 0;
     unsigned m_readyTasks = 0; ///< of all occurrences
 };
--- a/Kernel/include/Kernel/Jobs/JobRows.h
+++ b/Kernel/include/Kernel/Jobs/JobRows.h
@@ -3,6 +3,7 @@
 #include <Kernel/Jobs/JobTypes.h>
 #include <LibBase/Error.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,8 +37,9 @@
 {
     JobPhase phase = JobPhase::Queued;
     TimePoint changedAt; ///< when the row was written, by the writer's clock
-    std::vector<unsigned> finishedOccurrences;
     std::vector<OccurrenceProgress> occurrences; ///< started and not finished
+    /// Highest number of a finished occurrence. Lower ones are finished unless they are listed.
+    std::optional<unsigned> lastFinishedOccurrence;
 
     bool operator==(const JobProgress &) const = default;
 };
--- a/Tests/Kernel/Jobs/TestJobRows.cpp
+++ b/Tests/Kernel/Jobs/TestJobRows.cpp
@@ -58,7 +58,7 @@
         JobProgress progress;
         progress.phase = JobPhase::Running;
         progress.changedAt = fromUnixMilliseconds(1700000000999);
-        progress.finishedOccurrences = {0, 2};
+        progress.lastFinishedOccurrence = 2;
         progress.occurrences
             = {{1, {{{true, {}, {}, 1, {}}, {false, {1, 2}, "saved", 3, "worker"}}}}};
         CHECK(parseJobProgress(encodeJobProgress(progress)).value() == progress);
