Kernel/Jobs: Clean up other partitions while one fails

Cause: the partition whose rows waited longest was always tried first, also right after it had failed, so that the rows of finished jobs stayed in all other partitions.

Change: a partition that failed waits as if its rows had just become due.

Test: "Rows of finished jobs are removed while the store refuses calls now and then" tried the same partition again before.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -259,6 +259,7 @@
         return;
     // The writes may be repeated: they concern finished jobs, whose rows nobody else writes.
     cleanup.writes.insert(cleanup.writes.begin(), m_cleanupWrites.begin(), m_cleanupWrites.end());
+    cleanup.since = now; // the other partitions come first
     m_nextCleanup = now + cleanupDelay;
 }
 
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -114,6 +114,33 @@
     }
 }
 
+TEST_CASE("Rows of finished jobs are removed while the store refuses calls now and then")
+{
+    SchedulerFixture fixture;
+    const std::vector<std::string> jobs{"0000000000000000", "1000000000000000"};
+    for (const std::string &job : jobs) {
+        fixture.submit(job);
+        fixture.scheduler.cancelJob(fixture.now, job);
+    }
+    fixture.planAndCommit();
+    const auto takeCleanup = [&](CommitStatus status) {
+        fixture.now += 2s;
+        const auto transaction = fixture.scheduler.takeCleanup(fixture.now);
+        REQUIRE(transaction);
+        CommitResult result;
+        result.status = status;
+        fixture.scheduler.cleanupFinished(fixture.now, result);
+        return transaction->writes.front().key;
+    };
+    SECTION("a partition that fails does not keep the others from being cleaned up")
+    {
+        // Guards against rows of finished jobs that stay in all partitions because of one.
+        const std::string first = takeCleanup(CommitStatus::Unavailable);
+        REQUIRE(takeCleanup(CommitStatus::Committed) != first);
+        REQUIRE(takeCleanup(CommitStatus::Committed) == first);
+    }
+}
+
 TEST_CASE("A transaction builder adds only what fits")
 {
     TransactionBuilder builder("operation", {5, 10'000});
