Kernel/Jobs: Keep the progress of a finished job as long as its job row

Cause: the progress row of a finished job was removed after its retention, 120 s, also when the store had refused the removal of its job row all the while. A successor then found a job without progress, and would have run it again (TWICE).

Change: the progress row stays until the removal of the job row is committed.

Test: the section "the progress of a job stays as long as its job row" removed the progress first before. Found by reading; seen in no play.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -96,7 +96,8 @@
 {
     m_nextExpiry = now + expiryPeriod;
     for (const auto &[id, until] : m_retained) {
-        if (now < until)
+        // Without its progress, a job whose row still exists would be new to a successor.
+        if (now < until || m_jobRowsToRemove.contains(jobKey(id)))
             continue;
         if (!builder.add({}, {{progressKey(id), std::nullopt}})) {
             m_nextExpiry = now; // the others are removed with the next transaction
@@ -215,6 +216,7 @@
 {
     m_retained.emplace(id, finishedAt + m_timing.statusRetention);
     auto &writes = cleanupOf(now, id).writes;
+    m_jobRowsToRemove.insert(jobKey(id));
     writes.push_back({jobKey(id), std::nullopt});
     writes.push_back({cancellationKey(id), std::nullopt});
     writes.push_back({finishedKey(id), "{}"});
@@ -255,8 +257,11 @@
 void JobScheduler::cleanupFinished(TimePoint now, const CommitResult &result)
 {
     Cleanup &cleanup = m_cleanups[*std::exchange(m_cleanupInFlight, std::nullopt)];
-    if (result.status == CommitStatus::Committed)
+    if (result.status == CommitStatus::Committed) {
+        for (const RowWrite &write : m_cleanupWrites)
+            m_jobRowsToRemove.erase(write.key);
         return;
+    }
     // The writes may be repeated: they concern finished jobs, whose rows nobody else writes.
     cleanup.writes.insert(cleanup.writes.begin(), m_cleanupWrites.begin(), m_cleanupWrites.end());
     cleanup.since = now; // the other partitions come first
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -342,6 +342,7 @@
     std::array<Cleanup, jobPartitions> m_cleanups; ///< by partition
     std::optional<unsigned> m_cleanupInFlight; ///< partition of the cleanup in flight
     std::vector<RowWrite> m_cleanupWrites; ///< of the cleanup in flight
+    std::set<std::string> m_jobRowsToRemove; ///< keys of rows of finished jobs
     TimePoint m_nextCleanup; ///< earliest time of the next cleanup
     TimePoint m_nextFlush; ///< earliest time of the next transaction
     TimePoint m_nextCheck; ///< next check of due times, leases, stalled runs and evacuations
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -139,6 +139,19 @@
         REQUIRE(takeCleanup(CommitStatus::Committed) != first);
         REQUIRE(takeCleanup(CommitStatus::Committed) == first);
     }
+    SECTION("the progress of a job stays as long as its job row")
+    {
+        // Guards against a job row without progress, which a successor takes for a new job (TWICE).
+        takeCleanup(CommitStatus::Unavailable);
+        fixture.now += 200s;
+        fixture.scheduler.plan(fixture.now);
+        REQUIRE_FALSE(fixture.scheduler.takeTransaction(fixture.now));
+        takeCleanup(CommitStatus::Committed);
+        takeCleanup(CommitStatus::Committed);
+        const auto transaction = fixture.scheduler.takeTransaction(fixture.now);
+        REQUIRE(transaction);
+        REQUIRE(transaction->writes.size() == jobs.size());
+    }
 }
 
 TEST_CASE("A transaction builder adds only what fits")
