Kernel/Jobs: Store that a job is finished before its row is removed

Cause: the rows of finished jobs are cleaned up in transactions of 100 entries, three for each job, the removal of the job row first. A full transaction ended between the entries of a job. Until the next one, a late copy of the submission found neither the job row nor the row that stands for the finished job, and was accepted as a new job; after the retention a successor would have run it again (TWICE).

Change: the row that stands for the finished job is written first.

Test: "A job row is not removed before the row that stands for the finished job exists" failed before.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -217,9 +217,11 @@
     m_retained.emplace(id, finishedAt + m_timing.statusRetention);
     auto &writes = cleanupOf(now, id).writes;
     m_jobRowsToRemove.insert(jobKey(id));
+    // The others may follow in a later transaction. Between them, a late copy of the submission must
+    // find one of the rows.
+    writes.push_back({finishedKey(id), "{}"});
     writes.push_back({jobKey(id), std::nullopt});
     writes.push_back({cancellationKey(id), std::nullopt});
-    writes.push_back({finishedKey(id), "{}"});
 }
 
 JobScheduler::Cleanup &JobScheduler::cleanupOf(TimePoint now, const std::string &job)
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -154,6 +154,38 @@
     }
 }
 
+TEST_CASE("A job row is not removed before the row that stands for the finished job exists")
+{
+    // Guards against a late copy of a submission that finds neither row: it is accepted as a new
+    // job, which a successor runs again (TWICE).
+    SchedulerFixture fixture;
+    for (unsigned number = 0; number < 40; ++number) { // more than one transaction takes
+        fixture.submit(jobId(number));
+        fixture.scheduler.cancelJob(fixture.now, jobId(number));
+    }
+    fixture.planAndCommit();
+    std::set<std::string> finished;
+    unsigned removed = 0;
+    for (fixture.now += 2s; const auto cleanup = fixture.scheduler.takeCleanup(fixture.now);
+         fixture.now += 2s) {
+        for (const RowWrite &write : cleanup->writes) {
+            if (write.value)
+                finished.insert(write.key);
+        }
+        for (unsigned number = 0; number < 40; ++number) {
+            const bool removesJob = std::any_of(
+                cleanup->writes.begin(), cleanup->writes.end(),
+                [&](const auto &write) { return write.key == jobKey(jobId(number)); });
+            removed += removesJob ? 1 : 0;
+            CHECK((!removesJob || finished.contains(finishedKey(jobId(number)))));
+        }
+        CommitResult result;
+        result.status = CommitStatus::Committed;
+        fixture.scheduler.cleanupFinished(fixture.now, result);
+    }
+    REQUIRE(removed == 40);
+}
+
 TEST_CASE("A transaction builder adds only what fits")
 {
     TransactionBuilder builder("operation", {5, 10'000});
