Kernel/Jobs: Try refused rows again at most once a second

Cause: each row that the store refuses was tried again on its own every 5 s, before all other rows, and a refusal costs 0.1 s. From about 45 such rows on, nothing else was stored any more (LOST).

Change: one of them is tried a second, the one that has waited longest.

Test: "Many rows that the store refuses do not stop the progress of other jobs" stored 0 of 60 jobs before.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -50,10 +50,11 @@
 
 std::vector<std::string> JobScheduler::jobsToStore(TimePoint now) const
 {
-    for (const auto &[id, retryAt] : m_refusedJobs) {
-        if (now >= retryAt)
-            return {id};
-    }
+    const auto oldest = std::min_element(
+        m_refusedJobs.begin(), m_refusedJobs.end(),
+        [](const auto &left, const auto &right) { return left.second < right.second; });
+    if (oldest != m_refusedJobs.end() && now >= std::max(oldest->second, m_nextRefusedRetry))
+        return {oldest->first};
     if (!m_suspects.empty()) {
         const auto half = static_cast<std::ptrdiff_t>((m_suspects.size() + 1) / 2);
         return {m_suspects.begin(), std::next(m_suspects.begin(), half)};
@@ -160,6 +161,7 @@
     }
     const std::string &id = flush.jobs.front();
     m_suspects.clear();
+    m_nextRefusedRetry = now + refusedRetryInterval;
     if (m_refusedJobs.insert_or_assign(id, now + refusedRowDelay).second)
         observe("row-refused", {{id, 0, 0, 0}, 0}, {});
     withdrawRecordedStarts(now, id);
@@ -217,8 +219,8 @@
     m_retained.emplace(id, finishedAt + m_timing.statusRetention);
     auto &writes = cleanupOf(now, id).writes;
     m_jobRowsToRemove.insert(jobKey(id));
-    // The others may follow in a later transaction. Between them, a late copy of the submission must
-    // find one of the rows.
+    // The others may follow in a later transaction. Between them, a late copy of the submission
+    // must find one of the rows.
     writes.push_back({finishedKey(id), "{}"});
     writes.push_back({jobKey(id), std::nullopt});
     writes.push_back({cancellationKey(id), std::nullopt});
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -63,6 +63,8 @@
 constexpr std::chrono::milliseconds transactionRetryDelay{100};
 /// Delay after which a row that the store refused is tried again. It may have become smaller.
 constexpr std::chrono::milliseconds refusedRowDelay{5000};
+/// Minimum time between two tries of such rows, so that many of them leave time for the others.
+constexpr std::chrono::milliseconds refusedRetryInterval{1000};
 /// Maximum number of changed jobs in one transaction. The entries beside them are for the removal
 /// of old rows.
 constexpr std::size_t maximumJobsPerTransaction = 45;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -335,6 +335,7 @@
     std::set<std::string> m_suspects; ///< jobs of a refused transaction
     /// Jobs whose row the store refuses, with the time of the next attempt.
     std::map<std::string, TimePoint> m_refusedJobs;
+    TimePoint m_nextRefusedRetry; ///< earliest time of the next attempt for any of them
     /// Worker and name of the runs whose placement is not stored yet.
     std::vector<std::pair<std::string, RunName>> m_recording;
     std::map<std::string, TimePoint> m_retained; ///< finished jobs with the removal time of the row
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -22,6 +22,49 @@
 
 } // namespace
 
+TEST_CASE("Many rows that the store refuses do not stop the progress of other jobs")
+{
+    // Guards against retries of refused rows that take all the time (LOST).
+    SchedulerFixture fixture;
+    constexpr unsigned refused = 60;
+    constexpr unsigned others = 60;
+    const std::string firstOther = progressKey(jobId(refused));
+    WorkerDescription large = SchedulerFixture::worker("w");
+    large.capacity = {1'000'000, 1'000'000, 0};
+    fixture.scheduler.setWorkers(fixture.now, {large});
+    fixture.answerPoll("w");
+    std::set<std::string> stored;
+    const auto storeFor = [&](Duration time) {
+        for (const TimePoint end = fixture.now + time; fixture.now < end; fixture.now += 50ms) {
+            const auto transaction = fixture.scheduler.takeTransaction(fixture.now);
+            if (!transaction)
+                continue;
+            CommitResult result;
+            result.status = CommitStatus::Committed;
+            result.revision = ++fixture.revision;
+            for (const RowWrite &write : transaction->writes) {
+                if (write.key < firstOther)
+                    result.status = CommitStatus::Refused;
+            }
+            for (const RowWrite &write : transaction->writes) {
+                if (result.status == CommitStatus::Committed)
+                    stored.insert(write.key);
+            }
+            fixture.scheduler.transactionFinished(fixture.now, result);
+        }
+    };
+    for (unsigned number = 0; number < refused; ++number)
+        fixture.submit(jobId(number));
+    fixture.scheduler.plan(fixture.now);
+    storeFor(60s); // all refused rows are known
+    for (unsigned number = refused; number < refused + others; ++number)
+        fixture.submit(jobId(number));
+    fixture.answerPoll("w");
+    fixture.scheduler.plan(fixture.now);
+    storeFor(3s);
+    REQUIRE(stored.size() == others);
+}
+
 TEST_CASE("A transaction of the scheduler stays within the limits of the store")
 {
     // Guards against a limit that counted the changed jobs, but not the removals beside them: the
