Kernel/Jobs: Clean up the partitions in turn

Cause: a partition with more rows than one transaction takes kept its place as the one that waits longest, and kept the others from being cleaned up for as long as new rows came in.

Change: what is left of a partition comes after the others that are due.

Test: "A partition with many finished jobs does not keep the others from being cleaned up" failed before.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -255,6 +255,7 @@
     m_cleanupWrites.assign(std::make_move_iterator(oldest->writes.begin()),
                            std::make_move_iterator(end));
     oldest->writes.erase(oldest->writes.begin(), end);
+    oldest->since = now - cleanupDelay; // what is left is due, after the other partitions
     return builder.take();
 }
 
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -229,6 +229,28 @@
     REQUIRE(removed == 40);
 }
 
+TEST_CASE("A partition with many finished jobs does not keep the others from being cleaned up")
+{
+    SchedulerFixture fixture;
+    const std::string other = "1000000000000000";
+    std::vector<std::string> jobs{other};
+    for (unsigned number = 0; number < 40; ++number) // more than one transaction takes
+        jobs.push_back(jobId(number));
+    for (const std::string &job : jobs) {
+        fixture.submit(job);
+        fixture.scheduler.cancelJob(fixture.now, job);
+    }
+    fixture.planAndCommit();
+    fixture.now += 2s;
+    REQUIRE(fixture.scheduler.takeCleanup(fixture.now));
+    CommitResult result;
+    result.status = CommitStatus::Committed;
+    fixture.scheduler.cleanupFinished(fixture.now, result);
+    const auto second = fixture.scheduler.takeCleanup(fixture.now);
+    REQUIRE(second);
+    REQUIRE(second->writes.front().key == finishedKey(other));
+}
+
 TEST_CASE("A transaction builder adds only what fits")
 {
     TransactionBuilder builder("operation", {5, 10'000});
