--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -260,7 +260,7 @@
                               if (alive.expired())
                                   return;
                               m_scheduler->transactionFinished(m_hooks.clock(), result);
-                              if (m_scheduler->hasFullTransaction())
+                              if (!m_fencedReported && m_scheduler->hasFullTransaction())
                                   commitTransaction();
                               schedulePlan();
                           });
