Kernel/Jobs: Place a gang only when all its members have room

Cause: the members of a gang were placed one by one and taken back when one found no room. Each planning pass thus changed the job: its row was stored again with a higher run number, as running, in place of the rows of other jobs.

Change: the room for all members is counted first.

Test: "A gang that has no room does not change its job" failed before.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -189,9 +189,11 @@
     Job::Step &state = job.occurrences().at(occurrence).steps[step];
     if (state.ready != state.tasks.size())
         return; // some members of the previous run have not ended
+    const std::string rack = gangRack(job, step, workers);
+    if (!gangFits(job.step(step), rack, workers))
+        return;
     const std::uint64_t run = job.nextGangRun(occurrence, step);
     std::vector<TaskName> placed;
-    const std::string rack = gangRack(job, step, workers);
     for (unsigned index = 0; index < state.tasks.size(); ++index) {
         const TaskName name{job.id(), occurrence, step, index};
         auto candidates = candidatesFor(job, name, workers);
@@ -215,6 +217,36 @@
     }
 }
 
+std::int64_t JobScheduler::slotsOn(const Worker &worker, const StepSpecification &step)
+{
+    const bool hasLabel = step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel);
+    if (!hasLabel || (isProbed(worker) && !worker.runs.empty()))
+        return 0;
+    const TaskSize free = worker.freeCapacity();
+    const TaskSize size = reservedSize(step);
+    std::int64_t count = isProbed(worker) ? 1 : step.count;
+    if (size.milliProcessors > 0)
+        count = std::min(count, free.milliProcessors / size.milliProcessors);
+    if (size.megabytes > 0)
+        count = std::min(count, free.megabytes / size.megabytes);
+    if (size.accelerators > 0)
+        count = std::min(count, free.accelerators / size.accelerators);
+    if (step.maximumPerWorker > 0)
+        count = std::min<std::int64_t>(count, step.maximumPerWorker);
+    return std::max<std::int64_t>(count, 0);
+}
+
+bool JobScheduler::gangFits(const StepSpecification &step, const std::string &rack,
+                            const std::vector<Worker *> &workers) const
+{
+    std::int64_t slots = 0;
+    for (const Worker *worker : workers) {
+        if (rack.empty() || worker->hasLabel(rack))
+            slots += slotsOn(*worker, step);
+    }
+    return slots >= step.count || m_hooks.defects.ignoreCapacity;
+}
+
 std::string JobScheduler::gangRack(const Job &job, unsigned step,
                                    const std::vector<Worker *> &workers) const
 {
@@ -224,19 +256,9 @@
     // Number of gang members that fit on the workers with each label. Racks are such labels, too.
     std::map<std::string, std::int64_t> slotsByLabel;
     for (const Worker *worker : workers) {
-        const TaskSize free = worker->freeCapacity();
-        const TaskSize size = reservedSize(specification);
-        std::int64_t count = specification.count;
-        if (size.milliProcessors > 0)
-            count = std::min(count, free.milliProcessors / size.milliProcessors);
-        if (size.megabytes > 0)
-            count = std::min(count, free.megabytes / size.megabytes);
-        if (size.accelerators > 0)
-            count = std::min(count, free.accelerators / size.accelerators);
-        if (specification.maximumPerWorker > 0)
-            count = std::min<std::int64_t>(count, specification.maximumPerWorker);
+        const std::int64_t count = slotsOn(*worker, specification);
         for (const auto &label : worker->description.labels)
-            slotsByLabel[label] += std::max<std::int64_t>(count, 0);
+            slotsByLabel[label] += count;
     }
     // Chooses the label with the fewest slots that suffice for the gang. Other labels, such as
     // kinds of workers, span several racks, so the label of a rack is preferred.
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -270,6 +270,11 @@
                    const std::vector<Worker *> &workers, UnplaceableSizes &unplaceable);
     void placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                    const std::vector<Worker *> &workers);
+    /// Number of tasks of the step that the worker has room for, none of which it runs yet.
+    static std::int64_t slotsOn(const Worker &worker, const StepSpecification &step);
+    /// Whether all members of a gang have room on the workers, of one rack unless it is empty.
+    bool gangFits(const StepSpecification &step, const std::string &rack,
+                  const std::vector<Worker *> &workers) const;
     /// Label of the rack for a gang that must run on one rack; empty when none has enough capacity,
     /// or when the step may span racks.
     std::string gangRack(const Job &job, unsigned step, const std::vector<Worker *> &workers) const;
--- a/Tests/Kernel/Jobs/Overload/TestOverload.cpp
+++ b/Tests/Kernel/Jobs/Overload/TestOverload.cpp
@@ -115,6 +115,32 @@
     REQUIRE(worker.processedEnds - worker.durableEnds < worker.processedEnds / 2);
 }
 
+TEST_CASE("A gang that has no room does not change its job")
+{
+    // Guards against a gang that is placed in part and taken back with each pass: its row was
+    // stored again each time, in place of the rows of other jobs.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    StepSpecification step;
+    step.gang = true;
+    step.count = 4;
+    step.size = {2000, 100, 0}; // two of them have room
+    fixture.submit("1", step);
+    fixture.scheduler.plan(fixture.now);
+    CHECK_FALSE(fixture.scheduler.takeTransaction(fixture.now));
+    CHECK(fixture.scheduler.jobs().at("1").phase() == JobPhase::Queued);
+
+    SECTION("and is placed when there is room")
+    {
+        fixture.scheduler.setWorkers(
+            fixture.now, {SchedulerFixture::worker("w"), SchedulerFixture::worker("v")});
+        fixture.answerPoll("v");
+        fixture.planAndCommit();
+        CHECK(fixture.starts.size() == step.count);
+    }
+}
+
 TEST_CASE("A task is placed although larger ones before it in the queue find no room")
 {
     // Guards against a pass that takes a size for unplaceable because another size was.
