Kernel/Jobs: Skip sizes without room also for gangs and by label

Cause: a planning pass still looked at all workers for each waiting gang, and for each waiting step with a label whose workers were full while others had room.

Change: the sizes that find no room are kept by the required label, and those of gangs are kept too.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -43,7 +43,7 @@
         if (found == workersByPool.end())
             continue;
         const std::vector<Worker *> &workers = found->second;
-        UnplaceableSizes unplaceable;
+        std::map<std::string, UnplaceableSizes> unplaceable;
         std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
             return std::tie(left.priority, left.overdue, left.deadline)
                    < std::tie(right.priority, right.overdue, right.deadline);
@@ -79,11 +79,13 @@
     return worker.consecutiveFailedRuns >= failuresBeforeProbing;
 }
 
-bool JobScheduler::hasRoom(const std::vector<Worker *> &workers, const TaskSize &size)
+bool JobScheduler::hasRoom(const std::vector<Worker *> &workers, const StepSpecification &step)
 {
+    const TaskSize size = reservedSize(step);
     return std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
+        const bool hasLabel = step.requiredLabel.empty() || worker->hasLabel(step.requiredLabel);
         const bool isBusyProbe = isProbed(*worker) && !worker->runs.empty();
-        return !isBusyProbe && fitsInto(size, worker->freeCapacity());
+        return hasLabel && !isBusyProbe && fitsInto(size, worker->freeCapacity());
     });
 }
 
@@ -139,21 +141,30 @@
 }
 
 void JobScheduler::placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                             const std::vector<Worker *> &usable, UnplaceableSizes &unplaceable)
+                             const std::vector<Worker *> &usable,
+                             std::map<std::string, UnplaceableSizes> &unplaceable)
 {
     Job::Step &state = job.occurrences().at(occurrence).steps[step];
-    const TaskSize size = reservedSize(job.step(step));
-    if (state.ready == 0 || (unplaceable.contain(size) && !m_hooks.defects.ignoreCapacity))
+    if (state.ready == 0)
+        return;
+    const StepSpecification &specification = job.step(step);
+    UnplaceableSizes &sizes = unplaceable[specification.requiredLabel];
+    const TaskSize size = reservedSize(specification);
+    if (sizes.contain(size) && !m_hooks.defects.ignoreCapacity)
         return;
     const TaskName first{job.id(), occurrence, step, 0};
     const std::vector<Worker *> workers = workersWithAdvice(now, job, first, usable);
-    if (job.step(step).gang)
-        return placeGang(now, job, occurrence, step, workers);
+    if (specification.gang) {
+        placeGang(now, job, occurrence, step, workers);
+        if (state.ready > 0 && !hasRoom(usable, specification))
+            sizes.add(size);
+        return;
+    }
     // All tasks of a step have the same size, so placing one affects only whether its own worker
     // remains a candidate.
     auto candidates = candidatesFor(job, first, workers);
-    if (candidates.empty() && !hasRoom(usable, size))
-        unplaceable.add(size);
+    if (candidates.empty() && !hasRoom(usable, specification))
+        sizes.add(size);
     for (unsigned index = 0; index < state.tasks.size() && !candidates.empty(); ++index) {
         const Job::Task &task = state.tasks[index];
         if (task.phase != TaskPhase::Ready)
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -263,11 +263,13 @@
     /// Whether the worker gets new runs only when it has none, because several runs in a row
     /// failed.
     static bool isProbed(const Worker &worker);
-    /// Whether one of the workers can run a task of this size.
-    static bool hasRoom(const std::vector<Worker *> &workers, const TaskSize &size);
-    /// Places the ready tasks of a step. Adds its size to \a unplaceable when no worker has room.
+    /// Whether one of the workers has the label of the step and room for one of its tasks.
+    static bool hasRoom(const std::vector<Worker *> &workers, const StepSpecification &step);
+    /// Places the ready tasks of a step. Adds its size to \a unplaceable, by the required label,
+    /// when no worker has room.
     void placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                   const std::vector<Worker *> &workers, UnplaceableSizes &unplaceable);
+                   const std::vector<Worker *> &workers,
+                   std::map<std::string, UnplaceableSizes> &unplaceable);
     void placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                    const std::vector<Worker *> &workers);
     /// Number of tasks of the step that the worker has room for, none of which it runs yet.
