--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -13,7 +13,9 @@
 constexpr std::size_t occurrenceBytes = 64;
 constexpr std::size_t stepBytes = 4;
 constexpr std::size_t doneTaskBytes = 16;
-constexpr std::size_t unfinishedTaskBytes = 128; // with its run and its worker
+constexpr std::size_t unfinishedTaskBytes = 56; // without its worker
+constexpr std::size_t workerBytes
+    = 32; // of most names; longer ones are counted when they are known
 constexpr std::size_t failedRunBytes = 21;
 
 std::size_t maximumBytes(const Job::Occurrence &occurrence)
@@ -25,8 +27,8 @@
             continue;
         for (const Job::Task &task : step.tasks) {
             if (task.phase != TaskPhase::Done)
-                bytes += unfinishedTaskBytes + task.checkpoint.size()
-                         + task.failedRuns.size() * failedRunBytes;
+                bytes += unfinishedTaskBytes + std::max(workerBytes, task.worker.size())
+                         + task.checkpoint.size() + task.failedRuns.size() * failedRunBytes;
         }
     }
     return bytes;
@@ -133,7 +135,7 @@
     std::size_t newTasks = 0;
     for (const auto &step : m_submitted.specification.steps)
         newTasks += step.count;
-    std::size_t bytes = newTasks * unfinishedTaskBytes + occurrenceBytes;
+    std::size_t bytes = newTasks * (unfinishedTaskBytes + workerBytes) + occurrenceBytes;
     for (const auto &[number, occurrence] : m_occurrences)
         bytes += maximumBytes(occurrence);
     return bytes <= maximumOccurrencesBytes;
