Services/Jobs: Never set the estimated time of the store back

Cause: the time of the store was taken anew from each answer, however late this process handled it (0.43 s in the incident).

Change: StoreClock keeps the answer that was handled with the least delay.

--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -156,7 +156,7 @@
     hooks.leaseHeld = m_hooks.leaseHeld;
     hooks.waves = m_hooks.waves;
     hooks.storeTime = [this] {
-        return storeTime();
+        return m_storeClock.at(m_hooks.clock());
     };
     hooks.observe = [this](std::string_view kind) {
         m_metrics.countEvent(kind);
@@ -185,7 +185,7 @@
 
 void SchedulerSession::workerRowsRead(const ReadResult &result)
 {
-    updateStoreTime(result.storeMilliseconds);
+    m_storeClock.update(result.storeMilliseconds, m_hooks.clock());
     // After a failed read, the scheduler keeps the workers of the last complete list.
     if (result.status == ReadStatus::Ok) {
         for (const Row &row : result.rows) {
@@ -281,44 +281,23 @@
 void SchedulerSession::writePendingCounts()
 {
     // The counts are as old as the knowledge of the rows of jobs.
-    const PendingCounts counts{storeTimeAt(m_replica->jobsCurrentSince()),
+    const PendingCounts counts{m_storeClock.at(m_replica->jobsCurrentSince()),
                                m_scheduler->pendingJobs()};
     m_countTimer.runAfter(countWriteInterval, [this] { writePendingCounts(); });
     for (const auto &[queue, count] : counts.byQueue)
         m_metrics.setWaitingJobs(queue, count);
     Transaction transaction;
-    transaction.operationId
-        = "pending/" + std::to_string(m_epoch) + '/' + std::to_string(storeTime());
+    transaction.operationId = "pending/" + std::to_string(m_epoch) + '/'
+                              + std::to_string(m_storeClock.at(m_hooks.clock()));
     transaction.checks = {{std::string(hostsEpochKey), m_hostsEpochVersion}};
     transaction.writes = {{std::string(pendingJobsKey), encodePendingCounts(counts)}};
     m_ports.store->commit(transaction,
                           [this, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
                               if (!alive.expired())
-                                  updateStoreTime(result.storeMilliseconds);
+                                  m_storeClock.update(result.storeMilliseconds, m_hooks.clock());
                           });
 }
 
-void SchedulerSession::updateStoreTime(std::int64_t milliseconds)
-{
-    if (milliseconds == 0)
-        return;
-    m_storeTime = milliseconds;
-    m_storeTimeUpdatedAt = m_hooks.clock();
-}
-
-std::int64_t SchedulerSession::storeTimeAt(TimePoint time) const
-{
-    if (m_storeTime == 0)
-        return 0;
-    const Duration elapsed = time - m_storeTimeUpdatedAt;
-    return m_storeTime + std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
-}
-
-std::int64_t SchedulerSession::storeTime() const
-{
-    return storeTimeAt(m_hooks.clock());
-}
-
 void SchedulerSession::tick()
 {
     addFinishedJobs();
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -5,6 +5,7 @@
 #include "JobRowReplica.h"
 #include "PlatformPorts.h"
 #include "SchedulerLoadReport.h"
+#include "StoreClock.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
 #include <LibBase/OneShotTimer.h>
@@ -86,10 +87,6 @@
     void commitCleanup();
     /// Writes the number of waiting jobs of each queue, periodically.
     void writePendingCounts();
-    void updateStoreTime(std::int64_t milliseconds);
-    /// Estimates the time of the store's clock in milliseconds now, or at \a time; 0: not known.
-    std::int64_t storeTime() const;
-    std::int64_t storeTimeAt(TimePoint time) const;
     /// Plans periodically, so that orders that are due at a certain time are sent.
     void tick();
     void startTickTimer();
@@ -115,8 +112,7 @@
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
-    std::int64_t m_storeTime = 0; ///< latest known time of the store, in milliseconds; 0: none
-    TimePoint m_storeTimeUpdatedAt; ///< local time at which m_storeTime was received
+    StoreClock m_storeClock;
     OneShotTimer m_startRetryTimer; ///< retries of store calls before the scheduling begins
     OneShotTimer m_tickTimer;
     OneShotTimer m_planTimer;
