LibHttp: Keep a server until its last responder is destroyed

Cause: a process that stops while a call is in progress destroys its HTTP server before the event loop whose timer holds the call. The responder of the call has a connection that refers to the server: use after free at the end of the process.

Change: responders keep the server; a response after its end is dropped.

--- a/Libraries/LibHttp/RestinioServer.cpp
+++ b/Libraries/LibHttp/RestinioServer.cpp
@@ -58,9 +58,11 @@
 class RestinioResponder : public HttpResponder
 {
 public:
-    RestinioResponder(restinio::request_handle_t request, std::shared_ptr<ConnectionTable> table,
-                      std::uint64_t serial)
-        : m_request(std::move(request)), m_table(std::move(table)), m_serial(serial)
+    /// The connection of \a request belongs to \a server, which is kept as long.
+    RestinioResponder(std::shared_ptr<const void> server, restinio::request_handle_t request,
+                      std::shared_ptr<ConnectionTable> table, std::uint64_t serial)
+        : m_server(std::move(server)), m_request(std::move(request)), m_table(std::move(table)),
+          m_serial(serial)
     {
         m_table->responsePending();
     }
@@ -91,6 +93,7 @@
     }
 
 private:
+    std::shared_ptr<const void> m_server; ///< destroyed after m_request
     std::atomic<bool> m_sent{false};
     restinio::request_handle_t m_request;
     std::shared_ptr<ConnectionTable> m_table;
@@ -103,7 +106,7 @@
     void destroyHandlers() { shutdown(); }
 };
 
-class RestinioServer : public HttpServer
+class RestinioServer : public std::enable_shared_from_this<RestinioServer>
 {
 public:
     RestinioServer(const HttpServerSettings &settings, HttpServerHooks hooks)
@@ -116,9 +119,9 @@
         asio::use_service<TlsService>(m_context).handshakeLimit = m_settings.readTimeout;
     }
 
-    ~RestinioServer() override
+    ~RestinioServer()
     {
-        stopThreads();
+        stop();
         // The connections belong to handlers of the context and refer to the server, so that they
         // are destroyed before it.
         m_context.destroyHandlers();
@@ -127,7 +130,7 @@
     Result<void> open()
     {
         BOOST_LEAF_CHECK(reloadCertificate());
-        http_parser_set_max_header_size(headerBlockLimit);
+        http_parser_set_max_header_size(HttpServer::headerBlockLimit);
         asio::error_code addressError;
         const auto address = asio::ip::make_address(m_settings.address, addressError);
         if (addressError)
@@ -145,12 +148,10 @@
         return {};
     }
 
-    std::uint16_t port() const override { return m_port; }
-    std::size_t openConnections() const override { return m_table->connections(); }
+    std::uint16_t port() const { return m_port; }
+    const ConnectionTable &connections() const { return *m_table; }
 
-    std::size_t pendingResponses() const override { return m_table->pendingResponses(); }
-
-    Result<void> reloadCertificate() override
+    Result<void> reloadCertificate()
     {
         if (!m_settings.tls)
             return {};
@@ -159,12 +160,18 @@
         return {};
     }
 
-    void closeListener() override
+    void closeListener()
     {
         m_server->close_async([] {}, [](const std::exception_ptr &) {});
     }
 
-    void stop() override { stopThreads(); }
+    void stop()
+    {
+        m_context.stop();
+        for (auto &thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
 
 private:
     static ResponseMessage plainRefusal(InputFault fault, const std::string &detail)
@@ -210,9 +217,9 @@
             .write_http_response_timelimit(writeLimit)
             .handle_request_timeout(handlingLimit)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                          .max_url_size(headerBlockLimit)
-                                          .max_field_name_size(headerBlockLimit)
-                                          .max_field_value_size(headerBlockLimit)
+                                          .max_url_size(HttpServer::headerBlockLimit)
+                                          .max_field_name_size(HttpServer::headerBlockLimit)
+                                          .max_field_value_size(HttpServer::headerBlockLimit)
                                           .max_field_count(m_settings.maximumHeaders)
                                           .max_body_size(m_settings.maximumBodyBytes))
             .request_handler(
@@ -235,7 +242,8 @@
     {
         const std::uint64_t serial = m_nextSerial.fetch_add(1, std::memory_order_relaxed);
         m_table->requestStarted(request->connection_id(), serial);
-        auto responder = std::make_shared<RestinioResponder>(request, m_table, serial);
+        auto responder
+            = std::make_shared<RestinioResponder>(shared_from_this(), request, m_table, serial);
         if (const std::string *name = invalidHeaderName(request)) {
             responder->send(m_hooks.onInputFault(InputFault::MalformedRequest,
                                                  "invalid header name \"" + *name + '"'));
@@ -257,14 +265,6 @@
         return restinio::request_accepted();
     }
 
-    void stopThreads()
-    {
-        m_context.stop();
-        for (auto &thread : m_threads)
-            thread.join();
-        m_threads.clear();
-    }
-
     HttpServerSettings m_settings;
     HttpServerHooks m_hooks;
     std::shared_ptr<ConnectionTable> m_table;
@@ -275,14 +275,35 @@
     std::vector<std::thread> m_threads;
 };
 
+/// Owner of a server. The server itself stays until its last responder is destroyed, too.
+class ServerOwner : public HttpServer
+{
+public:
+    explicit ServerOwner(std::shared_ptr<RestinioServer> server) : m_server(std::move(server)) { }
+    ~ServerOwner() override { m_server->stop(); }
+
+    std::uint16_t port() const override { return m_server->port(); }
+    std::size_t openConnections() const override { return m_server->connections().connections(); }
+    std::size_t pendingResponses() const override
+    {
+        return m_server->connections().pendingResponses();
+    }
+    Result<void> reloadCertificate() override { return m_server->reloadCertificate(); }
+    void closeListener() override { m_server->closeListener(); }
+    void stop() override { m_server->stop(); }
+
+private:
+    std::shared_ptr<RestinioServer> m_server;
+};
+
 } // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::start(const HttpServerSettings &settings,
                                                       HttpServerHooks hooks)
 {
-    auto server = std::make_unique<RestinioServer>(settings, std::move(hooks));
+    auto server = std::make_shared<RestinioServer>(settings, std::move(hooks));
     BOOST_LEAF_CHECK(server->open());
-    return std::unique_ptr<HttpServer>(std::move(server));
+    return std::make_unique<ServerOwner>(std::move(server));
 }
 
 } // namespace Peridot
--- a/Libraries/LibHttp/include/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -92,8 +92,8 @@
     virtual Result<void> reloadCertificate() = 0;
     /// Accepts no further connection; open ones stay.
     virtual void closeListener() = 0;
-    /// Joins the threads; connections are no longer served. Responders must be destroyed before the
-    /// server.
+    /// Joins the threads; connections are no longer served. Responders may outlive the server;
+    /// their responses are then dropped.
     virtual void stop() = 0;
 };
 
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -217,6 +217,19 @@
 
 // Guards against a data race on the connection counter of RESTinio, which ThreadSanitizer reports
 // when two threads of the server create connections at the same time.
+TEST_CASE("A request may be answered after its server was destroyed")
+{
+    // Guards against a process that stops with a call in progress and then uses freed memory.
+    std::shared_ptr<HttpResponder> responder;
+    {
+        ServerFixture fixture;
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(std::string("GET /hold HTTP/1.1\r\n\r\n")));
+        responder = fixture.held.get_future().get().second;
+    }
+    responder->send({200, {}, "late"});
+}
+
 TEST_CASE("Connections that arrive at once are served by several threads")
 {
     constexpr int clients = 4;
