Kernel/Jobs: Count a task as in service only when its worker has settled

Change: a task counts as in service only if its worker has answered a poll at least the stop limit after its first answer to this scheduler.

Test: "A new scheduler evacuates no task while those that its predecessor stopped still run" stopped one at once before.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -292,6 +292,12 @@
     observe("run-placed", runName, worker.description.id);
 }
 
+bool JobScheduler::isSettled(const Worker &worker) const
+{
+    return worker.contacted && worker.failedPolls == 0
+           && worker.lastContact >= worker.contactedSince + m_timing.stopLimit;
+}
+
 unsigned JobScheduler::unavailableTasks(const Job &job, unsigned occurrence, unsigned step) const
 {
     const auto &tasks = job.occurrences().at(occurrence).steps[step].tasks;
@@ -300,8 +306,8 @@
         const Job::Task &task = tasks[index];
         const auto worker = m_workers.find(task.worker);
         const WorkerRun *run = nullptr;
-        const bool reachable = worker != m_workers.end() && worker->second.failedPolls == 0;
-        if (task.phase == TaskPhase::Active && reachable)
+        const bool known = worker != m_workers.end() && isSettled(worker->second);
+        if (task.phase == TaskPhase::Active && known)
             run = worker->second.runs.find({{job.id(), occurrence, step, index}, task.run});
         if (run == nullptr || run->phase != RunPhase::Running || run->progressPercent != 100)
             ++unavailable;
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -126,6 +126,8 @@
     if (!checkIncarnation(now, worker, order, reply))
         return;
     worker.failedPolls = 0;
+    if (!worker.contacted)
+        worker.contactedSince = now;
     worker.contacted = worker.announcedIncarnation == 0;
     worker.lastContact = now;
     if (order.incarnation == reply.startedAt)
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -281,7 +281,10 @@
     /// or when the step may span racks.
     std::string gangRack(const Job &job, unsigned step, const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
-    /// Number of tasks of a long-running step that are not in service.
+    /// Whether the worker is reachable and has ended the runs that an earlier scheduler stopped: it
+    /// refuses further orders of that scheduler once it is contacted.
+    bool isSettled(const Worker &worker) const;
+    /// Number of tasks of a long-running step that are not in service, or may be stopping.
     unsigned unavailableTasks(const Job &job, unsigned occurrence, unsigned step) const;
     /// Stops runs on workers that are draining or unschedulable and whose tasks can move.
     void evacuate(TimePoint now);
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -73,6 +73,7 @@
     TimePoint announcedAt; ///< when the list showed announcedIncarnation
     std::int64_t refutedIncarnation = 0; ///< of a wrong entry of the list; 0: none
     bool contacted = false; ///< the current incarnation answered a poll under the current epoch
+    TimePoint contactedSince; ///< when it answered the first such poll
     bool unschedulable = false; ///< gets no new runs: its host will be maintained or moved
     WorkerRuns runs;
     /// Runs of jobs that the scheduler does not know, with the time of the next stop order.
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -251,6 +251,43 @@
     REQUIRE(fixture.stops.size() == 2);
 }
 
+TEST_CASE("A new scheduler evacuates no task while those that its predecessor stopped still run")
+{
+    // Guards against tasks that a worker lists although it was just ordered to stop them: with
+    // those of the successor, more tasks of a step were away than it allows (AVAIL).
+    SchedulerFixture fixture;
+    std::vector<WorkerDescription> workers{SchedulerFixture::worker("a"),
+                                           SchedulerFixture::worker("b")};
+    workers[1].draining = true;
+    fixture.scheduler.setWorkers(fixture.now, workers);
+    SubmittedJob job;
+    job.id = "0000000000000001";
+    job.queue = fixture.queue;
+    StepSpecification step;
+    step.longRunning = true;
+    step.count = 2;
+    step.size = {1000, 100, 0};
+    job.specification.steps = {step};
+    JobProgress progress;
+    progress.phase = JobPhase::Running;
+    progress.occurrences = {{0, {{{false, {}, {}, 1, "a"}, {false, {}, {}, 1, "b"}}}}};
+    fixture.scheduler.addJob(fixture.now, job, progress, 1);
+    const auto pollBoth = [&] {
+        for (const unsigned index : {0U, 1U}) {
+            const ActiveRun run{{{job.id, 0, 0, index}, 1}, {}, 100, {}};
+            fixture.answerPoll(workers[index].id, 1000, {run});
+        }
+        fixture.now += 60ms; // more than the period of the checks
+        fixture.scheduler.plan(fixture.now);
+    };
+    pollBoth();
+    CHECK(fixture.stops.empty()); // the run on the other worker may be about to stop
+
+    fixture.now += 500ms;
+    pollBoth();
+    REQUIRE(fixture.stops.size() == 1);
+}
+
 TEST_CASE("A poll that was lost is repeated without a wait")
 {
     // Guards against leases that lapse although the worker answers: a poll that follows a failed
