Services/Jobs, platform: Run what must be in time before what waits

Change: answers and steps are tasks with a priority (TaskQueue): lease, election and configuration first, then changes of rows, then other answers, then planning. A planning pass places at most 128 tasks and goes on with the next pool. Polls are sent apart from the passes. A new scheduler polls the workers and extends their leases as soon as its epoch is claimed (TakeoverLeases), and adds the loaded jobs in steps of 32 rows; changes that arrive meanwhile are applied afterwards, so that no cancellation comes before its job.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -118,6 +118,13 @@
     }
 }
 
+void JobScheduler::leasesWereExtended(TimePoint now)
+{
+    const TimePoint end = now + m_timing.workerLease * maximumLeasePercent / 100;
+    for (auto &[id, worker] : m_workers)
+        worker.assumeLeasesUntil(end);
+}
+
 void JobScheduler::addFinishedJob(const std::string &id, TimePoint finishedAt)
 {
     m_retained.emplace(id, finishedAt + m_timing.statusRetention);
@@ -218,7 +225,7 @@
         m_hooks.observe({kind, run, worker, std::move(detail)});
 }
 
-void JobScheduler::plan(TimePoint now)
+bool JobScheduler::plan(TimePoint now)
 {
     if (now >= m_nextCheck) {
         m_nextCheck = now + checkPeriod;
@@ -228,8 +235,9 @@
         restartStalled(now);
         evacuate(now);
     }
-    placeTasks(now);
+    const bool complete = placeTasks(now);
     sendDueOrders(now);
+    return complete;
 }
 
 std::map<std::string, unsigned> JobScheduler::pendingJobs() const
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -28,11 +28,24 @@
             nextStop = now + m_timing.stopLimit;
             m_hooks.orders.stop({id, worker.description.startedAt, name, m_epoch});
         }
-        if (needsPoll(worker) && !worker.pollInFlight && now >= worker.nextPoll)
-            sendPoll(now, worker);
+        sendPollIfDue(now, worker);
     }
 }
 
+void JobScheduler::sendDuePolls(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.description.address.empty())
+            sendPollIfDue(now, worker);
+    }
+}
+
+void JobScheduler::sendPollIfDue(TimePoint now, Worker &worker)
+{
+    if (needsPoll(worker) && !worker.pollInFlight && now >= worker.nextPoll)
+        sendPoll(now, worker);
+}
+
 void JobScheduler::sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run)
 {
     Job *job = jobOf(name.task);
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -32,29 +32,47 @@
     return queues;
 }
 
-void JobScheduler::placeTasks(TimePoint now)
+bool JobScheduler::placeTasks(TimePoint now)
 {
+    m_placements = 0;
     auto queues = queuesByPool(now);
     if (queues.empty())
-        return;
+        return true;
     const auto workersByPool = candidatesByPool(now);
-    for (auto &[pool, queue] : queues) {
-        const auto found = workersByPool.find(pool);
-        if (found == workersByPool.end())
+    // After a pass that was ended by its limit, the next one begins with the next pool, so that
+    // none is left out.
+    auto next = queues.upper_bound(m_lastPool);
+    m_lastPool.clear();
+    for (std::size_t count = 0; count < queues.size(); ++count, ++next) {
+        if (next == queues.end())
+            next = queues.begin();
+        auto &[pool, queue] = *next;
+        const auto workers = workersByPool.find(pool);
+        if (workers == workersByPool.end() || placePool(now, queue, workers->second))
             continue;
-        const std::vector<Worker *> &workers = found->second;
-        std::map<std::string, UnplaceableSizes> unplaceable;
-        std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
-            return std::tie(left.priority, left.overdue, left.deadline)
-                   < std::tie(right.priority, right.overdue, right.deadline);
-        });
-        for (const PoolQueueEntry &entry : queue) {
-            for (auto &[number, occurrence] : entry.job->occurrences()) {
-                for (unsigned step = 0; step < occurrence.steps.size(); ++step)
-                    placeStep(now, *entry.job, number, step, workers, unplaceable);
-            }
+        m_lastPool = pool;
+        return false;
+    }
+    return true;
+}
+
+bool JobScheduler::placePool(TimePoint now, std::vector<PoolQueueEntry> &queue,
+                             const std::vector<Worker *> &workers)
+{
+    std::map<std::string, UnplaceableSizes> unplaceable;
+    std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.priority, left.overdue, left.deadline)
+               < std::tie(right.priority, right.overdue, right.deadline);
+    });
+    for (const PoolQueueEntry &entry : queue) {
+        for (auto &[number, occurrence] : entry.job->occurrences()) {
+            for (unsigned step = 0; step < occurrence.steps.size(); ++step)
+                placeStep(now, *entry.job, number, step, workers, unplaceable);
         }
+        if (m_placements >= maximumPlacementsPerPass)
+            return false;
     }
+    return true;
 }
 
 bool JobScheduler::acceptsRuns(TimePoint now, const Worker &worker)
@@ -289,6 +307,7 @@
     worker.runs.add(runName, newRun(job.step(name.step), now));
     m_recording.emplace_back(worker.description.id, runName);
     markDirty(job);
+    ++m_placements;
     observe("run-placed", runName, worker.description.id);
 }
 
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -49,6 +49,10 @@
 /// second, so that the effect of an order is visible only after that.
 constexpr std::chrono::milliseconds throttleInterval{600};
 
+/// Number of tasks after which a planning pass ends, so that its duration does not grow with what
+/// waits. The next pass goes on with the other pools.
+constexpr std::size_t maximumPlacementsPerPass = 128;
+
 /// Interval of the checks for expired leases, stalled runs and workers to evacuate. Their time
 /// limits are seconds, and each check visits all runs.
 constexpr std::chrono::milliseconds checkPeriod{50};
--- /dev/null
+++ b/Kernel/Jobs/TakeoverLeases.cpp
@@ -0,0 +1,78 @@
+#include <Kernel/Jobs/TakeoverLeases.h>
+
+#include "SchedulerLimits.h"
+#include <utility>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+// A poll takes a few milliseconds, so that all workers of a fleet are reached within a second.
+constexpr std::size_t maximumPollsInFlight = 48;
+constexpr std::chrono::milliseconds failedPollDelay{300};
+
+} // namespace
+
+TakeoverLeases::TakeoverLeases(std::uint64_t epoch, Duration lease, Hooks hooks)
+    : m_epoch(epoch), m_lease(lease), m_hooks(std::move(hooks))
+{
+}
+
+void TakeoverLeases::setWorkers(const std::vector<WorkerDescription> &workers)
+{
+    for (const WorkerDescription &worker : workers)
+        m_workers.try_emplace(worker.id, worker);
+}
+
+void TakeoverLeases::sendDuePolls(TimePoint now)
+{
+    for (auto &[id, polled] : m_workers) {
+        if (m_inFlight >= maximumPollsInFlight)
+            return;
+        // An idle worker stays idle: it refuses orders of earlier schedulers once it has answered.
+        const bool isDone = polled.answered && !polled.hasRuns;
+        if (!isDone && !polled.pollInFlight && now >= polled.nextPoll)
+            sendPoll(now, polled);
+    }
+}
+
+void TakeoverLeases::sendPoll(TimePoint now, PolledWorker &polled)
+{
+    PollOrder order;
+    order.worker = polled.worker.description.id;
+    order.incarnation = polled.worker.description.startedAt;
+    order.fencingEpoch = m_epoch;
+    order.sentAt = now;
+    if (polled.worker.clockKnown())
+        order.leaseEnd = polled.worker.extendLease(now, m_lease);
+    polled.pollInFlight = true;
+    ++m_inFlight;
+    m_hooks.poll(order);
+}
+
+void TakeoverLeases::pollFinished(TimePoint now, const PollOrder &order, const PollReply &reply)
+{
+    const auto found = m_workers.find(order.worker);
+    if (found == m_workers.end())
+        return;
+    PolledWorker &polled = found->second;
+    polled.pollInFlight = false;
+    --m_inFlight;
+    if (reply.outcome == OrderOutcome::Fenced)
+        return m_hooks.fenced();
+    polled.nextPoll = now + failedPollDelay;
+    if (reply.outcome != OrderOutcome::Accepted)
+        return;
+    if (reply.startedAt != polled.worker.description.startedAt)
+        polled.worker.beginIncarnation(reply.startedAt);
+    if (reply.clock)
+        polled.worker.updateClock(*reply.clock, now);
+    m_answered += polled.answered ? 0 : 1;
+    polled.answered = true;
+    polled.hasRuns = !reply.active.empty();
+    // The first answer tells the clock of the worker, so that the next poll can extend the lease.
+    polled.nextPoll = order.leaseEnd ? now + pollWait : now;
+    sendDuePolls(now);
+}
+
+} // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -98,6 +98,10 @@
                 Version progressVersion);
     void cancelJob(TimePoint now, const std::string &id);
 
+    /// Tells that this process has extended leases of workers, apart from this scheduler, until
+    /// \a now.
+    void leasesWereExtended(TimePoint now);
+
     /// Adds a finished job, whose progress row is removed after its retention.
     void addFinishedJob(const std::string &id, TimePoint finishedAt);
 
@@ -107,8 +111,11 @@
     void pollFinished(TimePoint now, const PollOrder &order, const PollReply &reply);
     void adviceFinished(TimePoint now, const AdviceRequest &request, const AdviceReply &reply);
 
-    /// Places ready tasks and sends the orders that are due.
-    void plan(TimePoint now);
+    /// Places ready tasks and sends the orders that are due. A pass places a limited number of
+    /// tasks, so that its duration is bounded. Returns false when that limit ended it.
+    bool plan(TimePoint now);
+    /// Sends the polls that are due, apart from the passes: polls extend the leases of workers.
+    void sendDuePolls(TimePoint now);
 
     /// Next rows to write; nothing when there are none or a transaction is in flight.
     std::optional<Transaction> takeTransaction(TimePoint now);
@@ -244,7 +251,11 @@
     // JobSchedulerPlacement.cpp
     /// Jobs with ready tasks, by pool.
     std::map<std::string, std::vector<PoolQueueEntry>> queuesByPool(TimePoint now);
-    void placeTasks(TimePoint now);
+    /// Returns false when the limit of a pass left steps that were not looked at.
+    bool placeTasks(TimePoint now);
+    /// The same for the jobs of one pool.
+    bool placePool(TimePoint now, std::vector<PoolQueueEntry> &queue,
+                   const std::vector<Worker *> &workers);
     static bool acceptsRuns(TimePoint now, const Worker &worker);
     /// Workers that accept new runs.
     WorkersByPool candidatesByPool(TimePoint now);
@@ -321,6 +332,7 @@
     void sendDueOrders(TimePoint now);
     void sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
     void sendStop(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
+    void sendPollIfDue(TimePoint now, Worker &worker);
     void sendPoll(TimePoint now, Worker &worker);
     static std::string checkpointOf(Job &job, const TaskName &name);
     static bool needsPoll(const Worker &worker);
@@ -355,6 +367,8 @@
     std::vector<RowWrite> m_cleanupWrites; ///< of the cleanup in flight
     std::set<std::string> m_jobRowsToRemove; ///< keys of rows of finished jobs
     TimePoint m_nextCleanup; ///< earliest time of the next cleanup
+    std::size_t m_placements = 0; ///< of the current pass
+    std::string m_lastPool; ///< where the limit of a pass ended the latest one; empty: none
     TimePoint m_nextFlush; ///< earliest time of the next transaction
     TimePoint m_nextCheck; ///< next check of due times, leases, stalled runs and evacuations
     TimePoint m_nextExpiry; ///< next removal of rows of finished jobs
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -25,14 +25,9 @@
 
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
-      m_clock(processNow),
-      m_frontend(context, *m_ports.callerStore,
-                 {m_clock, [this] { return configuration(); },
-                  [this](const JobCall &call, CallOutcome outcome, Duration duration) {
-                      m_metrics.recordAnswer(call, outcome, duration);
-                  }}),
-      m_election({m_settings.host, m_settings.instance, m_settings.processors, {}}, *m_ports.store,
-                 electionHooks()),
+      m_clock(processNow), m_frontend(context, *m_ports.callerStore, frontendHooks()),
+      m_election({m_settings.host, m_settings.instance, m_settings.processors, {}},
+                 *m_ports.urgentStore, electionHooks()),
       m_electionTimer(context), m_observeTimer(context)
 {
 }
@@ -96,8 +91,8 @@
     hooks.onCurrent = [this](TimePoint requestedAt) {
         m_storeReachedAt = requestedAt.time_since_epoch().count();
     };
-    m_operatorFollower = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed,
-                                                       settings, m_clock, std::move(hooks));
+    m_operatorFollower = std::make_unique<RowFollower>(
+        m_context, *m_ports.urgentStore, *m_ports.urgentFeed, settings, m_clock, std::move(hooks));
     m_operatorFollower->start();
 }
 
@@ -135,9 +130,9 @@
     RowFollowerSettings settings;
     settings.prefix = std::string(prefix);
     settings.wait = wait;
-    auto follower
-        = std::make_unique<RowFollower>(m_context, *m_ports.store, *m_ports.feed, settings, m_clock,
-                                        RowFollower::changeHooks(std::move(onChange)));
+    auto follower = std::make_unique<RowFollower>(m_context, *m_ports.urgentStore,
+                                                  *m_ports.urgentFeed, settings, m_clock,
+                                                  RowFollower::changeHooks(std::move(onChange)));
     follower->start();
     return follower;
 }
@@ -150,6 +145,19 @@
     });
 }
 
+JobFrontend::Hooks JobService::frontendHooks()
+{
+    JobFrontend::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.configuration = [this] {
+        return configuration();
+    };
+    hooks.onAnswered = [this](const JobCall &call, CallOutcome outcome, Duration duration) {
+        m_metrics.recordAnswer(call, outcome, duration);
+    };
+    return hooks;
+}
+
 SchedulerElection::Hooks JobService::electionHooks()
 {
     SchedulerElection::Hooks hooks;
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -67,6 +67,7 @@
     /// Puts the configuration of this row in force, unless it is older than the one in force.
     void applyConfigurationRow(const Row &row);
     void followTransfers();
+    JobFrontend::Hooks frontendHooks();
     /// Advances the election, periodically.
     void runElection();
     void observeLease();
--- a/Services/Jobs/PlatformPorts.h
+++ b/Services/Jobs/PlatformPorts.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/HostOrders.h>
 #include <Kernel/Jobs/WorkerOrders.h>
+#include <LibBase/TaskQueue.h>
 #include <LibStore/ChangeFeed.h>
 #include <LibStore/Store.h>
 #include <functional>
@@ -31,6 +32,12 @@
     /// not delay those of the scheduler, above all renewals of its lease.
     Store *callerStore = nullptr;
     ChangeFeed *feed = nullptr;
+    /// The same store and feed for what must be in time however much else waits: the lease of the
+    /// scheduler, the rows of its election, and the configuration.
+    Store *urgentStore = nullptr;
+    ChangeFeed *urgentFeed = nullptr;
+    /// Runs the replies of the store and of the workers, and the work of the scheduler.
+    TaskQueue *tasks = nullptr;
     std::string operatorPrefix; ///< key prefix of the rows that administrators write
     std::string workerPrefix; ///< key prefix of the rows in which workers register themselves
     /// Decodes the configuration row. Returns null for another or a malformed row.
--- a/Services/Jobs/SchedulerLoadReport.cpp
+++ b/Services/Jobs/SchedulerLoadReport.cpp
@@ -32,15 +32,22 @@
     m_eventDelay = std::max(m_eventDelay, now - dueAt);
 }
 
+void SchedulerLoadReport::backgroundRan(TimePoint postedAt, TimePoint now)
+{
+    m_backgroundDelay = std::max(m_backgroundDelay, now - postedAt);
+}
+
 void SchedulerLoadReport::report(TimePoint now, const SchedulerBacklog &backlog,
                                  Duration jobRowsAge)
 {
     m_nextReport = now + reportPeriod;
     m_metrics.setSchedulerLoad(
         {m_eventDelay, m_longestPass, jobRowsAge, backlog.unacknowledgedEnds});
-    if (m_eventDelay >= notableEventDelay || jobRowsAge >= notableJobRowsAge) {
+    if (std::max(m_eventDelay, m_backgroundDelay) >= notableEventDelay
+        || jobRowsAge >= notableJobRowsAge) {
         logEvent(LogLevel::Warning, "scheduler-load",
                  {{"event_delay_ms", milliseconds(m_eventDelay)},
+                  {"background_delay_ms", milliseconds(m_backgroundDelay)},
                   {"passes", std::uint64_t{m_passes}},
                   {"planning_ms", milliseconds(m_planning)},
                   {"longest_pass_ms", milliseconds(m_longestPass)},
@@ -52,7 +59,7 @@
                   {"oldest_contact_ms", milliseconds(backlog.oldestContact)}});
     }
     m_passes = 0;
-    m_planning = m_longestPass = m_eventDelay = Duration{0};
+    m_planning = m_longestPass = m_eventDelay = m_backgroundDelay = Duration{0};
 }
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -111,10 +111,37 @@
     m_progressEpochVersion = claim.versions.at(std::string(progressEpochKey));
     m_hostsEpochVersion = claim.versions.at(std::string(hostsEpochKey));
     // From the claim on, no earlier scheduler changes a row, so what was committed before is final.
-    m_replica->whenCurrentSince(m_hooks.clock(), [this] { beginScheduling(); });
+    m_replica->whenCurrentSince(m_hooks.clock(), [this] { beginLoading(); });
+    beginTakeoverPolls();
 }
 
-void SchedulerSession::beginScheduling()
+void SchedulerSession::beginTakeoverPolls()
+{
+    TakeoverLeases::Hooks hooks;
+    WorkerReplyHooks replies;
+    replies.polled = [this, alive = std::weak_ptr(m_alive)](const auto &order, const auto &reply) {
+        if (!alive.expired() && m_takeoverLeases)
+            m_takeoverLeases->pollFinished(m_hooks.clock(), order, reply);
+    };
+    hooks.poll = m_ports.connectWorkers(replies).poll;
+    hooks.fenced = [this] {
+        reportFenced();
+    };
+    m_takeoverLeases
+        = std::make_unique<TakeoverLeases>(m_epoch, m_timing.workerLease, std::move(hooks));
+    readWorkers({});
+    takeoverTick();
+}
+
+void SchedulerSession::takeoverTick()
+{
+    if (m_fencedReported)
+        return;
+    m_takeoverLeases->sendDuePolls(m_hooks.clock());
+    m_tickTimer.runAfter(tickInterval, [this] { takeoverTick(); });
+}
+
+SchedulerHooks SchedulerSession::schedulerHooks()
 {
     SchedulerHooks hooks;
     hooks.orders = m_ports.connectWorkers(replyHooks());
@@ -130,20 +157,7 @@
                   {"worker", event.worker},
                   {"detail", event.detail}});
     };
-    const TimePoint now = m_hooks.clock();
-    m_scheduler = std::make_unique<JobScheduler>(m_epoch, m_progressEpochVersion, m_timing,
-                                                 std::move(hooks), now);
-    if (m_configuration)
-        m_scheduler->setConfiguration(m_configuration);
-    m_loadedProgress = m_replica->takeProgress();
-    logEvent(LogLevel::Info, "scheduling-began",
-             {{"epoch", m_epoch},
-              {"progress_rows", static_cast<std::uint64_t>(m_loadedProgress.size())}});
-    addLoadedJobs();
-    beginHostSession();
-    readWorkers({});
-    tick();
-    writePendingCounts();
+    return hooks;
 }
 
 void SchedulerSession::beginHostSession()
@@ -196,13 +210,21 @@
         }
         if (result.more && !result.rows.empty())
             return readWorkers(result.rows.back().key);
-        m_scheduler->setWorkers(m_hooks.clock(), m_scannedWorkers);
-        schedulePlan();
+        m_listedWorkers = std::move(m_scannedWorkers);
+        workersListed();
     }
     m_readingWorkers = false;
     m_workerTimer.runAfter(workerReadInterval, [this] { readWorkers({}); });
 }
 
+void SchedulerSession::workersListed()
+{
+    if (!m_scheduling)
+        return m_takeoverLeases->setWorkers(m_listedWorkers);
+    m_scheduler->setWorkers(m_hooks.clock(), m_listedWorkers);
+    schedulePlan();
+}
+
 WorkerReplyHooks SchedulerSession::replyHooks()
 {
     // Replies that arrive after the end of this session are ignored.
@@ -222,20 +244,30 @@
 
 void SchedulerSession::schedulePlan()
 {
-    if (std::exchange(m_planScheduled, true))
+    if (!m_scheduling || std::exchange(m_planScheduled, true))
         return;
-    const auto runScheduledPlan = [this] {
+    if (m_hooks.clock() < m_nextPlanAt)
+        return m_planTimer.runAfter(m_nextPlanAt - m_hooks.clock(), [this] { postPlan(); });
+    postPlan();
+}
+
+void SchedulerSession::postPlan()
+{
+    runInBackground([this] {
         m_planScheduled = false;
         plan();
-    };
-    if (m_hooks.clock() < m_nextPlanAt)
-        return m_planTimer.runAfter(m_nextPlanAt - m_hooks.clock(), runScheduledPlan);
-    asio::post(m_context, [runScheduledPlan, alive = std::weak_ptr(m_alive)] {
-        if (!alive.expired())
-            runScheduledPlan();
     });
 }
 
+void SchedulerSession::runInBackground(std::function<void()> step)
+{
+    m_ports.tasks->post(TaskPriority::Background,
+                        [step = std::move(step), alive = std::weak_ptr(m_alive)] {
+                            if (!alive.expired())
+                                step();
+                        });
+}
+
 void SchedulerSession::plan()
 {
     if (m_fencedReported)
@@ -243,10 +275,12 @@
     const TimePoint begin = m_hooks.clock();
     if (m_configuration)
         m_hostSession->plan(*m_scheduler, *m_configuration);
-    m_scheduler->plan(m_hooks.clock());
+    const bool complete = m_scheduler->plan(m_hooks.clock());
     commitTransaction();
     const TimePoint end = m_hooks.clock();
     m_loadReport.passFinished(end - begin);
+    if (!complete)
+        return schedulePlan();
     m_nextPlanAt = end + std::min<Duration>((end - begin) * planPauseFactor, maximumPlanPause);
 }
 
@@ -300,20 +334,24 @@
 
 void SchedulerSession::tick()
 {
-    addFinishedJobs();
-    commitCleanup();
-    plan();
-    reportLoad();
-    startTickTimer();
-}
-
-void SchedulerSession::startTickTimer()
-{
-    m_tickDueAt = m_hooks.clock() + tickInterval;
-    m_tickTimer.runAfter(tickInterval, [this] {
-        m_loadReport.timerRan(m_tickDueAt, m_hooks.clock());
+    const TimePoint now = m_hooks.clock();
+    m_tickTimer.runAfter(tickInterval, [this, dueAt = now + tickInterval] {
+        m_loadReport.timerRan(dueAt, m_hooks.clock());
         tick();
     });
+    // Polls extend the leases of workers, so that they don't wait for the planning.
+    if (!m_fencedReported)
+        m_scheduler->sendDuePolls(now);
+    if (std::exchange(m_upkeepPosted, true))
+        return;
+    runInBackground([this, postedAt = now] {
+        m_upkeepPosted = false;
+        m_loadReport.backgroundRan(postedAt, m_hooks.clock());
+        addFinishedJobs();
+        commitCleanup();
+        schedulePlan();
+        reportLoad();
+    });
 }
 
 void SchedulerSession::reportLoad()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -8,6 +8,7 @@
 #include "StoreClock.h"
 #include <Kernel/Fleet/Reconciler.h>
 #include <Kernel/Jobs/JobScheduler.h>
+#include <Kernel/Jobs/TakeoverLeases.h>
 #include <LibBase/OneShotTimer.h>
 #include <functional>
 #include <map>
@@ -46,7 +47,8 @@
 
     void start();
     void setConfiguration(std::shared_ptr<const JobConfiguration> configuration);
-    /// Returns the scheduler; null until the replica of the rows is complete.
+    /// Returns the scheduler; null until the replica of the rows is complete, and not scheduling
+    /// before its jobs are loaded.
     const JobScheduler *scheduler() const { return m_scheduler.get(); }
 
 private:
@@ -64,9 +66,15 @@
     void epochsRead(const ReadResult &result);
     void writeEpoch(const Row &row, const std::shared_ptr<EpochClaim> &claim);
     void epochClaimed(const EpochClaim &claim);
-    void beginScheduling();
-    /// Passes the jobs of the replica to the scheduler.
-    void addLoadedJobs();
+    /// Extends the leases of workers until the rows of the jobs are loaded.
+    void beginTakeoverPolls();
+    void takeoverTick();
+    /// Creates the scheduler, and passes the jobs of the replica to it in several steps.
+    void beginLoading();
+    SchedulerHooks schedulerHooks();
+    void loadNextJobs();
+    /// Begins to schedule when all jobs are loaded.
+    void loadingFinished();
     /// Passes the next finished jobs of the replica to the scheduler. Only the removal of their
     /// rows depends on them, so they must not delay the start of waiting tasks.
     void addFinishedJobs();
@@ -79,17 +87,21 @@
     void readWorkers(const std::string &startAfter);
     void beginHostSession();
     void workerRowsRead(const ReadResult &result);
+    void workersListed();
     /// Schedules a planning pass, unless one is scheduled already.
     void schedulePlan();
+    void postPlan();
     void plan();
+    /// Runs \a step when nothing more urgent waits, unless this session has ended by then.
+    void runInBackground(std::function<void()> step);
     /// Commits the scheduler's next transaction, if it has one.
     void commitTransaction();
     void commitCleanup();
     /// Writes the number of waiting jobs of each queue, periodically.
     void writePendingCounts();
-    /// Plans periodically, so that orders that are due at a certain time are sent.
+    /// Sends polls that are due and plans, periodically, so that orders that are due at a certain
+    /// time are sent.
     void tick();
-    void startTickTimer();
     void reportLoad();
     /// Stops planning and calls the hook fenced().
     void reportFenced();
@@ -106,20 +118,26 @@
     std::unique_ptr<JobRowReplica> m_replica;
     /// Progress rows by key, each until its job is passed to the scheduler.
     JobRowReplica::Rows m_loadedProgress;
+    /// Rows of jobs and cancellations that are not passed to the scheduler yet, by key.
+    JobRowReplica::Rows m_loadedJobs;
+    std::vector<RowChange> m_changesWhileLoading;
+    std::unique_ptr<TakeoverLeases> m_takeoverLeases; ///< null: not taking over
     /// Versions of the epoch rows, as written by this session.
     Version m_progressEpochVersion = absentVersion;
     Version m_hostsEpochVersion = absentVersion;
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
+    std::vector<WorkerDescription> m_listedWorkers; ///< of the last complete scan
     StoreClock m_storeClock;
     OneShotTimer m_startRetryTimer; ///< retries of store calls before the scheduling begins
     OneShotTimer m_tickTimer;
     OneShotTimer m_planTimer;
     OneShotTimer m_workerTimer;
     OneShotTimer m_countTimer;
-    TimePoint m_tickDueAt;
+    bool m_upkeepPosted = false; ///< the periodic work in the background waits
     SchedulerLoadReport m_loadReport;
+    bool m_scheduling = false; ///< all jobs are loaded
     bool m_planScheduled = false;
     TimePoint m_nextPlanAt; ///< earliest time of the next planning pass that events cause
     bool m_readingWorkers = false; ///< a scan of registrations is in progress
--- a/Services/Jobs/SchedulerSessionRows.cpp
+++ b/Services/Jobs/SchedulerSessionRows.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t finishedJobsPerTick = 50;
+// Events that must be in time are handled between two steps.
+constexpr std::size_t rowsPerLoadingStep = 32;
 
 void logUnreadableRow(const std::string &key, const Error &error)
 {
@@ -18,6 +20,56 @@
 
 } // namespace
 
+void SchedulerSession::beginLoading()
+{
+    const TimePoint now = m_hooks.clock();
+    m_scheduler = std::make_unique<JobScheduler>(m_epoch, m_progressEpochVersion, m_timing,
+                                                 schedulerHooks(), now);
+    if (m_configuration)
+        m_scheduler->setConfiguration(m_configuration);
+    m_loadedProgress = m_replica->takeProgress();
+    m_loadedJobs = m_replica->takeJobs([this](const RowChange &change) {
+        if (m_scheduling)
+            return jobRowChanged(change);
+        // A cancellation must not come before its job.
+        m_changesWhileLoading.push_back(change);
+    });
+    loadNextJobs();
+}
+
+void SchedulerSession::loadNextJobs()
+{
+    if (m_fencedReported)
+        return;
+    for (std::size_t count = 0; count < rowsPerLoadingStep && !m_loadedJobs.empty(); ++count) {
+        const auto first = m_loadedJobs.extract(m_loadedJobs.begin());
+        jobRowChanged({first.mapped(), false});
+    }
+    if (m_loadedJobs.empty())
+        return loadingFinished();
+    runInBackground([this] { loadNextJobs(); });
+}
+
+void SchedulerSession::loadingFinished()
+{
+    const TimePoint now = m_hooks.clock();
+    for (const RowChange &change : std::exchange(m_changesWhileLoading, {}))
+        jobRowChanged(change);
+    logEvent(LogLevel::Info, "scheduling-began",
+             {{"epoch", m_epoch},
+              {"jobs", std::uint64_t{m_scheduler->jobs().size()}},
+              {"progress_rows", std::uint64_t{m_loadedProgress.size()}},
+              {"polled_workers", std::uint64_t{m_takeoverLeases->answered()}}});
+    m_takeoverLeases.reset();
+    m_scheduling = true;
+    if (!m_listedWorkers.empty())
+        m_scheduler->setWorkers(now, m_listedWorkers);
+    m_scheduler->leasesWereExtended(now);
+    beginHostSession();
+    tick();
+    writePendingCounts();
+}
+
 void SchedulerSession::jobRowChanged(const RowChange &change)
 {
     const std::string &key = change.row.key;
@@ -32,14 +84,6 @@
     schedulePlan();
 }
 
-void SchedulerSession::addLoadedJobs()
-{
-    const auto rows
-        = m_replica->takeJobs([this](const RowChange &change) { jobRowChanged(change); });
-    for (const auto &[key, row] : rows)
-        jobRowChanged({row, false});
-}
-
 void SchedulerSession::addJob(const Row &row)
 {
     valueOrElse(
--- /dev/null
+++ b/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
@@ -0,0 +1,107 @@
+#include <Kernel/Jobs/TakeoverLeases.h>
+#include <catch2/catch.hpp>
+#include <fmt/core.h>
+#include <utility>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+class TakeoverFixture
+{
+public:
+    TakeoverFixture()
+        : leases(7, 6s,
+                 {[this](const PollOrder &order) { polls.push_back(order); },
+                  [this] {
+                      fenced = true;
+                  }})
+    {
+    }
+
+    static WorkerDescription worker(const std::string &id)
+    {
+        WorkerDescription description;
+        description.id = id;
+        description.startedAt = 1000;
+        return description;
+    }
+    /// Answers all polls that were sent.
+    void answer(OrderOutcome outcome, bool hasRuns)
+    {
+        for (const PollOrder &order : std::exchange(polls, {})) {
+            PollReply reply{outcome, WorkerClock{500}, 1000, {}, {}};
+            if (hasRuns)
+                reply.active = {{{{"job", 0, 0, 0}, 1}, {}, 100, {}}};
+            leases.pollFinished(now, order, reply);
+        }
+    }
+
+    TimePoint now{std::chrono::hours(1)};
+    std::vector<PollOrder> polls;
+    bool fenced = false;
+    TakeoverLeases leases;
+};
+
+} // namespace
+
+TEST_CASE("The leases of workers are extended before the rows of the jobs are loaded")
+{
+    // Guards against leases that expire while a new scheduler reads many rows (LOST).
+    TakeoverFixture fixture;
+    fixture.leases.setWorkers({TakeoverFixture::worker("w")});
+    fixture.leases.sendDuePolls(fixture.now);
+    REQUIRE(fixture.polls.size() == 1);
+    CHECK(fixture.polls.front().fencingEpoch == 7);
+    CHECK(fixture.polls.front().acknowledgedEnds == 0);
+    CHECK_FALSE(fixture.polls.front().leaseEnd); // the clock of the worker is not known yet
+
+    SECTION("of a worker that runs something, again and again")
+    {
+        fixture.answer(OrderOutcome::Accepted, true);
+        REQUIRE(fixture.polls.size() == 1);
+        CHECK(fixture.polls.front().leaseEnd == WorkerClock{6500});
+        fixture.answer(OrderOutcome::Accepted, true);
+        CHECK(fixture.polls.empty());
+        fixture.now += 1500ms;
+        fixture.leases.sendDuePolls(fixture.now);
+        REQUIRE(fixture.polls.size() == 1);
+        CHECK(fixture.polls.front().leaseEnd == WorkerClock{8000});
+    }
+    SECTION("not of an idle worker")
+    {
+        fixture.answer(OrderOutcome::Accepted, false);
+        fixture.now += 10s;
+        fixture.leases.sendDuePolls(fixture.now);
+        CHECK(fixture.polls.empty());
+        CHECK(fixture.leases.answered() == 1);
+    }
+    SECTION("of a worker whose first poll was lost")
+    {
+        fixture.answer(OrderOutcome::Unknown, false);
+        fixture.now += 300ms;
+        fixture.leases.sendDuePolls(fixture.now);
+        CHECK(fixture.polls.size() == 1);
+    }
+    SECTION("not by a scheduler that another one has succeeded")
+    {
+        fixture.answer(OrderOutcome::Fenced, false);
+        CHECK(fixture.fenced);
+    }
+}
+
+TEST_CASE("A takeover reaches all workers although few polls are in flight at the same time")
+{
+    TakeoverFixture fixture;
+    std::vector<WorkerDescription> workers;
+    for (unsigned number = 0; number < 350; ++number)
+        workers.push_back(TakeoverFixture::worker(fmt::format("w{}", number)));
+    fixture.leases.setWorkers(workers);
+    fixture.leases.sendDuePolls(fixture.now);
+    CHECK(fixture.polls.size() < 100);
+    while (!fixture.polls.empty())
+        fixture.answer(OrderOutcome::Accepted, false);
+    CHECK(fixture.leases.answered() == 350);
+}
--- /dev/null
+++ b/Tests/LibBase/TestTaskQueue.cpp
@@ -0,0 +1,61 @@
+#include <LibBase/OneShotTimer.h>
+#include <LibBase/TaskQueue.h>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+
+using namespace Peridot;
+using namespace std::chrono_literals;
+
+TEST_CASE("Urgent work does not wait for what was ready before it")
+{
+    // Guards against renewals of a lease and polls that wait behind planning and rows (LOST).
+    asio::io_context context;
+    TaskQueue tasks(context);
+    std::string order;
+    const auto add = [&](TaskPriority priority, char name) {
+        tasks.post(priority, [&order, name] { order += name; });
+    };
+
+    SECTION("the higher priority runs first")
+    {
+        add(TaskPriority::Background, 'b');
+        add(TaskPriority::Normal, 'n');
+        add(TaskPriority::Urgent, 'u');
+        context.run();
+        CHECK(order == "unb");
+    }
+    SECTION("a timer that becomes due runs before the tasks that wait")
+    {
+        OneShotTimer timer(context);
+        timer.runAfter(1ms, [&] { order += 't'; });
+        for (const char name : {'1', '2', '3'}) {
+            tasks.post(TaskPriority::Background, [&order, name] {
+                std::this_thread::sleep_for(5ms);
+                order += name;
+            });
+        }
+        context.run();
+        CHECK(order.find('t') < order.find('2'));
+    }
+    SECTION("the lowest priority gets a turn although higher ones never end")
+    {
+        std::function<void()> repeat = [&] {
+            if (order.empty())
+                tasks.post(TaskPriority::Urgent, repeat);
+        };
+        repeat();
+        add(TaskPriority::Background, 'b');
+        context.run_for(2s);
+        CHECK(order == "b");
+    }
+    SECTION("the other tasks run after one that throws")
+    {
+        tasks.post(TaskPriority::Normal, [] { throw std::runtime_error("unexpected"); });
+        add(TaskPriority::Normal, 'n');
+        CHECK_THROWS(context.run());
+        context.restart();
+        context.run();
+        CHECK(order == "n");
+    }
+}
--- a/Tests/Services/Jobs/ServiceFixture.h
+++ b/Tests/Services/Jobs/ServiceFixture.h
@@ -91,6 +91,9 @@
         ports.store = &store;
         ports.callerStore = &store;
         ports.feed = &feed;
+        ports.urgentStore = &store;
+        ports.urgentFeed = &feed;
+        ports.tasks = &tasks;
         ports.operatorPrefix = "op/";
         ports.workerPrefix = "servers/";
         ports.decodeConfiguration = [](const Row &) {
@@ -155,6 +158,7 @@
     }
 
     asio::io_context context;
+    TaskQueue tasks{context};
     ClockedStore store;
     MemoryFeed feed;
     std::function<PollReply(const PollOrder &)> onPoll = [](const PollOrder &) {
