Services/Jobs: Leave the store room for the lease of the scheduler

Callers saw accepted jobs that never ran (LOST).

Cause, by its class: a retry storm that shares its limit with what must not fail. Change: a submission that the store refuses for the rate of all calls is written at most twice; each process passes on a share of its submissions that falls with such refusals and rises without them, and answers the others "overloaded" (429), after the rows have shown that no earlier copy was accepted. When the store takes no such reads either, the answer is "unavailable" at once. A failed renewal of the lease is tried again after 0.1 s (before: 0.2 s), and is logged with its reason (lease-renewal-failed), which told the hypotheses apart.

--- a/Kernel/Jobs/SchedulerElection.cpp
+++ b/Kernel/Jobs/SchedulerElection.cpp
@@ -17,7 +17,9 @@
 // A faster host observes the free lease within one observation interval of half a second, and then
 // needs a store call to acquire it.
 constexpr std::chrono::milliseconds slowHostDelay{900};
-constexpr std::chrono::milliseconds storeRetryDelay{200};
+// Short enough for many attempts at a renewal while the store refuses some calls because of their
+// rate.
+constexpr std::chrono::milliseconds storeRetryDelay{100};
 // After an outage of the store, other processes wait this long before they acquire the lease, so
 // that the former holder, which has the jobs loaded, can acquire it first.
 constexpr std::chrono::milliseconds outageTakeoverDelay{1000};
@@ -190,11 +192,29 @@
 void SchedulerElection::leaseRequestFinished(const StoreReply &reply)
 {
     const TimePoint now = m_hooks.clock();
+    const bool wasHeld = held().has_value();
     m_leaseKeeper.finish(now, reply);
+    reportFailedRequest(reply, wasHeld);
     m_transfer.setLeading(now, held().has_value());
     m_hooks.leaseChanged();
 }
 
+void SchedulerElection::reportFailedRequest(const StoreReply &reply, bool wasHeld) const
+{
+    // Requests of processes that do not hold the lease fail often, as others win.
+    if (!wasHeld)
+        return;
+    if (const auto *commit = std::get_if<CommitResult>(&reply)) {
+        if (commit->status != CommitStatus::Committed)
+            m_hooks.observe("lease-renewal-failed",
+                            commit->rateLimited
+                                ? "rate-limited"
+                                : std::string(commitStatusNames.nameOf(commit->status)));
+    } else if (std::get<ReadResult>(reply).status != ReadStatus::Ok) {
+        m_hooks.observe("lease-renewal-failed", "read");
+    }
+}
+
 void SchedulerElection::candidateRowChanged(const RowChange &change)
 {
     const std::string host = change.row.key.substr(candidatePrefix.size());
--- a/Kernel/include/Kernel/Jobs/SchedulerElection.h
+++ b/Kernel/include/Kernel/Jobs/SchedulerElection.h
@@ -71,6 +71,8 @@
     void updateWanted();
     void sendLeaseRequest();
     void leaseRequestFinished(const StoreReply &reply);
+    /// Tells why a renewal of the lease, which this process held until then or still holds, failed.
+    void reportFailedRequest(const StoreReply &reply, bool wasHeld) const;
     void sendTransferWrite();
     /// Writes the row by which the leader knows this process, unless it is up to date.
     void announce();
--- a/Libraries/LibStore/include/LibStore/Transaction.h
+++ b/Libraries/LibStore/include/LibStore/Transaction.h
@@ -67,6 +67,8 @@
     /// After a conflict: current state of the checked rows, if the store reports it.
     std::vector<Row> currentRows = {};
     std::int64_t storeMilliseconds = 0; ///< on a steady clock of the store, if it reports it
+    /// Only when unavailable: the processes together make more calls than the store takes.
+    bool rateLimited = false;
 };
 
 enum class ReadStatus { Ok, Unavailable };
@@ -79,6 +81,8 @@
     bool more = false; ///< scan only: the limit was reached
     Version revision = absentVersion; ///< latest of the store at the read, if it reports it
     std::int64_t storeMilliseconds = 0; ///< on a steady clock of the store, if it reports it
+    /// Only when unavailable: the processes together make more calls than the store takes.
+    bool rateLimited = false;
 };
 
 } // namespace Peridot
--- a/Services/Jobs/JobCalls.h
+++ b/Services/Jobs/JobCalls.h
@@ -43,6 +43,7 @@
     UnknownJob,
     InvalidInput,
     TooLarge,
+    Overloaded, ///< the submission is refused, as its job would start too late
     Unavailable, ///< the call had no effect and will have none; the caller may retry it
     Undetermined, ///< a submission or cancellation may have taken effect, or may do so later
 };
@@ -56,6 +57,7 @@
     {CallOutcome::UnknownJob, "unknown-job"},
     {CallOutcome::InvalidInput, "invalid-input"},
     {CallOutcome::TooLarge, "too-large"},
+    {CallOutcome::Overloaded, "overloaded"},
     {CallOutcome::Unavailable, "unavailable"},
     {CallOutcome::Undetermined, "undetermined"},
 });
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -14,6 +14,8 @@
 // Delay before the first retry of a store call. It doubles with each retry up to the maximum.
 constexpr std::chrono::milliseconds initialRetryDelay{20};
 constexpr std::chrono::milliseconds maximumRetryDelay{200};
+// Further attempts to write a submission would only add to the rate that the store refuses.
+constexpr unsigned maximumRateLimitedRetries = 1;
 // A call fails after this time when the store is unavailable, so that nothing was written. The
 // answer arrives within the latency objective of callers (600 ms), which leaves them time to retry
 // through another process.
@@ -67,7 +69,7 @@
     startTimeout(pending);
     switch (pending->call.kind) {
     case CallKind::Submit:
-        return submit(pending);
+        return admit(pending);
     case CallKind::Query:
         return query(pending);
     case CallKind::Cancel:
@@ -103,6 +105,54 @@
     });
 }
 
+void JobFrontend::admit(const PendingCallPointer &pending)
+{
+    const JobSpecification &specification = pending->call.specification;
+    const bool isShort
+        = specification.occurrences == 0
+          && std::none_of(specification.steps.begin(), specification.steps.end(),
+                          [](const StepSpecification &step) { return step.longRunning; });
+    if (!isShort)
+        return submit(pending);
+    if (m_hooks.refuse) {
+        if (const auto retryAfter = m_hooks.refuse(pending->call.queue))
+            return refuseUnlessAccepted(pending, *retryAfter);
+    }
+    if (!m_submissionThrottle.admit(m_hooks.clock()))
+        return refuseUnlessAccepted(pending, m_submissionThrottle.retryAfter());
+    submit(pending);
+}
+
+void JobFrontend::submissionRateLimited(const PendingCallPointer &pending)
+{
+    m_submissionThrottle.refusedByStore(m_hooks.clock());
+    if (pending->writeMayBeApplied || pending->retries < maximumRateLimitedRetries)
+        return retry(pending, [this, pending] { submit(pending); });
+    refuseUnlessAccepted(pending, m_submissionThrottle.retryAfter());
+}
+
+void JobFrontend::refuseUnlessAccepted(const PendingCallPointer &pending,
+                                       std::chrono::seconds retryAfter)
+{
+    const CallAnswer unavailable{.outcome = CallOutcome::Unavailable, .retryAfter = retryAfter};
+    if (!m_refusalThrottle.admit(m_hooks.clock()))
+        return answer(pending, unavailable);
+    const std::string &id = pending->call.id;
+    m_store.read(
+        {jobKey(id), finishedKey(id)}, [this, pending, retryAfter, unavailable,
+                                        alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+            if (alive.expired() || pending->answered)
+                return;
+            if (result.rateLimited)
+                m_refusalThrottle.refusedByStore(m_hooks.clock());
+            if (result.status != ReadStatus::Ok)
+                return answer(pending, unavailable);
+            if (isPresent(result.rows[0]) || isPresent(result.rows[1]))
+                return answer(pending, {.outcome = CallOutcome::Accepted});
+            answer(pending, {.outcome = CallOutcome::Overloaded, .retryAfter = retryAfter});
+        });
+}
+
 void JobFrontend::submit(const PendingCallPointer &pending)
 {
     const auto configuration = m_hooks.configuration();
@@ -137,6 +187,8 @@
         return answer(pending, {.outcome = CallOutcome::Accepted});
     if (result.status == CommitStatus::Refused && !pending->writeMayBeApplied)
         return answer(pending, {.outcome = CallOutcome::TooLarge});
+    if (result.rateLimited)
+        return submissionRateLimited(pending);
     retry(pending, [this, pending] { submit(pending); });
 }
 
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "JobCalls.h"
+#include "StoreThrottle.h"
 #include <LibBase/Time.h>
 #include <LibStore/Store.h>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace Peridot::Jobs {
 
@@ -25,6 +28,9 @@
         std::function<std::shared_ptr<const JobConfiguration>()> configuration;
         /// Called for each answer with the time since the call arrived, for metrics. May be empty.
         std::function<void(const JobCall &, CallOutcome, Duration)> onAnswered = {};
+        /// Decides about a submission to the queue: nothing when it is accepted, otherwise the time
+        /// after which the caller should repeat it. May be empty: all are accepted.
+        std::function<std::optional<std::chrono::seconds>(const std::string &queue)> refuse = {};
     };
 
     JobFrontend(asio::io_context &context, Store &store, Hooks hooks);
@@ -44,6 +50,14 @@
     /// store answers, the call counts as one whose write may have been applied.
     void commit(const PendingCallPointer &pending, const Transaction &transaction,
                 std::function<void(const CommitResult &)> next);
+    /// Accepts the submission, unless its queue is overloaded.
+    void admit(const PendingCallPointer &pending);
+    /// Repeats a submission whose write the store refused because of the rate of all calls, at most
+    /// once: further attempts would only add to that rate.
+    void submissionRateLimited(const PendingCallPointer &pending);
+    /// Refuses the submission, unless the rows show that an earlier copy of it was accepted. Says
+    /// that the store is not available when it takes no more reads.
+    void refuseUnlessAccepted(const PendingCallPointer &pending, std::chrono::seconds retryAfter);
     void submit(const PendingCallPointer &pending);
     void submitFinished(const PendingCallPointer &pending, const CommitResult &result);
     void query(const PendingCallPointer &pending);
@@ -70,6 +84,8 @@
     asio::io_context &m_context;
     Store &m_store;
     Hooks m_hooks;
+    StoreThrottle m_submissionThrottle;
+    StoreThrottle m_refusalThrottle; ///< of the reads before a refusal
     /// Callbacks that run after the destruction find it expired.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
