Kernel/Jobs: Refuse jobs that would start too late

Cause: nothing bounds what is accepted, so that the backlog, and with it each pass, takeover and read, grows as long as the load lasts. Change: the scheduler compares what waits in a pool with the rate at which it starts tasks there, by priority, and publishes which share of the submissions to each overloaded queue is accepted (row admission/limits, while there are any; valid for 6 s). The other submissions are answered "overloaded" with the expected wait as Retry-After. Jobs that are to last or that are periodic are always accepted.

--- /dev/null
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -0,0 +1,95 @@
+#include <Kernel/Jobs/AdmissionControl.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+// The rate of starts is measured over this time while tasks wait. A burst needs less than the
+// shorter one to show; hosts that are moved to a pool need longer to arrive.
+constexpr std::chrono::milliseconds shortestRateWindow{500};
+constexpr std::chrono::milliseconds longestRateWindow{3000};
+// A queue is limited when its jobs would wait for this part of what they can bear or longer.
+constexpr double targetPart = 0.75;
+// Bounds of the change of a share at each update.
+constexpr double largestDecrease = 0.1;
+constexpr double largestIncrease = 2;
+// A smaller share would not tell when the load has ended.
+constexpr double smallestShare = 0.02;
+constexpr std::chrono::seconds longestRetryAfter{30};
+
+} // namespace
+
+const AdmissionLimits &AdmissionControl::update(TimePoint now, const SchedulerDemand &demand)
+{
+    for (const auto &[pool, started] : demand.startedTasks)
+        addSample(now, demand, pool);
+    m_limits.clear();
+    for (const auto &[name, queue] : demand.queues) {
+        const auto wait = expectedWait(demand, queue);
+        limit(name, wait.value_or(Duration{0}), queue.tolerableWait);
+    }
+    std::erase_if(m_shares,
+                  [&](const auto &entry) { return !demand.queues.contains(entry.first); });
+    return m_limits;
+}
+
+void AdmissionControl::addSample(TimePoint now, const SchedulerDemand &demand,
+                                 const std::string &pool)
+{
+    auto &samples = m_samples[pool];
+    const bool waits
+        = std::any_of(demand.queues.begin(), demand.queues.end(), [&](const auto &entry) {
+              return entry.second.pool == pool && entry.second.waitingTasks > 0;
+          });
+    if (!waits)
+        return samples.clear();
+    samples.push_back({now, demand.startedTasks.at(pool)});
+    while (samples.size() > 2 && samples[1].time <= now - longestRateWindow)
+        samples.pop_front();
+}
+
+std::optional<Duration> AdmissionControl::expectedWait(const SchedulerDemand &demand,
+                                                       const QueueBacklog &queue) const
+{
+    const auto found = m_samples.find(queue.pool);
+    if (found == m_samples.end() || found->second.empty())
+        return std::nullopt;
+    const Sample &first = found->second.front();
+    const Sample &last = found->second.back();
+    if (last.time - first.time < shortestRateWindow)
+        return std::nullopt;
+    std::uint64_t before = 0;
+    for (const auto &[name, other] : demand.queues) {
+        if (other.pool == queue.pool && other.priority <= queue.priority)
+            before += other.waitingTasks;
+    }
+    const Duration window = last.time - first.time;
+    // While the store is away, nothing starts. That tells nothing about the rate afterwards.
+    if (last.startedTasks == first.startedTasks)
+        return window;
+    const double wait = toSeconds(window) * static_cast<double>(before)
+                        / static_cast<double>(last.startedTasks - first.startedTasks);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+}
+
+void AdmissionControl::limit(const std::string &queue, Duration wait, Duration tolerableWait)
+{
+    const double target = targetPart * toSeconds(tolerableWait);
+    const double factor
+        = wait.count() > 0 ? std::clamp(target / toSeconds(wait), largestDecrease, largestIncrease)
+                           : largestIncrease;
+    double &share = m_shares.try_emplace(queue, 1).first->second;
+    share = std::clamp(share * factor, smallestShare, 1.0);
+    if (share == 1)
+        return;
+    AdmissionLimit limit;
+    limit.acceptedPermille = static_cast<unsigned>(std::lround(share * 1000));
+    limit.retryAfter = std::clamp(std::chrono::ceil<std::chrono::seconds>(wait),
+                                  std::chrono::seconds(1), longestRetryAfter);
+    m_limits[queue] = limit;
+}
+
+} // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -82,8 +82,11 @@
 
 void JobScheduler::markStarted(const TaskName &name)
 {
-    if (Job *job = jobOf(name))
-        job->started = true;
+    Job *job = jobOf(name);
+    if (job == nullptr)
+        return;
+    job->started = true;
+    ++m_startedTasks[queueOf(*job).pool];
 }
 
 void JobScheduler::adviceFinished(TimePoint now, const AdviceRequest &request,
--- /dev/null
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <Kernel/Jobs/AdmissionLimits.h>
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Peridot::Jobs {
+
+/// Short tasks of one queue that have not started yet, and what their jobs can bear.
+struct QueueBacklog
+{
+    std::string pool;
+    unsigned priority = 0; ///< 0 is the highest
+    std::uint64_t waitingTasks = 0;
+    /// Time for which an average job of the queue can wait before its result is of no use.
+    Duration tolerableWait{0};
+};
+
+/// The load of all pools at one time.
+struct SchedulerDemand
+{
+    std::map<std::string, QueueBacklog> queues; ///< by name
+    std::map<std::string, std::uint64_t> startedTasks; ///< by pool, since the scheduler began
+};
+
+/// Decides which share of the jobs of each queue is accepted. A job that would start too late,
+/// going by what waits before it and by the rate at which its pool starts tasks, is better refused
+/// at once than accepted, kept waiting and done in vain: the pattern is load shedding by the
+/// expected time in the queue, not by its length. The share follows the load in both directions by
+/// bounded factors, so that what is accepted matches what is started whatever the reason of a low
+/// rate.
+class AdmissionControl
+{
+public:
+    /// Takes the load at \a now and returns the limits in force from now on.
+    const AdmissionLimits &update(TimePoint now, const SchedulerDemand &demand);
+
+private:
+    struct Sample
+    {
+        TimePoint time;
+        std::uint64_t startedTasks = 0;
+    };
+    /// Time that the tasks of the queue wait for a start; nothing when its pool has not had waiting
+    /// tasks for long enough to tell.
+    std::optional<Duration> expectedWait(const SchedulerDemand &demand,
+                                         const QueueBacklog &queue) const;
+    void addSample(TimePoint now, const SchedulerDemand &demand, const std::string &pool);
+    void limit(const std::string &queue, Duration wait, Duration tolerableWait);
+
+    /// Samples of each pool since tasks began to wait there without a break.
+    std::map<std::string, std::deque<Sample>> m_samples;
+    std::map<std::string, double> m_shares; ///< accepted, by queue; 1 when absent
+    AdmissionLimits m_limits;
+};
+
+} // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/AdmissionControl.h>
 #include <Kernel/Jobs/ChangedJobs.h>
 #include <Kernel/Jobs/Job.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
@@ -143,6 +144,9 @@
     /// Number of accepted jobs without a started task, by queue. Periodic jobs are not counted.
     std::map<std::string, unsigned> pendingJobs() const;
     SchedulerBacklog backlog(TimePoint now) const;
+    /// What waits in the queues, and what was started, for the admission of further jobs. Tasks
+    /// that no worker of their pool could run even if it was empty are not counted.
+    SchedulerDemand demand() const;
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
@@ -215,6 +219,8 @@
     static WorkerRun *answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation);
     void pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome);
     void markStarted(const TaskName &name);
+    /// The most that any worker of each pool has of each resource.
+    std::map<std::string, TaskSize> largestCapacities() const;
     /// Compares the incarnation that answered a poll with the known one, and begins a later one.
     /// Returns false for an answer of an earlier incarnation.
     bool checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
@@ -353,6 +359,7 @@
     std::map<TaskName, StepAdvice> m_advice; ///< by the first task of the step
     std::map<std::string, Job> m_jobs; ///< unfinished, or finished without a durable row yet
     std::map<std::string, Worker> m_workers;
+    std::map<std::string, std::uint64_t> m_startedTasks; ///< by pool, since the scheduler began
     ChangedJobs m_dirty;
     std::set<std::string> m_suspects; ///< jobs of a refused transaction
     /// Jobs whose row the store refuses, with the time of the next attempt.
--- /dev/null
+++ b/Services/Jobs/AdmissionGate.cpp
@@ -0,0 +1,42 @@
+#include "AdmissionGate.h"
+
+#include <LibBase/Log.h>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+// The scheduler repeats the limits once a second while there are any. Without a scheduler, nobody
+// would lift them.
+constexpr std::chrono::seconds limitsValidity{6};
+constexpr unsigned wholePermille = 1000;
+
+} // namespace
+
+void AdmissionGate::limitsChanged(TimePoint now, const Row &row)
+{
+    if (row.key != admissionKey)
+        return;
+    m_receivedAt = now;
+    m_limits = valueOrElse([&] { return parseAdmissionLimits(row.value); },
+                           [&](const Error &error) {
+                               logEvent(LogLevel::Error, "row-unreadable",
+                                        {{"key", row.key}, {"error", describe(error)}});
+                               return AdmissionLimits{};
+                           });
+}
+
+std::optional<std::chrono::seconds> AdmissionGate::refuse(TimePoint now, const std::string &queue)
+{
+    const auto limit = m_limits.find(queue);
+    if (limit == m_limits.end() || now >= m_receivedAt + limitsValidity)
+        return std::nullopt;
+    unsigned &credit = m_credits[queue];
+    credit += limit->second.acceptedPermille;
+    if (credit < wholePermille)
+        return limit->second.retryAfter;
+    credit -= wholePermille;
+    return std::nullopt;
+}
+
+} // namespace Peridot::Jobs
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds leaseObservationInterval{500};
 // Transfers are rare, so that a call of this feed usually ends without a change.
 constexpr std::chrono::milliseconds transferFeedWait{10'000};
+// Limits change only while a queue is overloaded.
+constexpr std::chrono::milliseconds admissionFeedWait{10'000};
 constexpr std::chrono::milliseconds candidateFeedWait{5'000};
 constexpr std::chrono::milliseconds leaseFeedWait{1'000};
 // A call of the change feed waits up to half a second for a change of the configuration. Three
@@ -36,6 +38,7 @@
 {
     followConfiguration();
     followTransfers();
+    followAdmissionLimits();
     runElection();
     observeLease();
 }
@@ -145,6 +148,15 @@
     });
 }
 
+void JobService::followAdmissionLimits()
+{
+    m_admissionFollower
+        = follow(admissionPrefix, admissionFeedWait, [this](const RowChange &change) {
+              if (!change.removed)
+                  m_admissionGate.limitsChanged(m_clock(), change.row);
+          });
+}
+
 JobFrontend::Hooks JobService::frontendHooks()
 {
     JobFrontend::Hooks hooks;
@@ -152,6 +164,9 @@
     hooks.configuration = [this] {
         return configuration();
     };
+    hooks.refuse = [this](const std::string &queue) {
+        return m_admissionGate.refuse(m_clock(), queue);
+    };
     hooks.onAnswered = [this](const JobCall &call, CallOutcome outcome, Duration duration) {
         m_metrics.recordAnswer(call, outcome, duration);
     };
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmissionGate.h"
 #include "JobFrontend.h"
 #include "JobMetrics.h"
 #include "PlatformPorts.h"
@@ -67,6 +68,7 @@
     /// Puts the configuration of this row in force, unless it is older than the one in force.
     void applyConfigurationRow(const Row &row);
     void followTransfers();
+    void followAdmissionLimits();
     JobFrontend::Hooks frontendHooks();
     /// Advances the election, periodically.
     void runElection();
@@ -87,6 +89,7 @@
     PlatformPorts m_ports;
     std::function<TimePoint()> m_clock;
     JobMetrics m_metrics;
+    AdmissionGate m_admissionGate;
     JobFrontend m_frontend;
     std::atomic<std::shared_ptr<const JobConfiguration>> m_configuration;
     Version m_configurationVersion = absentVersion; ///< of the row of m_configuration
@@ -99,6 +102,7 @@
     OneShotTimer m_electionTimer;
     OneShotTimer m_observeTimer;
     std::unique_ptr<RowFollower> m_transferFollower;
+    std::unique_ptr<RowFollower> m_admissionFollower;
     std::unique_ptr<RowFollower> m_candidateFollower; ///< null: this process does not schedule
     std::unique_ptr<RowFollower> m_leaseFollower; ///< null: not on standby
     std::unique_ptr<JobRowReplica> m_replica; ///< null: not on standby
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -183,6 +183,7 @@
     m_hostSession = std::make_unique<HostSession>(m_context, m_ports, m_epoch, epochCheck,
                                                   m_hostTiming, std::move(hooks));
     m_hostSession->start();
+    m_admission = std::make_unique<AdmissionPublisher>(m_ports, m_epoch, epochCheck);
 }
 
 void SchedulerSession::readWorkers(const std::string &startAfter)
@@ -342,6 +343,7 @@
     // Polls extend the leases of workers, so that they don't wait for the planning.
     if (!m_fencedReported)
         m_scheduler->sendDuePolls(now);
+    updateAdmission();
     if (std::exchange(m_upkeepPosted, true))
         return;
     runInBackground([this, postedAt = now] {
@@ -354,6 +356,13 @@
     });
 }
 
+void SchedulerSession::updateAdmission()
+{
+    const TimePoint now = m_hooks.clock();
+    if (m_admission->isDue(now) && !m_fencedReported)
+        m_admission->update(now, m_scheduler->demand());
+}
+
 void SchedulerSession::reportLoad()
 {
     const TimePoint now = m_hooks.clock();
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmissionPublisher.h"
 #include "HostSession.h"
 #include "JobMetrics.h"
 #include "JobRowReplica.h"
@@ -102,6 +103,8 @@
     /// Sends polls that are due and plans, periodically, so that orders that are due at a certain
     /// time are sent.
     void tick();
+    /// Limits the submissions to queues whose jobs would start too late.
+    void updateAdmission();
     void reportLoad();
     /// Stops planning and calls the hook fenced().
     void reportFenced();
@@ -127,6 +130,7 @@
     Version m_hostsEpochVersion = absentVersion;
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
+    std::unique_ptr<AdmissionPublisher> m_admission;
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
     std::vector<WorkerDescription> m_listedWorkers; ///< of the last complete scan
     StoreClock m_storeClock;
--- /dev/null
+++ b/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
@@ -0,0 +1,62 @@
+#include "OverloadFixture.h"
+
+#include <Services/Jobs/AdmissionGate.h>
+
+using namespace Peridot;
+using namespace Peridot::Jobs;
+using namespace Peridot::Jobs::Test;
+
+TEST_CASE("A job of an overloaded queue is refused at once")
+{
+    // Guards against callers that wait in vain for a job that cannot be started in time.
+    OverloadFixture fixture;
+    fixture.refusal = 7s;
+
+    SECTION("with the time after which it can be started")
+    {
+        const CallAnswer answer = fixture.submit(1);
+        CHECK(answer.outcome == CallOutcome::Overloaded);
+        CHECK(answer.retryAfter == 7s);
+        CHECK(fixture.store.writeAttempts == 0);
+    }
+    SECTION("but not when an earlier copy of the submission was accepted")
+    {
+        fixture.refusal.reset();
+        fixture.submit(1);
+        fixture.refusal = 7s;
+        CHECK(fixture.submit(1).outcome == CallOutcome::Accepted);
+    }
+    SECTION("but not when it is to last")
+    {
+        CHECK(fixture.submit(1, true).outcome == CallOutcome::Accepted);
+    }
+}
+
+TEST_CASE("Each process applies the limits of the scheduler to its own submissions")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    AdmissionGate gate;
+    gate.limitsChanged(
+        now, {std::string(admissionKey), 1, encodeAdmissionLimits({{"checks", {250, 3s}}})});
+    const auto accepted = [&](const std::string &queue, TimePoint at) {
+        unsigned count = 0;
+        for (unsigned number = 0; number < 100; ++number)
+            count += gate.refuse(at, queue) ? 0 : 1;
+        return count;
+    };
+
+    SECTION("the limited queue gets its share, the others everything")
+    {
+        CHECK(accepted("checks", now) == 25);
+        CHECK(accepted("reports", now) == 100);
+    }
+    SECTION("limits that nobody repeats end")
+    {
+        CHECK(accepted("checks", now + 10s) == 100);
+    }
+    SECTION("a malformed row is no limit")
+    {
+        gate.limitsChanged(now, {std::string(admissionKey), 2, "{\"checks\": 1}"});
+        CHECK(accepted("checks", now) == 100);
+    }
+}
