Kernel/Jobs: Ask the placement advice about other workers after no answer

A request names at most 30 workers, always the first ones that are not known, so that the last of many were never asked while answers were slow. After a request without an answer, the next one begins with the workers behind it. The new test asks about 52 workers without an answer: it needs all of them asked after three requests, which the old order could not give.

--- a/Kernel/Jobs/StepAdvice.cpp
+++ b/Kernel/Jobs/StepAdvice.cpp
@@ -1,5 +1,8 @@
 #include <Kernel/Jobs/StepAdvice.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace Peridot::Jobs {
 
 namespace {
@@ -28,7 +31,12 @@
     std::vector<std::string> result;
     if (m_inFlight || now < m_nextRequestAt)
         return result;
-    for (const std::string &worker : usable) {
+    // While requests are not answered, each one names the next workers.
+    std::vector<std::string> inTurn = usable;
+    const auto next = std::find(inTurn.begin(), inTurn.end(), m_lastUnanswered);
+    if (next != inTurn.end())
+        std::rotate(inTurn.begin(), std::next(next), inTurn.end());
+    for (const std::string &worker : inTurn) {
         if (result.size() < maximumWorkersPerRequest && !m_denied.contains(worker)
             && !ticket(worker, now))
             result.push_back(worker);
@@ -42,6 +50,8 @@
     m_inFlight = false;
     if (!reply.answered) {
         m_nextRequestAt = now + requestRetryDelay;
+        if (!request.workers.empty())
+            m_lastUnanswered = request.workers.back();
         return;
     }
     for (const std::string &worker : request.workers) {
--- a/Kernel/include/Kernel/Jobs/StepAdvice.h
+++ b/Kernel/include/Kernel/Jobs/StepAdvice.h
@@ -35,6 +35,7 @@
     std::map<std::string, Grant> m_granted;
     std::set<std::string> m_denied;
     bool m_inFlight = false;
+    std::string m_lastUnanswered; ///< last worker of the latest request without an answer
     TimePoint m_nextRequestAt;
 };
 
--- a/Tests/Kernel/Jobs/TestStepAdvice.cpp
+++ b/Tests/Kernel/Jobs/TestStepAdvice.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Jobs/StepAdvice.h>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace Peridot;
 using namespace Peridot::Jobs;
@@ -37,3 +38,24 @@
         CHECK(advice.workersToQuery(usable, now + 1s) == usable);
     }
 }
+
+TEST_CASE("Each worker is asked about although the advice answers slowly")
+{
+    // Guards against requests that name the same first workers each time.
+    StepAdvice advice;
+    TimePoint now(1h);
+    std::vector<std::string> usable;
+    for (char name = 'a'; name <= 'z'; ++name) {
+        usable.push_back(std::string(1, name) + "0");
+        usable.push_back(std::string(1, name) + "1");
+    }
+    std::set<std::string> asked;
+    for (unsigned request = 0; request < 3; ++request) {
+        const std::vector<std::string> workers = advice.workersToQuery(usable, now);
+        asked.insert(workers.begin(), workers.end());
+        advice.requestSent();
+        advice.requestFinished(now, {{"job", 0, 0, 0}, workers}, {}, 3s);
+        now += 1s;
+    }
+    CHECK(asked.size() == usable.size());
+}
