LibHttp: Do not send a request whose time is nearly over

A request that waited for a connection was sent with a millisecond left. The server then worked in vain, or an order arrived whose answer nobody read. With 20 ms or less left it now ends as not sent.

--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -11,6 +11,8 @@
 
 // Servers come and go; entries of those without a connection are removed once in so many requests.
 constexpr std::size_t requestsBetweenDrops = 1000;
+// A request that has waited and has less time left would be sent in vain.
+constexpr std::chrono::milliseconds shortestExchange{20};
 
 } // namespace
 
@@ -83,7 +85,7 @@
     while (!server.waiting.empty()) {
         Request next = std::move(server.waiting.front());
         server.waiting.pop_front();
-        if (next.deadline > BootClock::now())
+        if (next.deadline > BootClock::now() + shortestExchange)
             return send(endpoint, connection, std::move(next));
         asio::post(m_context,
                    [callback = std::move(next.callback), alive = std::weak_ptr(m_alive)] {
