Kernel/Jobs: Keep after a takeover how long a job has waited

A successor counted the wait of each job from the time at which it first read it, so that all jobs were equally old after a takeover, and old ones seemed to have just arrived.

--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -97,6 +97,9 @@
     /// shows that it is finished, only its remaining rows are removed.
     void addJob(TimePoint now, const SubmittedJob &job, const std::optional<JobProgress> &progress,
                 Version progressVersion);
+    /// The same for a job that was accepted while another process scheduled: it has waited since.
+    void addWaitingJob(TimePoint now, const SubmittedJob &job,
+                       const std::optional<JobProgress> &progress, Version progressVersion);
     void cancelJob(TimePoint now, const std::string &id);
 
     /// Tells that this process has extended leases of workers, apart from this scheduler, until
