Kernel/Jobs: Poll each worker less often while the process is behind

A poll ends with the next end of a run and lists all runs of the worker. The pause between two polls of a worker is four times the delay of background work, at most 1 s; leases last 6 s.

--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -42,6 +42,10 @@
 
 void JobScheduler::sendPollIfDue(TimePoint now, Worker &worker)
 {
+    const bool mayPause
+        = worker.contacted && worker.failedPolls == 0 && !worker.nextPollDecidesRuns();
+    if (mayPause && now < worker.lastPoll + m_pollPause)
+        return;
     if (needsPoll(worker) && !worker.pollInFlight && now >= worker.nextPoll)
         sendPoll(now, worker);
 }
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -120,6 +120,9 @@
     bool plan(TimePoint now);
     /// Sends the polls that are due, apart from the passes: polls extend the leases of workers.
     void sendDuePolls(TimePoint now);
+    /// Sets the minimum time between two polls of a worker. While the process is behind, a longer
+    /// one saves answers that list the same runs again: each poll ends with the next end of a run.
+    void setPollPause(Duration pause) { m_pollPause = pause; }
 
     /// Next rows to write; nothing when there are none or a transaction is in flight.
     std::optional<Transaction> takeTransaction(TimePoint now);
@@ -377,6 +380,7 @@
     std::vector<RowWrite> m_cleanupWrites; ///< of the cleanup in flight
     std::set<std::string> m_jobRowsToRemove; ///< keys of rows of finished jobs
     TimePoint m_nextCleanup; ///< earliest time of the next cleanup
+    Duration m_pollPause{0};
     std::size_t m_placements = 0; ///< of the current pass
     std::string m_lastPool; ///< where the limit of a pass ended the latest one; empty: none
     TimePoint m_nextFlush; ///< earliest time of the next transaction
--- a/Services/Jobs/SchedulerLoadReport.cpp
+++ b/Services/Jobs/SchedulerLoadReport.cpp
@@ -32,9 +32,9 @@
     m_eventDelay = std::max(m_eventDelay, now - dueAt);
 }
 
-void SchedulerLoadReport::backgroundRan(TimePoint postedAt, TimePoint now)
+void SchedulerLoadReport::backgroundRan(Duration delay)
 {
-    m_backgroundDelay = std::max(m_backgroundDelay, now - postedAt);
+    m_backgroundDelay = std::max(m_backgroundDelay, delay);
 }
 
 void SchedulerLoadReport::report(TimePoint now, const SchedulerBacklog &backlog,
--- a/Services/Jobs/SchedulerLoadReport.h
+++ b/Services/Jobs/SchedulerLoadReport.h
@@ -18,9 +18,8 @@
     /// A timer that was due at \a dueAt runs at \a now: the time in between is the delay with which
     /// this process handles events.
     void timerRan(TimePoint dueAt, TimePoint now);
-    /// Background work that was posted at \a postedAt runs at \a now: planning is behind by the
-    /// time in between.
-    void backgroundRan(TimePoint postedAt, TimePoint now);
+    /// Background work ran \a delay after it was posted: planning is behind by this time.
+    void backgroundRan(Duration delay);
     bool isDue(TimePoint now) const { return now >= m_nextReport; }
     /// Reports the second that has passed. \a jobRowsAge is the age of the known state of job rows.
     void report(TimePoint now, const SchedulerBacklog &backlog, Duration jobRowsAge);
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -20,6 +20,10 @@
 // pass handles all events of a pause.
 constexpr int planPauseFactor = 3;
 constexpr std::chrono::milliseconds maximumPlanPause{20};
+// The pause between polls of a worker is this multiple of the delay of background work.
+constexpr int pollPauseFactor = 4;
+// Polls extend leases of six seconds.
+constexpr std::chrono::milliseconds maximumPollPause{1000};
 constexpr std::chrono::milliseconds retryDelay{100};
 constexpr std::size_t scanPage = 500; ///< rows
 
@@ -348,7 +352,9 @@
         return;
     runInBackground([this, postedAt = now] {
         m_upkeepPosted = false;
-        m_loadReport.backgroundRan(postedAt, m_hooks.clock());
+        const Duration delay = m_hooks.clock() - postedAt;
+        m_loadReport.backgroundRan(delay);
+        m_scheduler->setPollPause(std::min<Duration>(delay * pollPauseFactor, maximumPollPause));
         addFinishedJobs();
         commitCleanup();
         schedulePlan();
--- a/Tests/Kernel/Jobs/Overload/TestBoundedPasses.cpp
+++ b/Tests/Kernel/Jobs/Overload/TestBoundedPasses.cpp
@@ -73,4 +73,20 @@
     CHECK(fixture.polls.size() == 1);
     fixture.scheduler.sendDuePolls(fixture.now);
     CHECK(fixture.polls.size() == 1); // one is in flight
+
+    SECTION("with a pause while the process is behind")
+    {
+        fixture.submit("job");
+        fixture.answerPoll("w");
+        fixture.planAndCommit();
+        fixture.polls.clear();
+        fixture.scheduler.setPollPause(1s);
+        fixture.now += 900ms;
+        fixture.answerPoll("w");
+        fixture.scheduler.sendDuePolls(fixture.now);
+        CHECK(fixture.polls.empty());
+        fixture.now += 200ms;
+        fixture.scheduler.sendDuePolls(fixture.now);
+        CHECK(fixture.polls.size() == 1);
+    }
 }
