Kernel/Jobs: Let the accepted share of an overloaded queue fall to 2 of 1,000

With callers that come back, a burst of 1,200 jobs a second is 3,000 submissions a second; 20 of 1,000 of them were still more than the scheduler could start on a slow host.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -17,7 +17,7 @@
 constexpr double largestDecrease = 0.1;
 constexpr double largestIncrease = 2;
 // A smaller share would not tell when the load has ended.
-constexpr double smallestShare = 0.02;
+constexpr double smallestShare = 0.002;
 constexpr std::chrono::seconds longestRetryAfter{30};
 
 } // namespace
