Kernel/Jobs, platform: Extend leases from the arrival of the worker's answer

A lease end is computed from the clock in the last answer of the worker, taken as read when the answer was handled; while the process is behind, answers wait for seconds, and the lease was that much shorter. Now the time for which an answer has waited counts. Also: starts count for the admission when they are ordered, not when their answers are handled, and an unknown rate of starts leaves the accepted share as it is.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -28,8 +28,7 @@
         addSample(now, demand, pool);
     m_limits.clear();
     for (const auto &[name, queue] : demand.queues) {
-        const auto wait = expectedWait(demand, queue);
-        limit(name, wait.value_or(Duration{0}), queue.tolerableWait);
+        limit(name, expectedWait(demand, queue), queue.tolerableWait);
     }
     std::erase_if(m_shares,
                   [&](const auto &entry) { return !demand.queues.contains(entry.first); });
@@ -56,7 +55,7 @@
 {
     const auto found = m_samples.find(queue.pool);
     if (found == m_samples.end() || found->second.empty())
-        return std::nullopt;
+        return Duration{0};
     const Sample &first = found->second.front();
     const Sample &last = found->second.back();
     if (last.time - first.time < shortestRateWindow)
@@ -69,26 +68,29 @@
     const Duration window = last.time - first.time;
     // While the store is away, nothing starts. That tells nothing about the rate afterwards.
     if (last.startedTasks == first.startedTasks)
-        return window;
+        return std::nullopt;
     const double wait = toSeconds(window) * static_cast<double>(before)
                         / static_cast<double>(last.startedTasks - first.startedTasks);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
 }
 
-void AdmissionControl::limit(const std::string &queue, Duration wait, Duration tolerableWait)
+void AdmissionControl::limit(const std::string &queue, std::optional<Duration> wait,
+                             Duration tolerableWait)
 {
-    const double target = targetPart * toSeconds(tolerableWait);
-    const double factor
-        = wait.count() > 0 ? std::clamp(target / toSeconds(wait), largestDecrease, largestIncrease)
-                           : largestIncrease;
     double &share = m_shares.try_emplace(queue, 1).first->second;
-    share = std::clamp(share * factor, smallestShare, 1.0);
+    if (wait) {
+        const double target = targetPart * toSeconds(tolerableWait);
+        const double factor = wait->count() > 0 ? target / toSeconds(*wait) : largestIncrease;
+        share *= std::clamp(factor, largestDecrease, largestIncrease);
+        share = std::clamp(share, smallestShare, 1.0);
+    }
     if (share == 1)
         return;
     AdmissionLimit limit;
     limit.acceptedPermille = static_cast<unsigned>(std::lround(share * 1000));
-    limit.retryAfter = std::clamp(std::chrono::ceil<std::chrono::seconds>(wait),
-                                  std::chrono::seconds(1), longestRetryAfter);
+    limit.retryAfter
+        = std::clamp(std::chrono::ceil<std::chrono::seconds>(wait.value_or(tolerableWait)),
+                     std::chrono::seconds(1), longestRetryAfter);
     m_limits[queue] = limit;
 }
 
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -25,7 +25,7 @@
         return nullptr;
     }
     if (reply.clock)
-        worker.updateClock(*reply.clock, now);
+        worker.updateClock(*reply.clock, now - reply.waited);
     return &worker;
 }
 
@@ -82,11 +82,8 @@
 
 void JobScheduler::markStarted(const TaskName &name)
 {
-    Job *job = jobOf(name);
-    if (job == nullptr)
-        return;
-    job->started = true;
-    ++m_startedTasks[queueOf(*job).pool];
+    if (Job *job = jobOf(name))
+        job->started = true;
 }
 
 void JobScheduler::adviceFinished(TimePoint now, const AdviceRequest &request,
@@ -136,7 +133,7 @@
     if (order.incarnation == reply.startedAt)
         worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
     if (reply.clock)
-        worker.updateClock(*reply.clock, now);
+        worker.updateClock(*reply.clock, now - reply.waited);
     for (const EndedRun &end : reply.ended)
         processEnd(now, worker, end);
     for (const ActiveRun &active : reply.active)
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -210,6 +210,7 @@
             continue;
         run->phase = RunPhase::Starting;
         run->nextOrderAt = now;
+        ++m_startedTasks[worker->second.description.pool];
     }
     sendDueOrders(now);
 }
--- a/Kernel/Jobs/TakeoverLeases.cpp
+++ b/Kernel/Jobs/TakeoverLeases.cpp
@@ -66,7 +66,7 @@
     if (reply.startedAt != polled.worker.description.startedAt)
         polled.worker.beginIncarnation(reply.startedAt);
     if (reply.clock)
-        polled.worker.updateClock(*reply.clock, now);
+        polled.worker.updateClock(*reply.clock, now - reply.waited);
     m_answered += polled.answered ? 0 : 1;
     polled.answered = true;
     polled.hasRuns = !reply.active.empty();
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -45,12 +45,13 @@
         TimePoint time;
         std::uint64_t startedTasks = 0;
     };
-    /// Time that the tasks of the queue wait for a start; nothing when its pool has not had waiting
-    /// tasks for long enough to tell.
+    /// Time that the tasks of the queue wait for a start; nothing while the rate of starts in its
+    /// pool is not known.
     std::optional<Duration> expectedWait(const SchedulerDemand &demand,
                                          const QueueBacklog &queue) const;
     void addSample(TimePoint now, const SchedulerDemand &demand, const std::string &pool);
-    void limit(const std::string &queue, Duration wait, Duration tolerableWait);
+    /// Adapts the share of the queue; an unknown \a wait leaves it as it is.
+    void limit(const std::string &queue, std::optional<Duration> wait, Duration tolerableWait);
 
     /// Samples of each pool since tasks began to wait there without a break.
     std::map<std::string, std::deque<Sample>> m_samples;
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -98,6 +98,7 @@
 {
     OrderOutcome outcome = OrderOutcome::Unknown;
     std::optional<WorkerClock> clock;
+    Duration waited{0}; ///< between the arrival of the reply and its handling
 };
 
 struct ActiveRun
@@ -123,6 +124,7 @@
     std::int64_t startedAt = 0; ///< identifies the incarnation of the worker
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
+    Duration waited{0}; ///< between the arrival of the reply and its handling
 };
 
 /// Asks the placement advice which of these workers may run a step.
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -322,3 +322,24 @@
         REQUIRE(fixture.polls.back().leaseEnd);
     }
 }
+
+TEST_CASE("A lease is extended by its whole length although the answer before was handled late")
+{
+    // Guards against leases that are shorter by the time for which the answer with the clock of the
+    // worker has waited: while the process was behind, they expired between two polls (LOST).
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    fixture.acceptStarts();
+    const PollOrder order{"w", 1000, {}, 1, 0, 0ms, fixture.now};
+    constexpr WorkerClock clock = 100'000'000'000'000; // later than all others
+    fixture.now += 3s;
+    fixture.scheduler.pollFinished(fixture.now, order,
+                                   {OrderOutcome::Accepted, clock, 1000, {}, {}, 3s});
+    fixture.polls.clear();
+    fixture.scheduler.sendDuePolls(fixture.now);
+    REQUIRE(fixture.polls.size() == 1);
+    CHECK(fixture.polls.front().leaseEnd == clock + 9000);
+}
