--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -15,7 +15,10 @@
 constexpr double targetPart = 0.75;
 // Bounds of the change of a share at each update.
 constexpr double largestDecrease = 0.1;
-constexpr double largestIncrease = 2;
+constexpr double largestIncrease = 1.1;
+// The same when little waits any more: the load has ended, or the rate of starts has risen.
+constexpr double recoveryIncrease = 2;
+constexpr double recoveredPart = 0.25; ///< of the target
 // A smaller share would not tell when the load has ended.
 constexpr double smallestShare = 0.002;
 constexpr std::chrono::seconds longestRetryAfter{30};
@@ -80,8 +83,11 @@
     double &share = m_shares.try_emplace(queue, 1).first->second;
     if (wait) {
         const double target = targetPart * toSeconds(tolerableWait);
-        const double factor = wait->count() > 0 ? target / toSeconds(*wait) : largestIncrease;
-        share *= std::clamp(factor, largestDecrease, largestIncrease);
+        const double seconds = toSeconds(*wait);
+        const double factor = seconds <= recoveredPart * target
+                                  ? recoveryIncrease
+                                  : std::min(target / seconds, largestIncrease);
+        share *= std::max(factor, largestDecrease);
         share = std::clamp(share, smallestShare, 1.0);
     }
     if (share == 1)
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -129,9 +129,8 @@
     }
 }
 
-void JobScheduler::leasesWereExtended(TimePoint now)
+void JobScheduler::assumeLeasesUntil(TimePoint end)
 {
-    const TimePoint end = now + m_timing.workerLease * maximumLeasePercent / 100;
     for (auto &[id, worker] : m_workers)
         worker.assumeLeasesUntil(end);
 }
--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -3,28 +3,54 @@
 #include "SchedulerLimits.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
+#include <set>
 
 namespace Peridot::Jobs {
 
 namespace {
 
+/// What any worker of a pool offers.
+struct PoolCapacity
+{
+    TaskSize largest; ///< the most of each resource
+    std::set<std::string> labels;
+};
+
 // A result is late after this multiple of the latency objective, and of no use.
 constexpr int latestObjectives = 3;
 
 /// Number of tasks of the job that have no run and are not done.
-std::uint64_t waitingTasks(const Job &job, const TaskSize &largestCapacity)
+std::uint64_t waitingTasks(const Job &job, const PoolCapacity &pool)
 {
     std::uint64_t waiting = 0;
     for (const auto &[number, occurrence] : job.occurrences()) {
         for (unsigned index = 0; index < occurrence.steps.size(); ++index) {
             const Job::Step &step = occurrence.steps[index];
-            if (fitsInto(reservedSize(job.step(index)), largestCapacity))
+            const StepSpecification &specification = job.step(index);
+            const bool hasLabel = specification.requiredLabel.empty()
+                                  || pool.labels.contains(specification.requiredLabel);
+            if (hasLabel && fitsInto(reservedSize(specification), pool.largest))
                 waiting += step.tasks.size() - step.active - step.done;
         }
     }
     return waiting;
 }
 
+std::map<std::string, PoolCapacity> poolCapacities(const std::map<std::string, Worker> &workers)
+{
+    std::map<std::string, PoolCapacity> pools;
+    for (const auto &[id, worker] : workers) {
+        PoolCapacity &pool = pools[worker.description.pool];
+        const TaskSize &capacity = worker.description.capacity;
+        pool.largest.milliProcessors
+            = std::max(pool.largest.milliProcessors, capacity.milliProcessors);
+        pool.largest.megabytes = std::max(pool.largest.megabytes, capacity.megabytes);
+        pool.largest.accelerators = std::max(pool.largest.accelerators, capacity.accelerators);
+        pool.labels.insert(worker.description.labels.begin(), worker.description.labels.end());
+    }
+    return pools;
+}
+
 Duration tolerableWait(const Job &job, const QueueSettings &queue)
 {
     const Duration runtime = job.criticalPathEstimate();
@@ -35,24 +61,11 @@
 
 } // namespace
 
-std::map<std::string, TaskSize> JobScheduler::largestCapacities() const
-{
-    std::map<std::string, TaskSize> largest;
-    for (const auto &[id, worker] : m_workers) {
-        const TaskSize &capacity = worker.description.capacity;
-        TaskSize &size = largest[worker.description.pool];
-        size.milliProcessors = std::max(size.milliProcessors, capacity.milliProcessors);
-        size.megabytes = std::max(size.megabytes, capacity.megabytes);
-        size.accelerators = std::max(size.accelerators, capacity.accelerators);
-    }
-    return largest;
-}
-
 SchedulerDemand JobScheduler::demand() const
 {
     SchedulerDemand demand;
     demand.startedTasks = m_startedTasks;
-    const auto largest = largestCapacities();
+    const auto pools = poolCapacities(m_workers);
     std::map<std::string, unsigned> jobs;
     for (const auto &[id, job] : m_jobs) {
         if (isFinished(job.phase()) || job.longRunning()
@@ -63,9 +76,9 @@
         queue.pool = settings.pool;
         queue.priority = settings.priority;
         demand.startedTasks.try_emplace(settings.pool);
-        const auto capacity = largest.find(settings.pool);
-        if (capacity != largest.end())
-            queue.waitingTasks += waitingTasks(job, capacity->second);
+        const auto pool = pools.find(settings.pool);
+        if (pool != pools.end())
+            queue.waitingTasks += waitingTasks(job, pool->second);
         // The mean of the jobs so far.
         const auto count = static_cast<Duration::rep>(++jobs[settings.name]);
         queue.tolerableWait += (tolerableWait(job, settings) - queue.tolerableWait) / count;
--- a/Kernel/Jobs/SchedulerElection.cpp
+++ b/Kernel/Jobs/SchedulerElection.cpp
@@ -137,7 +137,7 @@
         m_takeoverPolicy.observe(now, m_leaseKeeper.isFree(now), parseProcessors(fastest));
         if (m_takeoverPolicy.isFastest())
             publishProcessors(fastest);
-    } else {
+    } else if (!result.rateLimited) {
         m_storeFailedAt = now;
     }
     updateWanted();
--- a/Kernel/Jobs/TakeoverLeases.cpp
+++ b/Kernel/Jobs/TakeoverLeases.cpp
@@ -1,6 +1,8 @@
 #include <Kernel/Jobs/TakeoverLeases.h>
 
 #include "SchedulerLimits.h"
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -20,20 +22,43 @@
 
 void TakeoverLeases::setWorkers(const std::vector<WorkerDescription> &workers)
 {
-    for (const WorkerDescription &worker : workers)
+    std::set<std::string> listed;
+    for (const WorkerDescription &worker : workers) {
+        listed.insert(worker.id);
         m_workers.try_emplace(worker.id, worker);
+    }
+    std::erase_if(m_workers, [&](const auto &entry) {
+        const PolledWorker &polled = entry.second;
+        return !listed.contains(entry.first) && !polled.hasRuns && !polled.pollInFlight;
+    });
 }
 
 void TakeoverLeases::sendDuePolls(TimePoint now)
 {
+    std::vector<PolledWorker *> due;
     for (auto &[id, polled] : m_workers) {
-        if (m_inFlight >= maximumPollsInFlight)
-            return;
         // An idle worker stays idle: it refuses orders of earlier schedulers once it has answered.
         const bool isDone = polled.answered && !polled.hasRuns;
         if (!isDone && !polled.pollInFlight && now >= polled.nextPoll)
-            sendPoll(now, polled);
+            due.push_back(&polled);
     }
+    // Those that have waited the longest come first, so that none is left out.
+    std::stable_sort(due.begin(), due.end(), [](const auto *left, const auto *right) {
+        return left->nextPoll < right->nextPoll;
+    });
+    for (PolledWorker *polled : due) {
+        if (m_inFlight >= maximumPollsInFlight)
+            return;
+        sendPoll(now, *polled);
+    }
+}
+
+TimePoint TakeoverLeases::leasesEnd() const
+{
+    TimePoint end;
+    for (const auto &[id, polled] : m_workers)
+        end = std::max(end, polled.worker.leasesEnd());
+    return end;
 }
 
 void TakeoverLeases::sendPoll(TimePoint now, PolledWorker &polled)
@@ -43,6 +68,7 @@
     order.incarnation = polled.worker.description.startedAt;
     order.fencingEpoch = m_epoch;
     order.sentAt = now;
+    order.urgent = true;
     if (polled.worker.clockKnown())
         order.leaseEnd = polled.worker.extendLease(now, m_lease);
     polled.pollInFlight = true;
@@ -63,7 +89,9 @@
     polled.nextPoll = now + failedPollDelay;
     if (reply.outcome != OrderOutcome::Accepted)
         return;
-    if (reply.startedAt != polled.worker.description.startedAt)
+    if (reply.startedAt < polled.worker.description.startedAt)
+        return; // an earlier incarnation
+    if (reply.startedAt > polled.worker.description.startedAt)
         polled.worker.beginIncarnation(reply.startedAt);
     if (reply.clock)
         polled.worker.updateClock(*reply.clock, now - reply.waited);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -102,9 +102,9 @@
                        const std::optional<JobProgress> &progress, Version progressVersion);
     void cancelJob(TimePoint now, const std::string &id);
 
-    /// Tells that this process has extended leases of workers, apart from this scheduler, until
-    /// \a now.
-    void leasesWereExtended(TimePoint now);
+    /// Tells that this process may have extended leases of workers until \a end, apart from this
+    /// scheduler.
+    void assumeLeasesUntil(TimePoint end);
 
     /// Adds a finished job, whose progress row is removed after its retention.
     void addFinishedJob(const std::string &id, TimePoint finishedAt);
@@ -225,8 +225,6 @@
     static WorkerRun *answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation);
     void pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome);
     void markStarted(const TaskName &name);
-    /// The most that any worker of each pool has of each resource.
-    std::map<std::string, TaskSize> largestCapacities() const;
     /// Compares the incarnation that answered a poll with the known one, and begins a later one.
     /// Returns false for an answer of an earlier incarnation.
     bool checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
--- a/Kernel/include/Kernel/Jobs/TakeoverLeases.h
+++ b/Kernel/include/Kernel/Jobs/TakeoverLeases.h
@@ -32,6 +32,8 @@
     /// Sends the polls that are due, a limited number at the same time.
     void sendDuePolls(TimePoint now);
     void pollFinished(TimePoint now, const PollOrder &order, const PollReply &reply);
+    /// Upper bound of all lease ends that were sent.
+    TimePoint leasesEnd() const;
     /// Number of workers that have answered.
     std::size_t answered() const { return m_answered; }
 
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -92,6 +92,7 @@
     std::uint64_t acknowledgedEnds = 0; ///< the worker may drop ended runs up to this number
     std::chrono::milliseconds wait{0}; ///< maximum time to wait for a run to end
     TimePoint sentAt;
+    bool urgent = false; ///< the reply must not wait behind the rows of a takeover
 };
 
 struct OrderReply
--- a/Services/Jobs/AdmissionPublisher.h
+++ b/Services/Jobs/AdmissionPublisher.h
@@ -30,7 +30,7 @@
     AdmissionControl m_control;
     TimePoint m_nextUpdate;
     bool m_writeInFlight = false;
-    bool m_limitsWritten = false; ///< the row may contain limits
+    bool m_limitsWritten = true; ///< the row may contain limits, also of an earlier scheduler
     /// Callbacks that run after the destructor find it expired.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -14,7 +14,7 @@
 // Delay before the first retry of a store call. It doubles with each retry up to the maximum.
 constexpr std::chrono::milliseconds initialRetryDelay{20};
 constexpr std::chrono::milliseconds maximumRetryDelay{200};
-// Further attempts to write a submission would only add to the rate that the store refuses.
+// Further attempts at a call would only add to the rate that the store refuses.
 constexpr unsigned maximumRateLimitedRetries = 1;
 // A call fails after this time when the store is unavailable, so that nothing was written. The
 // answer arrives within the latency objective of callers (600 ms), which leaves them time to retry
@@ -35,6 +35,15 @@
     return call.timeout * answerTimeoutNumerator / answerTimeoutDenominator;
 }
 
+/// Whether the job can be refused while its queue is overloaded: it is neither to last nor
+/// periodic.
+bool isShort(const JobSpecification &specification)
+{
+    return specification.occurrences == 0
+           && std::none_of(specification.steps.begin(), specification.steps.end(),
+                           [](const StepSpecification &step) { return step.longRunning; });
+}
+
 bool isPresent(const Row &row)
 {
     return row.version != absentVersion;
@@ -107,12 +116,7 @@
 
 void JobFrontend::admit(const PendingCallPointer &pending)
 {
-    const JobSpecification &specification = pending->call.specification;
-    const bool isShort
-        = specification.occurrences == 0
-          && std::none_of(specification.steps.begin(), specification.steps.end(),
-                          [](const StepSpecification &step) { return step.longRunning; });
-    if (!isShort)
+    if (!isShort(pending->call.specification))
         return submit(pending);
     if (m_hooks.refuse) {
         if (const auto retryAfter = m_hooks.refuse(pending->call.queue))
@@ -126,7 +130,8 @@
 void JobFrontend::submissionRateLimited(const PendingCallPointer &pending)
 {
     m_submissionThrottle.refusedByStore(m_hooks.clock());
-    if (pending->writeMayBeApplied || pending->retries < maximumRateLimitedRetries)
+    const bool mayBeRefused = isShort(pending->call.specification) && !pending->writeMayBeApplied;
+    if (!mayBeRefused || pending->retries < maximumRateLimitedRetries)
         return retry(pending, [this, pending] { submit(pending); });
     refuseUnlessAccepted(pending, m_submissionThrottle.retryAfter());
 }
@@ -297,6 +302,8 @@
             return;
         if (result.status == ReadStatus::Ok)
             return next(result);
+        if (result.rateLimited && pending->retries >= maximumRateLimitedRetries)
+            return fail(pending);
         retry(pending, [this, pending, keys, next] { readRows(pending, keys, next); });
     });
 }
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -58,11 +58,11 @@
 
 void SchedulerSession::claimEpoch()
 {
-    m_ports.store->read({std::string(progressEpochKey), std::string(hostsEpochKey)},
-                        [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-                            if (!alive.expired())
-                                epochsRead(result);
-                        });
+    m_ports.urgentStore->read({std::string(progressEpochKey), std::string(hostsEpochKey)},
+                              [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+                                  if (!alive.expired())
+                                      epochsRead(result);
+                              });
 }
 
 void SchedulerSession::epochsRead(const ReadResult &result)
@@ -95,18 +95,19 @@
     transaction.operationId = row.key + '/' + std::to_string(m_epoch);
     transaction.checks = {{row.key, row.version}};
     transaction.writes = {{row.key, std::to_string(m_epoch)}};
-    m_ports.store->commit(transaction, [this, key = row.key, claim, alive = std::weak_ptr(m_alive)](
-                                           const CommitResult &result) {
-        if (alive.expired())
-            return;
-        claim->failed |= result.status != CommitStatus::Committed;
-        claim->versions[key] = result.revision;
-        if (--claim->missing > 0)
-            return;
-        if (claim->failed)
-            return m_startRetryTimer.runAfter(retryDelay, [this] { claimEpoch(); });
-        epochClaimed(*claim);
-    });
+    m_ports.urgentStore->commit(
+        transaction,
+        [this, key = row.key, claim, alive = std::weak_ptr(m_alive)](const CommitResult &result) {
+            if (alive.expired())
+                return;
+            claim->failed |= result.status != CommitStatus::Committed;
+            claim->versions[key] = result.revision;
+            if (--claim->missing > 0)
+                return;
+            if (claim->failed)
+                return m_startRetryTimer.runAfter(retryDelay, [this] { claimEpoch(); });
+            epochClaimed(*claim);
+        });
 }
 
 void SchedulerSession::epochClaimed(const EpochClaim &claim)
@@ -195,11 +196,13 @@
     m_readingWorkers = true;
     if (startAfter.empty())
         m_scannedWorkers.clear();
-    m_ports.store->scan(m_ports.workerPrefix, startAfter, scanPage,
-                        [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
-                            if (!alive.expired())
-                                workerRowsRead(result);
-                        });
+    // The rows of the jobs use all other connections until they are loaded.
+    Store &store = m_scheduling ? *m_ports.store : *m_ports.urgentStore;
+    store.scan(m_ports.workerPrefix, startAfter, scanPage,
+               [this, alive = std::weak_ptr(m_alive)](const ReadResult &result) {
+                   if (!alive.expired())
+                       workerRowsRead(result);
+               });
 }
 
 void SchedulerSession::workerRowsRead(const ReadResult &result)
@@ -216,6 +219,7 @@
         if (result.more && !result.rows.empty())
             return readWorkers(result.rows.back().key);
         m_listedWorkers = std::move(m_scannedWorkers);
+        m_workersListedAt = m_hooks.clock();
         workersListed();
     }
     m_readingWorkers = false;
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -11,6 +11,7 @@
 #include <Kernel/Jobs/JobScheduler.h>
 #include <Kernel/Jobs/TakeoverLeases.h>
 #include <LibBase/OneShotTimer.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -123,7 +124,7 @@
     JobRowReplica::Rows m_loadedProgress;
     /// Rows of jobs and cancellations that are not passed to the scheduler yet, by key.
     JobRowReplica::Rows m_loadedJobs;
-    std::vector<RowChange> m_changesWhileLoading;
+    std::deque<RowChange> m_changesWhileLoading;
     std::unique_ptr<TakeoverLeases> m_takeoverLeases; ///< null: not taking over
     /// Versions of the epoch rows, as written by this session.
     Version m_progressEpochVersion = absentVersion;
@@ -133,6 +134,7 @@
     std::unique_ptr<AdmissionPublisher> m_admission;
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
     std::vector<WorkerDescription> m_listedWorkers; ///< of the last complete scan
+    TimePoint m_workersListedAt;
     StoreClock m_storeClock;
     OneShotTimer m_startRetryTimer; ///< retries of store calls before the scheduling begins
     OneShotTimer m_tickTimer;
--- a/Services/Jobs/SchedulerSessionRows.cpp
+++ b/Services/Jobs/SchedulerSessionRows.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t finishedJobsPerTick = 50;
 // Events that must be in time are handled between two steps.
 constexpr std::size_t rowsPerLoadingStep = 32;
+// In an older list, a worker may have begun to drain since. The next one follows soon.
+constexpr std::chrono::seconds latestWorkerList{1};
 
 void logUnreadableRow(const std::string &key, const Error &error)
 {
@@ -41,30 +43,33 @@
 {
     if (m_fencedReported)
         return;
-    for (std::size_t count = 0; count < rowsPerLoadingStep && !m_loadedJobs.empty(); ++count) {
-        const auto first = m_loadedJobs.extract(m_loadedJobs.begin());
-        jobRowChanged({first.mapped(), false});
+    for (std::size_t count = 0; count < rowsPerLoadingStep; ++count) {
+        if (!m_loadedJobs.empty()) {
+            jobRowChanged({m_loadedJobs.extract(m_loadedJobs.begin()).mapped(), false});
+        } else if (!m_changesWhileLoading.empty()) {
+            jobRowChanged(m_changesWhileLoading.front());
+            m_changesWhileLoading.pop_front();
+        } else {
+            return loadingFinished();
+        }
     }
-    if (m_loadedJobs.empty())
-        return loadingFinished();
     runInBackground([this] { loadNextJobs(); });
 }
 
 void SchedulerSession::loadingFinished()
 {
     const TimePoint now = m_hooks.clock();
-    for (const RowChange &change : std::exchange(m_changesWhileLoading, {}))
-        jobRowChanged(change);
     logEvent(LogLevel::Info, "scheduling-began",
              {{"epoch", m_epoch},
               {"jobs", std::uint64_t{m_scheduler->jobs().size()}},
               {"progress_rows", std::uint64_t{m_loadedProgress.size()}},
               {"polled_workers", std::uint64_t{m_takeoverLeases->answered()}}});
+    const TimePoint leasesEnd = m_takeoverLeases->leasesEnd();
     m_takeoverLeases.reset();
     m_scheduling = true;
-    if (!m_listedWorkers.empty())
+    if (now < m_workersListedAt + latestWorkerList)
         m_scheduler->setWorkers(now, m_listedWorkers);
-    m_scheduler->leasesWereExtended(now);
+    m_scheduler->assumeLeasesUntil(leasesEnd);
     beginHostSession();
     tick();
     writePendingCounts();
--- a/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
+++ b/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
@@ -1,6 +1,8 @@
 #include <Kernel/Jobs/TakeoverLeases.h>
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/core.h>
+#include <map>
 #include <utility>
 
 using namespace Peridot;
@@ -105,3 +107,30 @@
         fixture.answer(OrderOutcome::Accepted, false);
     CHECK(fixture.leases.answered() == 350);
 }
+
+TEST_CASE("A takeover leaves no worker out although the others answer slowly")
+{
+    // Guards against polls that always begin with the same workers: the leases of the others
+    // expire.
+    TakeoverFixture fixture;
+    std::vector<WorkerDescription> workers;
+    for (unsigned number = 0; number < 350; ++number)
+        workers.push_back(TakeoverFixture::worker(fmt::format("w{}", number)));
+    fixture.leases.setWorkers(workers);
+    std::map<std::string, unsigned> extensions;
+    for (unsigned round = 0; round < 20; ++round) {
+        fixture.leases.sendDuePolls(fixture.now);
+        for (const PollOrder &order : fixture.polls)
+            extensions[order.worker] += order.leaseEnd ? 1 : 0;
+        fixture.now += 250ms;
+        fixture.answer(OrderOutcome::Accepted, true);
+        // What the answers have sent counts as well.
+        for (const PollOrder &order : fixture.polls)
+            extensions[order.worker] += order.leaseEnd ? 1 : 0;
+        fixture.now += 250ms;
+        fixture.answer(OrderOutcome::Accepted, true);
+    }
+    CHECK(extensions.size() == 350);
+    CHECK(std::all_of(extensions.begin(), extensions.end(),
+                      [](const auto &entry) { return entry.second > 0; }));
+}
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -339,7 +339,7 @@
     fixture.scheduler.pollFinished(fixture.now, order,
                                    {OrderOutcome::Accepted, clock, 1000, {}, {}, 3s});
     fixture.polls.clear();
-    fixture.scheduler.sendDuePolls(fixture.now);
+    fixture.scheduler.plan(fixture.now);
     REQUIRE(fixture.polls.size() == 1);
     CHECK(fixture.polls.front().leaseEnd == clock + 9000);
 }
