Kernel/Jobs: Refuse jobs earlier, and count late ones half

Jobs are now refused when they would wait for half of what they can bear (three quarters before). Late jobs come after new ones, and count half. The limits of a predecessor hold for 4 s after a takeover; lifted at once, 250 jobs were accepted before new limits.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -12,7 +12,9 @@
 constexpr std::chrono::milliseconds shortestRateWindow{500};
 constexpr std::chrono::milliseconds longestRateWindow{3000};
 // A queue is limited when its jobs would wait for this part of what they can bear or longer.
-constexpr double targetPart = 0.75;
+constexpr double targetPart = 0.5;
+// Late jobs do not delay new ones, but have still to be done.
+constexpr std::uint64_t overdueWeightDivisor = 2;
 // Bounds of the change of a share at each update.
 constexpr double largestDecrease = 0.1;
 constexpr double largestIncrease = 1.1;
@@ -66,7 +68,7 @@
     std::uint64_t before = 0;
     for (const auto &[name, other] : demand.queues) {
         if (other.pool == queue.pool && other.priority <= queue.priority)
-            before += other.waitingTasks;
+            before += other.waitingTasks - other.overdueTasks / overdueWeightDivisor;
     }
     const Duration window = last.time - first.time;
     // While the store is away, nothing starts. That tells nothing about the rate afterwards.
--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -51,17 +51,26 @@
     return pools;
 }
 
-Duration tolerableWait(const Job &job, const QueueSettings &queue)
+Duration objectiveOf(const Job &job, const QueueSettings &queue)
 {
     const Duration runtime = job.criticalPathEstimate();
-    const auto objective
-        = std::chrono::duration_cast<Duration>(runtime * queue.stretch) + queue.latencyAllowance;
-    return objective * latestObjectives - runtime;
+    return std::chrono::duration_cast<Duration>(runtime * queue.stretch) + queue.latencyAllowance;
+}
+
+Duration tolerableWait(const Job &job, const QueueSettings &queue)
+{
+    return objectiveOf(job, queue) * latestObjectives - job.criticalPathEstimate();
+}
+
+void addWaitingTasks(QueueBacklog &queue, std::uint64_t tasks, bool overdue)
+{
+    queue.waitingTasks += tasks;
+    queue.overdueTasks += overdue ? tasks : 0;
 }
 
 } // namespace
 
-SchedulerDemand JobScheduler::demand() const
+SchedulerDemand JobScheduler::demand(TimePoint now) const
 {
     SchedulerDemand demand;
     demand.startedTasks = m_startedTasks;
@@ -78,7 +87,8 @@
         demand.startedTasks.try_emplace(settings.pool);
         const auto pool = pools.find(settings.pool);
         if (pool != pools.end())
-            queue.waitingTasks += waitingTasks(job, pool->second);
+            addWaitingTasks(queue, waitingTasks(job, pool->second),
+                            now > job.receivedAt + objectiveOf(job, settings));
         // The mean of the jobs so far.
         const auto count = static_cast<Duration::rep>(++jobs[settings.name]);
         queue.tolerableWait += (tolerableWait(job, settings) - queue.tolerableWait) / count;
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -16,6 +16,7 @@
     std::string pool;
     unsigned priority = 0; ///< 0 is the highest
     std::uint64_t waitingTasks = 0;
+    std::uint64_t overdueTasks = 0; ///< of them, those of late jobs, which come after new ones
     /// Time for which an average job of the queue can wait before its result is of no use.
     Duration tolerableWait{0};
 };
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -152,7 +152,7 @@
     SchedulerBacklog backlog(TimePoint now) const;
     /// What waits in the queues, and what was started, for the admission of further jobs. Tasks
     /// that no worker of their pool could run even if it was empty are not counted.
-    SchedulerDemand demand() const;
+    SchedulerDemand demand(TimePoint now) const;
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
--- a/Services/Jobs/AdmissionPublisher.cpp
+++ b/Services/Jobs/AdmissionPublisher.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds updatePeriod{250};
+// The limits of an earlier scheduler hold until this one has had the time to set its own.
+constexpr std::chrono::seconds predecessorLimitsPeriod{4};
 
 } // namespace
 
@@ -22,8 +24,10 @@
 {
     m_nextUpdate = now + updatePeriod;
     const AdmissionLimits &limits = m_control.update(now, demand);
-    const bool isNeeded = !limits.empty() || m_limitsWritten;
-    if (!isNeeded || m_writeInFlight)
+    if (!m_liftNotBefore)
+        m_liftNotBefore = now + predecessorLimitsPeriod;
+    const bool mayLift = m_limitsWritten && now >= *m_liftNotBefore;
+    if (m_writeInFlight || (limits.empty() && !mayLift))
         return;
     logLimits(limits);
     write(now, limits);
@@ -33,6 +37,7 @@
 {
     m_writeInFlight = true;
     m_limitsWritten = true;
+    m_liftNotBefore = now;
     Transaction transaction;
     transaction.operationId = "admission/" + std::to_string(m_epoch) + '/'
                               + std::to_string(now.time_since_epoch().count());
--- a/Services/Jobs/AdmissionPublisher.h
+++ b/Services/Jobs/AdmissionPublisher.h
@@ -4,6 +4,7 @@
 #include <Kernel/Jobs/AdmissionControl.h>
 #include <LibBase/Time.h>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Peridot::Jobs {
@@ -29,6 +30,7 @@
     RowCheck m_epochCheck;
     AdmissionControl m_control;
     TimePoint m_nextUpdate;
+    std::optional<TimePoint> m_liftNotBefore; ///< nothing: before the first update
     bool m_writeInFlight = false;
     bool m_limitsWritten = true; ///< the row may contain limits, also of an earlier scheduler
     /// Callbacks that run after the destructor find it expired.
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -370,7 +370,7 @@
 {
     const TimePoint now = m_hooks.clock();
     if (m_admission->isDue(now) && !m_fencedReported)
-        m_admission->update(now, m_scheduler->demand());
+        m_admission->update(now, m_scheduler->demand(now));
 }
 
 void SchedulerSession::reportLoad()
--- a/Tests/Kernel/Jobs/TestAdmissionControl.cpp
+++ b/Tests/Kernel/Jobs/TestAdmissionControl.cpp
@@ -13,7 +13,7 @@
 public:
     LoadedPool()
     {
-        demand.queues["steady"] = {"pool", 1, 0, 8s};
+        demand.queues["steady"] = {"pool", 1, 0, 0, 8s};
         demand.startedTasks["pool"] = 0;
     }
 
@@ -92,8 +92,8 @@
     }
     SECTION("only the queues that wait behind the backlog are limited")
     {
-        pool.demand.queues["urgent"] = {"pool", 0, 10, 8s};
-        pool.demand.queues["other"] = {"other-pool", 1, 10, 8s};
+        pool.demand.queues["urgent"] = {"pool", 0, 10, 0, 8s};
+        pool.demand.queues["other"] = {"other-pool", 1, 10, 0, 8s};
         pool.demand.startedTasks["other-pool"] = 0;
         pool.run(10s, 2800, 400);
         CHECK(pool.limits.contains("steady"));
