Kernel/Jobs: Refuse jobs earlier only while the scheduler itself is behind

Where the room limits the rate of starts, jobs are refused only when they would be of no use; while the scheduling process is behind (background work over 0.1 s late in the last 10 s), at half of that.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -11,8 +11,10 @@
 // shorter one to show; hosts that are moved to a pool need longer to arrive.
 constexpr std::chrono::milliseconds shortestRateWindow{500};
 constexpr std::chrono::milliseconds longestRateWindow{3000};
-// A queue is limited when its jobs would wait for this part of what they can bear or longer.
-constexpr double targetPart = 0.5;
+// A queue is limited when its jobs would wait for this part of what they can bear or longer. Room
+// may still be moved to the pool. A scheduler that is behind needs some of its time for what waits.
+constexpr double targetPart = 1;
+constexpr double targetPartBehind = 0.5;
 // Late jobs do not delay new ones, but have still to be done.
 constexpr std::uint64_t overdueWeightDivisor = 2;
 // Bounds of the change of a share at each update.
@@ -20,11 +22,17 @@
 constexpr double largestIncrease = 1.1;
 // The same when little waits any more: the load has ended, or the rate of starts has risen.
 constexpr double recoveryIncrease = 2;
-constexpr double recoveredPart = 0.25; ///< of the target
+constexpr double recoveredPart = 0.1; ///< of the target
 // A smaller share would not tell when the load has ended.
 constexpr double smallestShare = 0.002;
 constexpr std::chrono::seconds longestRetryAfter{30};
 
+Duration targetOf(const SchedulerDemand &demand, const QueueBacklog &queue)
+{
+    const double part = demand.schedulerIsBehind ? targetPartBehind : targetPart;
+    return std::chrono::duration_cast<Duration>(queue.tolerableWait * part);
+}
+
 } // namespace
 
 const AdmissionLimits &AdmissionControl::update(TimePoint now, const SchedulerDemand &demand)
@@ -33,7 +41,7 @@
         addSample(now, demand, pool);
     m_limits.clear();
     for (const auto &[name, queue] : demand.queues) {
-        limit(name, expectedWait(demand, queue), queue.tolerableWait);
+        limit(name, expectedWait(demand, queue), targetOf(demand, queue));
     }
     std::erase_if(m_shares,
                   [&](const auto &entry) { return !demand.queues.contains(entry.first); });
@@ -80,11 +88,11 @@
 }
 
 void AdmissionControl::limit(const std::string &queue, std::optional<Duration> wait,
-                             Duration tolerableWait)
+                             Duration targetWait)
 {
     double &share = m_shares.try_emplace(queue, 1).first->second;
     if (wait) {
-        const double target = targetPart * toSeconds(tolerableWait);
+        const double target = toSeconds(targetWait);
         const double seconds = toSeconds(*wait);
         const double factor = seconds <= recoveredPart * target
                                   ? recoveryIncrease
@@ -97,7 +105,7 @@
     AdmissionLimit limit;
     limit.acceptedPermille = static_cast<unsigned>(std::lround(share * 1000));
     limit.retryAfter
-        = std::clamp(std::chrono::ceil<std::chrono::seconds>(wait.value_or(tolerableWait)),
+        = std::clamp(std::chrono::ceil<std::chrono::seconds>(wait.value_or(targetWait)),
                      std::chrono::seconds(1), longestRetryAfter);
     m_limits[queue] = limit;
 }
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -26,6 +26,8 @@
 {
     std::map<std::string, QueueBacklog> queues; ///< by name
     std::map<std::string, std::uint64_t> startedTasks; ///< by pool, since the scheduler began
+    /// The scheduling process is behind, so that it limits the rate of starts, and not the room.
+    bool schedulerIsBehind = false;
 };
 
 /// Decides which share of the jobs of each queue is accepted. A job that would start too late,
@@ -52,7 +54,7 @@
                                          const QueueBacklog &queue) const;
     void addSample(TimePoint now, const SchedulerDemand &demand, const std::string &pool);
     /// Adapts the share of the queue; an unknown \a wait leaves it as it is.
-    void limit(const std::string &queue, std::optional<Duration> wait, Duration tolerableWait);
+    void limit(const std::string &queue, std::optional<Duration> wait, Duration target);
 
     /// Samples of each pool since tasks began to wait there without a break.
     std::map<std::string, std::deque<Sample>> m_samples;
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds maximumPlanPause{20};
 // The pause between polls of a worker is this multiple of the delay of background work.
 constexpr int pollPauseFactor = 4;
+// A scheduler whose background work has been late by this much counts as behind for a while.
+constexpr std::chrono::milliseconds notableDelay{100};
+constexpr std::chrono::seconds behindPeriod{10};
 // Polls extend leases of six seconds.
 constexpr std::chrono::milliseconds maximumPollPause{1000};
 constexpr std::chrono::milliseconds retryDelay{100};
@@ -358,6 +361,8 @@
         m_upkeepPosted = false;
         const Duration delay = m_hooks.clock() - postedAt;
         m_loadReport.backgroundRan(delay);
+        if (delay >= notableDelay)
+            m_behindUntil = m_hooks.clock() + behindPeriod;
         m_scheduler->setPollPause(std::min<Duration>(delay * pollPauseFactor, maximumPollPause));
         addFinishedJobs();
         commitCleanup();
@@ -369,8 +374,11 @@
 void SchedulerSession::updateAdmission()
 {
     const TimePoint now = m_hooks.clock();
-    if (m_admission->isDue(now) && !m_fencedReported)
-        m_admission->update(now, m_scheduler->demand(now));
+    if (!m_admission->isDue(now) || m_fencedReported)
+        return;
+    SchedulerDemand demand = m_scheduler->demand(now);
+    demand.schedulerIsBehind = now < m_behindUntil;
+    m_admission->update(now, demand);
 }
 
 void SchedulerSession::reportLoad()
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -141,6 +141,7 @@
     OneShotTimer m_planTimer;
     OneShotTimer m_workerTimer;
     OneShotTimer m_countTimer;
+    TimePoint m_behindUntil; ///< until then, this process counts as behind
     bool m_upkeepPosted = false; ///< the periodic work in the background waits
     SchedulerLoadReport m_loadReport;
     bool m_scheduling = false; ///< all jobs are loaded
--- a/Tests/Kernel/Jobs/TestAdmissionControl.cpp
+++ b/Tests/Kernel/Jobs/TestAdmissionControl.cpp
@@ -71,6 +71,7 @@
     }
     SECTION("a load of seven times the rate of starts leaves a backlog that is of use")
     {
+        pool.demand.schedulerIsBehind = true;
         pool.run(10s, 2800, 400);
         CHECK(pool.expectedWait(400) <= 8s);
         CHECK(pool.share() < 0.5);
