--- a/Tests/Kernel/Jobs/TestPendingJobs.cpp
+++ b/Tests/Kernel/Jobs/TestPendingJobs.cpp
@@ -40,9 +40,9 @@
     SubmittedJob job;
     job.queue = fixture.queue;
     job.specification.steps.emplace_back().size = {4000, 100, 0}; // the whole worker
-    for (const auto &[id, waited] : std::map<std::string, Duration>{
-             {"0000000000000001", std::chrono::milliseconds(100)},
-             {"0000000000000002", std::chrono::milliseconds(500)}}) {
+    for (const auto &[id, waited] :
+         std::map<std::string, Duration>{{"0000000000000001", std::chrono::milliseconds(100)},
+                                         {"0000000000000002", std::chrono::milliseconds(500)}}) {
         job.id = id;
         job.acceptedAt = fixture.now - waited;
         fixture.scheduler.addWaitingJob(fixture.now, job, std::nullopt, absentVersion);
