--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -123,32 +123,6 @@
     beginTakeoverPolls();
 }
 
-void SchedulerSession::beginTakeoverPolls()
-{
-    TakeoverLeases::Hooks hooks;
-    WorkerReplyHooks replies;
-    replies.polled = [this, alive = std::weak_ptr(m_alive)](const auto &order, const auto &reply) {
-        if (!alive.expired() && m_takeoverLeases)
-            m_takeoverLeases->pollFinished(m_hooks.clock(), order, reply);
-    };
-    hooks.poll = m_ports.connectWorkers(replies).poll;
-    hooks.fenced = [this] {
-        reportFenced();
-    };
-    m_takeoverLeases
-        = std::make_unique<TakeoverLeases>(m_epoch, m_timing.workerLease, std::move(hooks));
-    readWorkers({});
-    takeoverTick();
-}
-
-void SchedulerSession::takeoverTick()
-{
-    if (m_fencedReported)
-        return;
-    m_takeoverLeases->sendDuePolls(m_hooks.clock());
-    m_tickTimer.runAfter(tickInterval, [this] { takeoverTick(); });
-}
-
 SchedulerHooks SchedulerSession::schedulerHooks()
 {
     SchedulerHooks hooks;
