Kernel/Jobs: Do not measure the rate of starts while the store is away

While transactions of the scheduler fail or are late, no rate is measured and the limits stay. A new section of the test covers that; it was not run without the change.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -37,6 +37,10 @@
 
 const AdmissionLimits &AdmissionControl::update(TimePoint now, const SchedulerDemand &demand)
 {
+    if (demand.startsAreBlocked) {
+        m_samples.clear();
+        return m_limits;
+    }
     for (const auto &[pool, started] : demand.startedTasks)
         addSample(now, demand, pool);
     m_limits.clear();
--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -16,6 +16,8 @@
     std::set<std::string> labels;
 };
 
+// A transaction takes some tenths of a second while the process is behind.
+constexpr std::chrono::milliseconds lateTransaction{900};
 // A result is late after this multiple of the latency objective, and of no use.
 constexpr int latestObjectives = 3;
 
@@ -74,6 +76,7 @@
 {
     SchedulerDemand demand;
     demand.startedTasks = m_startedTasks;
+    demand.startsAreBlocked = m_flushFailed || (m_flush && now > m_flushSentAt + lateTransaction);
     const auto pools = poolCapacities(m_workers);
     std::map<std::string, unsigned> jobs;
     for (const auto &[id, job] : m_jobs) {
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -27,6 +27,7 @@
     }
     takeRecordedStarts(flush);
     m_flush = std::move(flush);
+    m_flushSentAt = now;
     return builder.take();
 }
 
@@ -122,6 +123,8 @@
 void JobScheduler::transactionFinished(TimePoint now, const CommitResult &result)
 {
     const Flush flush = *std::exchange(m_flush, std::nullopt);
+    m_flushFailed
+        = result.status == CommitStatus::Unavailable || result.status == CommitStatus::Unknown;
     if (result.status == CommitStatus::Committed)
         return handleCommit(now, flush, result.revision);
     for (const std::string &id : flush.jobs) {
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -28,6 +28,8 @@
     std::map<std::string, std::uint64_t> startedTasks; ///< by pool, since the scheduler began
     /// The scheduling process is behind, so that it limits the rate of starts, and not the room.
     bool schedulerIsBehind = false;
+    /// The store does not take the rows that come before starts. The rate of starts tells nothing.
+    bool startsAreBlocked = false;
 };
 
 /// Decides which share of the jobs of each queue is accepted. A job that would start too late,
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -373,6 +373,8 @@
     std::vector<std::pair<std::string, RunName>> m_recording;
     std::map<std::string, TimePoint> m_retained; ///< finished jobs with the removal time of the row
     std::optional<Flush> m_flush; ///< transaction in flight
+    TimePoint m_flushSentAt; ///< when the latest transaction was sent
+    bool m_flushFailed = false; ///< the store did not answer or take the latest transaction
     std::array<Cleanup, jobPartitions> m_cleanups; ///< by partition
     std::optional<unsigned> m_cleanupInFlight; ///< partition of the cleanup in flight
     std::vector<RowWrite> m_cleanupWrites; ///< of the cleanup in flight
--- a/Tests/Kernel/Jobs/TestAdmissionControl.cpp
+++ b/Tests/Kernel/Jobs/TestAdmissionControl.cpp
@@ -91,6 +91,17 @@
         pool.run(4s, 300, 0);
         CHECK(pool.limits.empty());
     }
+    SECTION("nor are the few starts at the begin of the outage")
+    {
+        // Guards against refusals after each outage of the store.
+        pool.run(4s, 300, 400);
+        pool.run(1s, 300, 20);
+        pool.demand.startsAreBlocked = true;
+        pool.run(4s, 300, 0);
+        pool.demand.startsAreBlocked = false;
+        pool.run(4s, 300, 1600);
+        CHECK(pool.limits.empty());
+    }
     SECTION("only the queues that wait behind the backlog are limited")
     {
         pool.demand.queues["urgent"] = {"pool", 0, 10, 0, 8s};
