--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -98,17 +98,6 @@
     observe("job-added", {{id, 0, 0, 0}, 0}, {}, job.submitted().queue.name);
 }
 
-void JobScheduler::addWaitingJob(TimePoint now, const SubmittedJob &submitted,
-                                 const std::optional<JobProgress> &progress,
-                                 Version progressVersion)
-{
-    addJob(now, submitted, progress, progressVersion);
-    const auto job = m_jobs.find(submitted.id);
-    // The clocks of hosts differ.
-    if (job != m_jobs.end())
-        job->second.receivedAt = std::clamp(submitted.acceptedAt, now - longestKnownWait, now);
-}
-
 void JobScheduler::restoreRuns(TimePoint now, Job &job, unsigned occurrence, unsigned step)
 {
     const auto &tasks = job.occurrences().at(occurrence).steps[step].tasks;
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -53,9 +53,6 @@
 /// waits. The next pass goes on with the other pools.
 constexpr std::size_t maximumPlacementsPerPass = 128;
 
-/// Longest time for which a job counts as having waited when the process takes over.
-constexpr std::chrono::seconds longestKnownWait{120};
-
 /// Interval of the checks for expired leases, stalled runs and workers to evacuate. Their time
 /// limits are seconds, and each check visits all runs.
 constexpr std::chrono::milliseconds checkPeriod{50};
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -97,9 +97,6 @@
     /// shows that it is finished, only its remaining rows are removed.
     void addJob(TimePoint now, const SubmittedJob &job, const std::optional<JobProgress> &progress,
                 Version progressVersion);
-    /// The same for a job that was accepted while another process scheduled: it has waited since.
-    void addWaitingJob(TimePoint now, const SubmittedJob &job,
-                       const std::optional<JobProgress> &progress, Version progressVersion);
     void cancelJob(TimePoint now, const std::string &id);
 
     /// Tells that this process may have extended leases of workers until \a end, apart from this
--- a/Services/Jobs/SchedulerSessionRows.cpp
+++ b/Services/Jobs/SchedulerSessionRows.cpp
@@ -38,12 +38,10 @@
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(job, parseSubmittedJob(row.value));
             const auto loaded = takeLoadedProgress(job.id);
-            const auto progress = loaded ? std::optional(loaded->first) : std::nullopt;
-            const Version version = loaded ? loaded->second : absentVersion;
-            if (m_scheduling)
-                m_scheduler->addJob(m_hooks.clock(), job, progress, version);
+            if (loaded)
+                m_scheduler->addJob(m_hooks.clock(), job, loaded->first, loaded->second);
             else
-                m_scheduler->addWaitingJob(m_hooks.clock(), job, progress, version);
+                m_scheduler->addJob(m_hooks.clock(), job, std::nullopt, absentVersion);
             return true;
         },
         [&](const Error &error) {
