Services/Jobs: Report how long answers of workers wait

The load of a scheduler told the delay of its timers and of planning, but not of answers that have arrived and wait behind other work.

--- a/Services/Jobs/SchedulerLoadReport.cpp
+++ b/Services/Jobs/SchedulerLoadReport.cpp
@@ -37,17 +37,23 @@
     m_backgroundDelay = std::max(m_backgroundDelay, delay);
 }
 
+void SchedulerLoadReport::answerHandled(Duration waited)
+{
+    m_answerDelay = std::max(m_answerDelay, waited);
+}
+
 void SchedulerLoadReport::report(TimePoint now, const SchedulerBacklog &backlog,
                                  Duration jobRowsAge)
 {
     m_nextReport = now + reportPeriod;
     m_metrics.setSchedulerLoad(
         {m_eventDelay, m_longestPass, jobRowsAge, backlog.unacknowledgedEnds});
-    if (std::max(m_eventDelay, m_backgroundDelay) >= notableEventDelay
+    if (std::max({m_eventDelay, m_backgroundDelay, m_answerDelay}) >= notableEventDelay
         || jobRowsAge >= notableJobRowsAge) {
         logEvent(LogLevel::Warning, "scheduler-load",
                  {{"event_delay_ms", milliseconds(m_eventDelay)},
                   {"background_delay_ms", milliseconds(m_backgroundDelay)},
+                  {"answer_delay_ms", milliseconds(m_answerDelay)},
                   {"passes", std::uint64_t{m_passes}},
                   {"planning_ms", milliseconds(m_planning)},
                   {"longest_pass_ms", milliseconds(m_longestPass)},
@@ -59,7 +65,7 @@
                   {"oldest_contact_ms", milliseconds(backlog.oldestContact)}});
     }
     m_passes = 0;
-    m_planning = m_longestPass = m_eventDelay = m_backgroundDelay = Duration{0};
+    m_planning = m_longestPass = m_eventDelay = m_backgroundDelay = m_answerDelay = Duration{0};
 }
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/SchedulerLoadReport.h
+++ b/Services/Jobs/SchedulerLoadReport.h
@@ -20,6 +20,8 @@
     void timerRan(TimePoint dueAt, TimePoint now);
     /// Background work ran \a delay after it was posted: planning is behind by this time.
     void backgroundRan(Duration delay);
+    /// An answer was handled \a waited after it had arrived.
+    void answerHandled(Duration waited);
     bool isDue(TimePoint now) const { return now >= m_nextReport; }
     /// Reports the second that has passed. \a jobRowsAge is the age of the known state of job rows.
     void report(TimePoint now, const SchedulerBacklog &backlog, Duration jobRowsAge);
@@ -32,6 +34,7 @@
     Duration m_longestPass{0};
     Duration m_eventDelay{0};
     Duration m_backgroundDelay{0};
+    Duration m_answerDelay{0};
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -219,6 +219,8 @@
             [this, handler, alive = std::weak_ptr(m_alive)](const auto &order, const auto &reply) {
                 if (alive.expired())
                     return;
+                if constexpr (requires { reply.waited; })
+                    m_loadReport.answerHandled(reply.waited);
                 ((*m_scheduler).*handler)(m_hooks.clock(), order, reply);
                 schedulePlan();
             };
