Kernel/Jobs: Poll a worker again while its answer waits in this process

A poll extends the lease of its worker for six seconds, and the next one was sent only after the answer to it had been handled. While the process is behind, answers wait: with hosts five times slower up to 3.7 s (answer_delay_ms), so that with the wait at the worker and the pause between polls the lease ended first.

A poll whose answer is older than any worker takes is followed by another one, which extends the lease. A poll that is known to have failed is not, as before: the end of the lease is awaited.

--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -46,10 +46,17 @@
         = worker.contacted && worker.failedPolls == 0 && !worker.nextPollDecidesRuns();
     if (mayPause && now < worker.lastPoll + m_pollPause)
         return;
-    if (needsPoll(worker) && !worker.pollInFlight && now >= worker.nextPoll)
+    const bool mayPoll = !worker.pollInFlight || answerIsLate(now, worker);
+    if (needsPoll(worker) && mayPoll && now >= worker.nextPoll)
         sendPoll(now, worker);
 }
 
+bool JobScheduler::answerIsLate(TimePoint now, const Worker &worker)
+{
+    return worker.contacted && worker.failedPolls == 0 && !worker.runs.empty()
+           && now >= worker.lastPoll + lateAnswerAge;
+}
+
 void JobScheduler::sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run)
 {
     Job *job = jobOf(name.task);
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -337,6 +337,8 @@
 
     // JobSchedulerOrders.cpp
     void sendDueOrders(TimePoint now);
+    /// Whether the answer to the poll in flight, or its timeout, waits to be handled.
+    static bool answerIsLate(TimePoint now, const Worker &worker);
     void sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
     void sendStop(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
     void sendPollIfDue(TimePoint now, Worker &worker);
