LibBase: Bound the time that tasks of a lower priority take from higher ones

A task of a lower priority ran after 16 of higher ones, however long it took. It now waits until the higher ones have had four times its own latest time. Loading after a takeover is not background work any more: all other work of the new scheduler depends on it.

The section of the test failed with the count alone: 1280 ms of 2280, 290 allowed.

--- a/Libraries/LibBase/TaskQueue.cpp
+++ b/Libraries/LibBase/TaskQueue.cpp
@@ -11,8 +11,10 @@
 
 // The loop handles its timers and I/O events at least this often, unless one task takes longer.
 constexpr std::chrono::milliseconds turnDuration{2};
-// A task of a lower priority runs after this many tasks of higher ones.
+// A task of a lower priority runs after this many tasks of higher ones, and after they have taken
+// this multiple of the time of its predecessor.
 constexpr unsigned turnsBeforeLowerPriority = 16;
+constexpr int timeBeforeLowerPriority = 4;
 
 } // namespace
 
@@ -49,7 +51,7 @@
 void TaskQueue::runTurn()
 {
     m_turnScheduled = false;
-    const auto end = std::chrono::steady_clock::now() + turnDuration;
+    const auto end = m_clock() + turnDuration;
     const std::weak_ptr alive = m_alive;
     while (size() > 0) {
         Level &level = nextLevel();
@@ -58,8 +60,13 @@
         // The next turn is scheduled before, because the task may throw.
         if (size() > 0)
             scheduleTurn();
+        const auto begin = m_clock();
         task();
-        if (alive.expired() || std::chrono::steady_clock::now() >= end)
+        if (alive.expired())
+            return;
+        const auto now = m_clock();
+        turnEnded(level, now - begin);
+        if (now >= end)
             return;
     }
 }
@@ -71,11 +78,22 @@
     };
     auto next = std::find_if(m_levels.begin(), m_levels.end(), waits);
     for (auto lower = std::next(next); lower != m_levels.end(); ++lower) {
-        if (waits(*lower) && ++lower->turnsPassed > turnsBeforeLowerPriority)
+        if (waits(*lower) && ++lower->turnsPassed > turnsBeforeLowerPriority
+            && lower->timePassed >= lower->latestTurn * timeBeforeLowerPriority)
             next = lower;
     }
     next->turnsPassed = 0;
+    next->timePassed = {};
     return *next;
 }
 
+void TaskQueue::turnEnded(Level &level, std::chrono::steady_clock::duration time)
+{
+    level.latestTurn = time;
+    for (Level *lower = &level + 1; lower != m_levels.data() + m_levels.size(); ++lower) {
+        if (!lower->tasks.empty())
+            lower->timePassed += time;
+    }
+}
+
 } // namespace Peridot
--- a/Libraries/LibBase/include/LibBase/TaskQueue.h
+++ b/Libraries/LibBase/include/LibBase/TaskQueue.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -22,13 +23,19 @@
 /// in which it became ready, so that an urgent task waits for all others while the process is
 /// behind. Must only be used on the thread that runs the loop.
 ///
-/// A lower priority is never left out: it gets a turn after a number of turns of higher ones.
+/// A lower priority is never left out: it gets a turn after a number of turns of higher ones that
+/// took a multiple of the time of its own latest turn. So it takes a bounded share of the time,
+/// however long its tasks are.
 class TaskQueue
 {
 public:
     using Task = std::function<void()>;
+    using Clock = std::function<std::chrono::steady_clock::time_point()>;
 
-    explicit TaskQueue(asio::io_context &context) : m_context(context) { }
+    explicit TaskQueue(asio::io_context &context, Clock clock = std::chrono::steady_clock::now)
+        : m_context(context), m_clock(std::move(clock))
+    {
+    }
     TaskQueue(const TaskQueue &) = delete;
     TaskQueue &operator=(const TaskQueue &) = delete;
 
@@ -42,6 +49,8 @@
     {
         std::deque<Task> tasks;
         unsigned turnsPassed = 0; ///< of higher priorities while a task waited
+        std::chrono::steady_clock::duration timePassed{0}; ///< that these turns took
+        std::chrono::steady_clock::duration latestTurn{0}; ///< time that the latest task took
     };
 
     void scheduleTurn();
@@ -49,8 +58,11 @@
     void runTurn();
     /// Level whose first task runs next. At least one task must wait.
     Level &nextLevel();
+    /// A task of \a level took \a time.
+    void turnEnded(Level &level, std::chrono::steady_clock::duration time);
 
     asio::io_context &m_context;
+    Clock m_clock;
     std::array<Level, 4> m_levels; ///< by priority
     bool m_turnScheduled = false;
     /// Turns that run after the destructor find it expired.
--- a/Services/Jobs/SchedulerSessionTakeover.cpp
+++ b/Services/Jobs/SchedulerSessionTakeover.cpp
@@ -75,7 +75,10 @@
             return loadingFinished();
         }
     }
-    runInBackground([this] { loadNextJobs(); });
+    m_ports.tasks->post(TaskPriority::Normal, [this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired())
+            loadNextJobs();
+    });
 }
 
 void SchedulerSession::loadingFinished()
--- a/Tests/LibBase/TestTaskQueue.cpp
+++ b/Tests/LibBase/TestTaskQueue.cpp
@@ -49,6 +49,32 @@
         context.run_for(2s);
         CHECK(order == "b");
     }
+    SECTION("long tasks of a lower priority take a bounded share of the time")
+    {
+        // Guards against answers that wait for seconds behind planning passes (LOST).
+        std::chrono::steady_clock::time_point now;
+        TaskQueue fakeTime(context, [&] { return now; });
+        std::chrono::milliseconds answers{0};
+        std::chrono::milliseconds passes{0};
+        std::function<void()> pass = [&] {
+            now += 20ms;
+            passes += 20ms;
+            fakeTime.post(TaskPriority::Background, pass);
+        };
+        std::function<void()> answer = [&] {
+            now += 1ms;
+            answers += 1ms;
+            if (answers < 1s)
+                fakeTime.post(TaskPriority::Normal, answer);
+            else
+                context.stop();
+        };
+        fakeTime.post(TaskPriority::Background, pass);
+        fakeTime.post(TaskPriority::Normal, answer);
+        context.run();
+        CHECK(passes >= 100ms);
+        CHECK(passes <= answers / 4 + 40ms);
+    }
     SECTION("the other tasks run after one that throws")
     {
         tasks.post(TaskPriority::Normal, [] { throw std::runtime_error("unexpected"); });
