--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -17,15 +17,22 @@
 constexpr double targetPartBehind = 0.5;
 // Late jobs do not delay new ones, but have still to be done.
 constexpr std::uint64_t overdueWeightDivisor = 2;
-// Bounds of the change of a share at each update.
-constexpr double largestDecrease = 0.1;
-constexpr double largestIncrease = 1.1;
-// The same when little waits any more: the load has ended, or the rate of starts has risen.
-constexpr double recoveryIncrease = 2;
-constexpr double recoveredPart = 0.1; ///< of the target
-// A smaller share would not tell when the load has ended.
+// No limit is set before the expected wait reaches this part of its target: a burst may end.
+constexpr double firstLimitPart = 0.5;
+// Time within which the expected wait is brought back to its target.
+constexpr std::chrono::milliseconds correctionTime{2000};
+// Part of the rate of starts that is accepted however long the wait is. The rate of what is handed
+// in could not be estimated without.
+constexpr double smallestCorrection = 0.1;
+// Processes that accept jobs follow a limit after this number of updates.
+constexpr std::size_t updatesUntilInForce = 2;
+// Weight of the latest update in the estimate of what is handed in.
+constexpr double arrivalWeight = 0.3;
+// A share rises by this factor at most in an update.
+constexpr double largestIncrease = 1.5;
 constexpr double smallestShare = 0.002;
 constexpr std::chrono::seconds longestRetryAfter{30};
+constexpr double wholePermille = 1000;
 
 Duration targetOf(const SchedulerDemand &demand, const QueueBacklog &queue)
 {
@@ -35,8 +42,24 @@
 
 } // namespace
 
+AdmissionControl::AdmissionControl(const AdmissionLimits &limits)
+{
+    for (const auto &[name, limit] : limits)
+        m_arrivals[name].shares.assign(updatesUntilInForce, limit.acceptedPermille / wholePermille);
+}
+
 const AdmissionLimits &AdmissionControl::update(TimePoint now, const SchedulerDemand &demand)
 {
+    const Duration elapsed = m_updatedAt ? now - *m_updatedAt : Duration{0};
+    m_updatedAt = now;
+    // The limit of a queue that has no job any more is lifted like that of one without a backlog.
+    std::map<std::string, QueueBacklog> queues = demand.queues;
+    for (const auto &[name, arrivals] : m_arrivals) {
+        if (!queues.contains(name))
+            queues[name].acceptedTasks = arrivals.acceptedTasks.value_or(0);
+    }
+    for (const auto &[name, queue] : queues)
+        addArrivals(elapsed, queue, m_arrivals[name]);
     if (demand.startsAreBlocked) {
         m_samples.clear();
         return m_limits;
@@ -44,14 +67,27 @@
     for (const auto &[pool, started] : demand.startedTasks)
         addSample(now, demand, pool);
     m_limits.clear();
-    for (const auto &[name, queue] : demand.queues) {
-        limit(name, expectedWait(demand, queue), targetOf(demand, queue));
-    }
-    std::erase_if(m_shares,
-                  [&](const auto &entry) { return !demand.queues.contains(entry.first); });
+    for (const auto &[name, queue] : queues)
+        limit(demand, name, queue);
+    std::erase_if(m_arrivals, [&](const auto &entry) {
+        return !demand.queues.contains(entry.first) && !m_limits.contains(entry.first);
+    });
     return m_limits;
 }
 
+void AdmissionControl::addArrivals(Duration elapsed, const QueueBacklog &backlog,
+                                   Arrivals &arrivals) const
+{
+    arrivals.shares.resize(std::max(arrivals.shares.size(), updatesUntilInForce), 1);
+    const std::uint64_t before = arrivals.acceptedTasks.value_or(backlog.acceptedTasks);
+    arrivals.acceptedTasks = backlog.acceptedTasks;
+    if (elapsed <= Duration{0})
+        return;
+    const double accepted = static_cast<double>(backlog.acceptedTasks - before);
+    const double offered = accepted / toSeconds(elapsed) / arrivals.shares.front();
+    arrivals.offeredRate += arrivalWeight * (offered - arrivals.offeredRate);
+}
+
 void AdmissionControl::addSample(TimePoint now, const SchedulerDemand &demand,
                                  const std::string &pool)
 {
@@ -67,51 +103,57 @@
         samples.pop_front();
 }
 
-std::optional<Duration> AdmissionControl::expectedWait(const SchedulerDemand &demand,
-                                                       const QueueBacklog &queue) const
+std::optional<double> AdmissionControl::startRate(const std::string &pool) const
 {
-    const auto found = m_samples.find(queue.pool);
+    const auto found = m_samples.find(pool);
     if (found == m_samples.end() || found->second.empty())
-        return Duration{0};
+        return std::nullopt;
     const Sample &first = found->second.front();
     const Sample &last = found->second.back();
-    if (last.time - first.time < shortestRateWindow)
-        return std::nullopt;
-    std::uint64_t before = 0;
-    for (const auto &[name, other] : demand.queues) {
-        if (other.pool == queue.pool && other.priority <= queue.priority)
-            before += other.waitingTasks - other.overdueTasks / overdueWeightDivisor;
-    }
     const Duration window = last.time - first.time;
     // While the store is away, nothing starts. That tells nothing about the rate afterwards.
-    if (last.startedTasks == first.startedTasks)
+    if (window < shortestRateWindow || last.startedTasks == first.startedTasks)
         return std::nullopt;
-    const double wait = toSeconds(window) * static_cast<double>(before)
-                        / static_cast<double>(last.startedTasks - first.startedTasks);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    return static_cast<double>(last.startedTasks - first.startedTasks) / toSeconds(window);
 }
 
-void AdmissionControl::limit(const std::string &queue, std::optional<Duration> wait,
-                             Duration targetWait)
+void AdmissionControl::limit(const SchedulerDemand &demand, const std::string &name,
+                             const QueueBacklog &queue)
 {
-    double &share = m_shares.try_emplace(queue, 1).first->second;
-    if (wait) {
-        const double target = toSeconds(targetWait);
-        const double seconds = toSeconds(*wait);
-        const double factor = seconds <= recoveredPart * target
-                                  ? recoveryIncrease
-                                  : std::min(target / seconds, largestIncrease);
-        share *= std::max(factor, largestDecrease);
-        share = std::clamp(share, smallestShare, 1.0);
+    Arrivals &arrivals = m_arrivals[name];
+    std::uint64_t before = 0;
+    for (const auto &[otherName, other] : demand.queues) {
+        if (other.pool == queue.pool && other.priority <= queue.priority)
+            before += other.waitingTasks - other.overdueTasks / overdueWeightDivisor;
+    }
+    const double latest = arrivals.shares.back();
+    const double target = toSeconds(targetOf(demand, queue));
+    const std::optional<double> starts = startRate(queue.pool);
+    double wait = target;
+    double share = latest;
+    if (before == 0) {
+        wait = 0;
+        share = latest * largestIncrease;
+    } else if (starts) {
+        wait = static_cast<double>(before) / *starts;
+        const double correction
+            = std::max(smallestCorrection, 1 + (target - wait) / toSeconds(correctionTime));
+        share = *starts * correction / std::max(arrivals.offeredRate, 1.0);
     }
-    if (share == 1)
+    const bool mayBegin = latest < 1 || wait >= firstLimitPart * target;
+    share
+        = mayBegin ? std::clamp(share, smallestShare, std::min(1.0, latest * largestIncrease)) : 1;
+    arrivals.shares.pop_front();
+    arrivals.shares.push_back(share);
+    if (share >= 1)
         return;
     AdmissionLimit limit;
-    limit.acceptedPermille = static_cast<unsigned>(std::lround(share * 1000));
+    limit.acceptedPermille
+        = std::max(1U, static_cast<unsigned>(std::lround(share * wholePermille)));
+    const auto seconds = static_cast<std::int64_t>(std::ceil(wait));
     limit.retryAfter
-        = std::clamp(std::chrono::ceil<std::chrono::seconds>(wait.value_or(targetWait)),
-                     std::chrono::seconds(1), longestRetryAfter);
-    m_limits[queue] = limit;
+        = std::clamp(std::chrono::seconds(seconds), std::chrono::seconds(1), longestRetryAfter);
+    m_limits[name] = limit;
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -95,6 +95,8 @@
         for (unsigned step = 0; step < occurrence.steps.size(); ++step)
             restoreRuns(now, job, number, step);
     }
+    for (const StepSpecification &step : submitted.specification.steps)
+        m_acceptedTasks[submitted.queue.name] += step.count;
     observe("job-added", {{id, 0, 0, 0}, 0}, {}, job.submitted().queue.name);
 }
 
--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -87,6 +87,8 @@
         QueueBacklog &queue = demand.queues[settings.name];
         queue.pool = settings.pool;
         queue.priority = settings.priority;
+        const auto accepted = m_acceptedTasks.find(settings.name);
+        queue.acceptedTasks = accepted == m_acceptedTasks.end() ? 0 : accepted->second;
         demand.startedTasks.try_emplace(settings.pool);
         const auto pool = pools.find(settings.pool);
         if (pool != pools.end())
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -19,6 +19,7 @@
     std::uint64_t overdueTasks = 0; ///< of them, those of late jobs, which come after new ones
     /// Time for which an average job of the queue can wait before its result is of no use.
     Duration tolerableWait{0};
+    std::uint64_t acceptedTasks = 0; ///< since the scheduler began, whether they wait or not
 };
 
 /// The load of all pools at one time.
@@ -35,12 +36,15 @@
 /// Decides which share of the jobs of each queue is accepted. A job that would start too late,
 /// going by what waits before it and by the rate at which its pool starts tasks, is better refused
 /// at once than accepted, kept waiting and done in vain: the pattern is load shedding by the
-/// expected time in the queue, not by its length. The share follows the load in both directions by
-/// bounded factors, so that what is accepted matches what is started whatever the reason of a low
-/// rate.
+/// expected time in the queue, not by its length. The share is the rate of starts divided by the
+/// rate at which jobs are handed in, corrected by how far the expected wait is from its target. So
+/// it needs no time to find its level, and refuses nothing while there is room.
 class AdmissionControl
 {
 public:
+    /// \a limits are in force already, from an earlier scheduler.
+    explicit AdmissionControl(const AdmissionLimits &limits = {});
+
     /// Takes the load at \a now and returns the limits in force from now on.
     const AdmissionLimits &update(TimePoint now, const SchedulerDemand &demand);
 
@@ -50,17 +54,24 @@
         TimePoint time;
         std::uint64_t startedTasks = 0;
     };
-    /// Time that the tasks of the queue wait for a start; nothing while the rate of starts in its
-    /// pool is not known.
-    std::optional<Duration> expectedWait(const SchedulerDemand &demand,
-                                         const QueueBacklog &queue) const;
+    /// What was handed in to a queue.
+    struct Arrivals
+    {
+        std::optional<std::uint64_t> acceptedTasks; ///< at the latest update
+        double offeredRate = 0; ///< tasks per second, accepted or not
+        std::deque<double> shares; ///< the latest ones; the first is in force
+    };
+    /// Tasks that the pool starts per second; nothing while it is not known.
+    std::optional<double> startRate(const std::string &pool) const;
     void addSample(TimePoint now, const SchedulerDemand &demand, const std::string &pool);
-    /// Adapts the share of the queue; an unknown \a wait leaves it as it is.
-    void limit(const std::string &queue, std::optional<Duration> wait, Duration target);
+    void addArrivals(Duration elapsed, const QueueBacklog &backlog, Arrivals &arrivals) const;
+    /// Adapts the share of the queue; an unknown rate of starts leaves it as it is.
+    void limit(const SchedulerDemand &demand, const std::string &name, const QueueBacklog &queue);
 
     /// Samples of each pool since tasks began to wait there without a break.
     std::map<std::string, std::deque<Sample>> m_samples;
-    std::map<std::string, double> m_shares; ///< accepted, by queue; 1 when absent
+    std::map<std::string, Arrivals> m_arrivals; ///< by queue
+    std::optional<TimePoint> m_updatedAt;
     AdmissionLimits m_limits;
 };
 
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -363,6 +363,7 @@
     std::map<std::string, Job> m_jobs; ///< unfinished, or finished without a durable row yet
     std::map<std::string, Worker> m_workers;
     std::map<std::string, std::uint64_t> m_startedTasks; ///< by pool, since the scheduler began
+    std::map<std::string, std::uint64_t> m_acceptedTasks; ///< by queue, since the scheduler began
     ChangedJobs m_dirty;
     std::set<std::string> m_suspects; ///< jobs of a refused transaction
     /// Jobs whose row the store refuses, with the time of the next attempt.
--- a/Services/Jobs/AdmissionGate.cpp
+++ b/Services/Jobs/AdmissionGate.cpp
@@ -26,12 +26,18 @@
                            });
 }
 
+AdmissionLimits AdmissionGate::limits(TimePoint now) const
+{
+    return now < m_receivedAt + limitsValidity ? m_limits : AdmissionLimits{};
+}
+
 std::optional<std::chrono::seconds> AdmissionGate::refuse(TimePoint now, const std::string &queue)
 {
     const auto limit = m_limits.find(queue);
     if (limit == m_limits.end() || now >= m_receivedAt + limitsValidity)
         return std::nullopt;
-    unsigned &credit = m_credits[queue];
+    const auto initial = static_cast<unsigned>(m_random.below(wholePermille));
+    unsigned &credit = m_credits.try_emplace(queue, initial).first->second;
     credit += limit->second.acceptedPermille;
     if (credit < wholePermille)
         return limit->second.retryAfter;
--- a/Services/Jobs/AdmissionGate.h
+++ b/Services/Jobs/AdmissionGate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Kernel/Jobs/AdmissionLimits.h>
+#include <LibBase/Random.h>
 #include <LibBase/Time.h>
 #include <LibStore/Transaction.h>
 #include <map>
@@ -14,16 +15,23 @@
 class AdmissionGate
 {
 public:
+    /// \a seed should differ between processes.
+    explicit AdmissionGate(std::uint64_t seed) : m_random(seed) { }
+
     /// Takes the row of the limits. A malformed row removes all limits.
     void limitsChanged(TimePoint now, const Row &row);
     /// Decides about a submission to \a queue: nothing when it is accepted, otherwise the time
     /// after which it should be repeated.
     std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue);
+    /// Limits in force at \a now.
+    AdmissionLimits limits(TimePoint now) const;
 
 private:
     AdmissionLimits m_limits;
     TimePoint m_receivedAt;
-    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue.
+    RandomSource m_random;
+    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue. It
+    /// begins at random, so that a small share holds for many processes with few submissions each.
     std::map<std::string, unsigned> m_credits;
 };
 
--- a/Services/Jobs/AdmissionPublisher.cpp
+++ b/Services/Jobs/AdmissionPublisher.cpp
@@ -15,8 +15,8 @@
 } // namespace
 
 AdmissionPublisher::AdmissionPublisher(const PlatformPorts &ports, std::uint64_t epoch,
-                                       RowCheck epochCheck)
-    : m_ports(ports), m_epoch(epoch), m_epochCheck(std::move(epochCheck))
+                                       RowCheck epochCheck, const AdmissionLimits &limits)
+    : m_ports(ports), m_epoch(epoch), m_epochCheck(std::move(epochCheck)), m_control(limits)
 {
 }
 
--- a/Services/Jobs/AdmissionPublisher.h
+++ b/Services/Jobs/AdmissionPublisher.h
@@ -14,8 +14,10 @@
 class AdmissionPublisher
 {
 public:
-    /// Each write checks \a epochCheck, so that a fenced scheduler sets no limits.
-    AdmissionPublisher(const PlatformPorts &ports, std::uint64_t epoch, RowCheck epochCheck);
+    /// Each write checks \a epochCheck, so that a fenced scheduler sets no limits. \a limits are
+    /// those of the scheduler before.
+    AdmissionPublisher(const PlatformPorts &ports, std::uint64_t epoch, RowCheck epochCheck,
+                       const AdmissionLimits &limits);
 
     bool isDue(TimePoint now) const { return now >= m_nextUpdate; }
     /// Takes the load of the scheduler.
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -27,7 +27,8 @@
 
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
-      m_clock(processNow), m_frontend(context, *m_ports.callerStore, frontendHooks()),
+      m_clock(processNow), m_admissionGate(std::hash<std::string>()(m_settings.instance)),
+      m_frontend(context, *m_ports.callerStore, frontendHooks()),
       m_election({m_settings.host, m_settings.instance, m_settings.processors, {}},
                  *m_ports.urgentStore, electionHooks()),
       m_electionTimer(context), m_observeTimer(context)
@@ -263,6 +264,9 @@
     hooks.waves = [this]() -> const MaintenanceWaves & {
         return m_waves;
     };
+    hooks.admissionLimits = [this] {
+        return m_admissionGate.limits(m_clock());
+    };
     hooks.fenced = [this, epoch] {
         m_fencedEpoch = std::max(m_fencedEpoch, epoch);
         if (m_session && m_sessionEpoch == epoch)
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -165,7 +165,8 @@
     m_hostSession = std::make_unique<HostSession>(m_context, m_ports, m_epoch, epochCheck,
                                                   m_hostTiming, std::move(hooks));
     m_hostSession->start();
-    m_admission = std::make_unique<AdmissionPublisher>(m_ports, m_epoch, epochCheck);
+    m_admission = std::make_unique<AdmissionPublisher>(m_ports, m_epoch, epochCheck,
+                                                       m_hooks.admissionLimits());
 }
 
 void SchedulerSession::readWorkers(const std::string &startAfter)
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -32,6 +32,8 @@
         std::function<TimePoint()> clock;
         /// Whether this process certainly holds the scheduler lease now.
         std::function<bool()> leaseHeld;
+        /// Limits of submissions that the scheduler before has set and that still hold.
+        std::function<AdmissionLimits()> admissionLimits;
         /// Waves that administrators have requested.
         std::function<const MaintenanceWaves &()> waves;
         /// Called once, asynchronously, when a higher fencing epoch was seen: another process has
--- a/Tests/Kernel/Jobs/TestAdmissionControl.cpp
+++ b/Tests/Kernel/Jobs/TestAdmissionControl.cpp
@@ -23,13 +23,16 @@
         constexpr std::chrono::milliseconds step{250};
         auto &waiting = demand.queues["steady"].waitingTasks;
         for (Duration passed{0}; passed < duration; passed += step) {
-            const double arrived = arrivalsPerSecond * toSeconds(step) * share();
+            const double arrived = arrivalsPerSecond * toSeconds(step) * shareInForce;
             waiting += static_cast<std::uint64_t>(arrived);
+            demand.queues["steady"].acceptedTasks += static_cast<std::uint64_t>(arrived);
             const auto started
                 = std::min(waiting, static_cast<std::uint64_t>(startsPerSecond * toSeconds(step)));
             waiting -= started;
             demand.startedTasks["pool"] += started;
             now += step;
+            // Processes follow a limit a while after it was set.
+            shareInForce = share();
             limits = control.update(now, demand);
         }
     }
@@ -47,6 +50,7 @@
 
     TimePoint now{std::chrono::hours(1)};
     SchedulerDemand demand;
+    double shareInForce = 1;
     AdmissionControl control;
     AdmissionLimits limits;
 };
@@ -85,6 +89,27 @@
         pool.run(10s, 0, 400);
         CHECK(pool.limits.empty());
     }
+    SECTION("a pool is not refused idle")
+    {
+        // Guards against jobs that are refused while there is room, during a load and after it
+        // (RECOVER).
+        pool.run(4s, 8000, 400);
+        const std::uint64_t started = pool.demand.startedTasks.at("pool");
+        pool.run(20s, 8000, 400);
+        CHECK(pool.demand.startedTasks.at("pool") - started >= 20 * 400 * 9 / 10);
+        pool.run(10s, 300, 400);
+        CHECK(pool.share() >= 0.9);
+        pool.run(10s, 300, 400);
+        CHECK(pool.limits.empty());
+    }
+    SECTION("the limits of an earlier scheduler are the first estimate")
+    {
+        // Guards against a flood of jobs after each takeover.
+        pool.run(10s, 8000, 400);
+        pool.control = AdmissionControl(pool.limits);
+        pool.run(3s, 8000, 400);
+        CHECK(pool.expectedWait(400) <= 10s);
+    }
     SECTION("an outage in which nothing can be started is no reason to refuse jobs")
     {
         pool.run(4s, 300, 400);
--- a/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
+++ b/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
@@ -35,7 +35,7 @@
 TEST_CASE("Each process applies the limits of the scheduler to its own submissions")
 {
     const TimePoint now{std::chrono::hours(1)};
-    AdmissionGate gate;
+    AdmissionGate gate(1);
     gate.limitsChanged(
         now, {std::string(admissionKey), 1, encodeAdmissionLimits({{"checks", {250, 3s}}})});
     const auto accepted = [&](const std::string &queue, TimePoint at) {
@@ -50,6 +50,20 @@
         CHECK(accepted("checks", now) == 25);
         CHECK(accepted("reports", now) == 100);
     }
+    SECTION("a small share holds over many processes with few submissions each")
+    {
+        // Guards against queues that accept nothing at all while a small share is allowed
+        // (RECOVER).
+        unsigned sum = 0;
+        for (std::uint64_t seed = 0; seed < 100; ++seed) {
+            gate = AdmissionGate(seed);
+            gate.limitsChanged(
+                now, {std::string(admissionKey), 1, encodeAdmissionLimits({{"checks", {2, 3s}}})});
+            sum += accepted("checks", now);
+        }
+        CHECK(sum >= 10);
+        CHECK(sum <= 30);
+    }
     SECTION("limits that nobody repeats end")
     {
         CHECK(accepted("checks", now + 10s) == 100);
