Kernel/Jobs, Services/Jobs: Keep the clocks that a takeover has learned

A new scheduler polls all workers before it knows the jobs, and learned their clocks; when it began to schedule, it forgot them. Its own first poll of each worker then extended no lease, and the second one waited for the answer to the first, at the moment at which the process has the most to do. The clocks are handed over with the workers, unless a worker has started again since.

The test failed without it: the first poll had no lease end.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -120,6 +120,13 @@
     }
 }
 
+void JobScheduler::takeClock(const Worker &answered)
+{
+    const auto found = m_workers.find(answered.description.id);
+    if (found != m_workers.end())
+        found->second.takeClock(answered);
+}
+
 void JobScheduler::assumeLeasesUntil(TimePoint end)
 {
     for (auto &[id, worker] : m_workers)
--- a/Kernel/Jobs/TakeoverLeases.cpp
+++ b/Kernel/Jobs/TakeoverLeases.cpp
@@ -61,6 +61,12 @@
     return end;
 }
 
+void TakeoverLeases::forEachWorker(const std::function<void(const Worker &)> &visit) const
+{
+    for (const auto &[id, polled] : m_workers)
+        visit(polled.worker);
+}
+
 void TakeoverLeases::sendPoll(TimePoint now, PolledWorker &polled)
 {
     PollOrder order;
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -56,6 +56,12 @@
     m_clockReceivedAt = receivedAt;
 }
 
+void Worker::takeClock(const Worker &other)
+{
+    if (other.m_clockKnown && other.description.startedAt == description.startedAt)
+        updateClock(other.m_clock, other.m_clockReceivedAt);
+}
+
 WorkerClock Worker::extendLease(TimePoint now, Duration length)
 {
     using std::chrono::duration_cast;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -99,6 +99,9 @@
                 Version progressVersion);
     void cancelJob(TimePoint now, const std::string &id);
 
+    /// Takes the clock of a worker that answered this process before, so that the first poll
+    /// extends its lease.
+    void takeClock(const Worker &answered);
     /// Tells that this process may have extended leases of workers until \a end, apart from this
     /// scheduler.
     void assumeLeasesUntil(TimePoint end);
--- a/Kernel/include/Kernel/Jobs/TakeoverLeases.h
+++ b/Kernel/include/Kernel/Jobs/TakeoverLeases.h
@@ -34,6 +34,8 @@
     void pollFinished(TimePoint now, const PollOrder &order, const PollReply &reply);
     /// Upper bound of all lease ends that were sent.
     TimePoint leasesEnd() const;
+    /// Calls \a visit with each worker, whose clock is known when it has answered.
+    void forEachWorker(const std::function<void(const Worker &)> &visit) const;
     /// Number of workers that have answered.
     std::size_t answered() const { return m_answered; }
 
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -50,6 +50,8 @@
 
     bool hasLabel(const std::string &label) const;
     bool clockKnown() const { return m_clockKnown; }
+    /// Takes the clock that \a other knows when it is the same incarnation of the worker.
+    void takeClock(const Worker &other);
     TaskSize freeCapacity() const { return minus(description.capacity, runs.reserved()); }
     /// Whether runs that the scheduler does not know, and whose size it does not know, use
     /// capacity.
--- a/Services/Jobs/SchedulerSessionTakeover.cpp
+++ b/Services/Jobs/SchedulerSessionTakeover.cpp
@@ -90,10 +90,12 @@
               {"progress_rows", std::uint64_t{m_loadedProgress.size()}},
               {"polled_workers", std::uint64_t{m_takeoverLeases->answered()}}});
     const TimePoint leasesEnd = m_takeoverLeases->leasesEnd();
-    m_takeoverLeases.reset();
     m_scheduling = true;
     if (now < m_workersListedAt + latestWorkerList)
         m_scheduler->setWorkers(now, m_listedWorkers);
+    m_takeoverLeases->forEachWorker(
+        [this](const Worker &worker) { m_scheduler->takeClock(worker); });
+    m_takeoverLeases.reset();
     m_scheduler->assumeLeasesUntil(leasesEnd);
     beginHostSession();
     tick();
--- a/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
+++ b/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
@@ -1,3 +1,5 @@
+#include "SchedulerFixture.h"
+
 #include <Kernel/Jobs/TakeoverLeases.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -134,3 +136,31 @@
     CHECK(std::all_of(extensions.begin(), extensions.end(),
                       [](const auto &entry) { return entry.second > 0; }));
 }
+
+TEST_CASE("A scheduler that begins extends leases with its first polls")
+{
+    // Guards against leases that expire while a new scheduler learns the clocks of the workers once
+    // more (LOST).
+    TakeoverFixture takeover;
+    takeover.leases.setWorkers({TakeoverFixture::worker("w")});
+    takeover.leases.sendDuePolls(takeover.now);
+    takeover.answer(OrderOutcome::Accepted, true);
+
+    Test::SchedulerFixture fixture;
+    const auto firstPoll = [&](std::int64_t startedAt) {
+        fixture.scheduler.setWorkers(fixture.now, {Test::SchedulerFixture::worker("w", startedAt)});
+        takeover.leases.forEachWorker(
+            [&](const Worker &worker) { fixture.scheduler.takeClock(worker); });
+        fixture.scheduler.sendDuePolls(fixture.now);
+        REQUIRE(fixture.polls.size() == 1);
+        return fixture.polls.front();
+    };
+    SECTION("when it knows the clock from the polls of the takeover")
+    {
+        CHECK(firstPoll(1000).leaseEnd == WorkerClock{6500});
+    }
+    SECTION("but not of a worker that has started again since")
+    {
+        CHECK_FALSE(firstPoll(2000).leaseEnd);
+    }
+}
