--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -23,8 +23,8 @@
 /// The same for workers that run best-effort tasks beside serving tasks: their latencies, which
 /// control the throttling of best-effort tasks, are needed more often.
 constexpr std::chrono::milliseconds latencyPollWait{500};
-/// Age of a poll from which on its answer, or its timeout, waits in this process: no worker takes so
-/// long. Another poll is sent, because it extends the lease.
+/// Age of a poll from which on its answer, or its timeout, waits in this process: no worker takes
+/// so long. Another poll is sent, because it extends the lease.
 constexpr std::chrono::milliseconds lateAnswerAge{2500};
 /// Interval of polls while ended runs are not yet written to the store: the worker reports these
 /// runs again, so that a poll would return immediately.
