Kernel/Jobs: Split the limit of a queue into its steps

No change of behaviour: the number of tasks that come first, the next share and the limit that is published are functions of their own. Tests of the job kernel pass.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -31,6 +31,7 @@
 // A share rises by this factor at most in an update.
 constexpr double largestIncrease = 1.5;
 constexpr double smallestShare = 0.002;
+constexpr double smallestOfferedRate = 1; ///< tasks per second
 constexpr std::chrono::seconds longestRetryAfter{30};
 constexpr double wholePermille = 1000;
 
@@ -40,6 +41,27 @@
     return std::chrono::duration_cast<Duration>(queue.tolerableWait * part);
 }
 
+/// Number of tasks that are started before a new one of \a queue.
+std::uint64_t tasksBefore(const SchedulerDemand &demand, const QueueBacklog &queue)
+{
+    std::uint64_t tasks = 0;
+    for (const auto &[name, other] : demand.queues) {
+        if (other.pool == queue.pool && other.priority <= queue.priority)
+            tasks += other.waitingTasks - other.overdueTasks / overdueWeightDivisor;
+    }
+    return tasks;
+}
+
+AdmissionLimit limitOf(double share, double wait)
+{
+    const std::chrono::seconds wholeWait{static_cast<std::int64_t>(std::ceil(wait))};
+    AdmissionLimit limit;
+    limit.acceptedPermille
+        = std::max(1U, static_cast<unsigned>(std::lround(share * wholePermille)));
+    limit.retryAfter = std::clamp(wholeWait, std::chrono::seconds(1), longestRetryAfter);
+    return limit;
+}
+
 } // namespace
 
 AdmissionControl::AdmissionControl(const AdmissionLimits &limits)
@@ -76,7 +98,7 @@
 }
 
 void AdmissionControl::addArrivals(Duration elapsed, const QueueBacklog &backlog,
-                                   Arrivals &arrivals) const
+                                   Arrivals &arrivals)
 {
     arrivals.shares.resize(std::max(arrivals.shares.size(), updatesUntilInForce), 1);
     const std::uint64_t before = arrivals.acceptedTasks.value_or(backlog.acceptedTasks);
@@ -117,43 +139,35 @@
     return static_cast<double>(last.startedTasks - first.startedTasks) / toSeconds(window);
 }
 
+double AdmissionControl::nextShare(const Arrivals &arrivals, double starts, double wait,
+                                   double target)
+{
+    const double correction
+        = std::max(smallestCorrection, 1 + (target - wait) / toSeconds(correctionTime));
+    return starts * correction / std::max(arrivals.offeredRate, smallestOfferedRate);
+}
+
 void AdmissionControl::limit(const SchedulerDemand &demand, const std::string &name,
                              const QueueBacklog &queue)
 {
     Arrivals &arrivals = m_arrivals[name];
-    std::uint64_t before = 0;
-    for (const auto &[otherName, other] : demand.queues) {
-        if (other.pool == queue.pool && other.priority <= queue.priority)
-            before += other.waitingTasks - other.overdueTasks / overdueWeightDivisor;
-    }
     const double latest = arrivals.shares.back();
     const double target = toSeconds(targetOf(demand, queue));
+    const auto before = static_cast<double>(tasksBefore(demand, queue));
     const std::optional<double> starts = startRate(queue.pool);
-    double wait = target;
-    double share = latest;
-    if (before == 0) {
-        wait = 0;
-        share = latest * largestIncrease;
-    } else if (starts) {
-        wait = static_cast<double>(before) / *starts;
-        const double correction
-            = std::max(smallestCorrection, 1 + (target - wait) / toSeconds(correctionTime));
-        share = *starts * correction / std::max(arrivals.offeredRate, 1.0);
+    double wait = before == 0 ? 0 : target;
+    double share = before == 0 ? 1 : latest;
+    if (before > 0 && starts) {
+        wait = before / *starts;
+        share = nextShare(arrivals, *starts, wait, target);
     }
     const bool mayBegin = latest < 1 || wait >= firstLimitPart * target;
-    share
-        = mayBegin ? std::clamp(share, smallestShare, std::min(1.0, latest * largestIncrease)) : 1;
+    const double largest = std::min(1.0, latest * largestIncrease);
+    share = mayBegin ? std::clamp(share, smallestShare, largest) : 1;
     arrivals.shares.pop_front();
     arrivals.shares.push_back(share);
-    if (share >= 1)
-        return;
-    AdmissionLimit limit;
-    limit.acceptedPermille
-        = std::max(1U, static_cast<unsigned>(std::lround(share * wholePermille)));
-    const auto seconds = static_cast<std::int64_t>(std::ceil(wait));
-    limit.retryAfter
-        = std::clamp(std::chrono::seconds(seconds), std::chrono::seconds(1), longestRetryAfter);
-    m_limits[name] = limit;
+    if (share < 1)
+        m_limits[name] = limitOf(share, wait);
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -64,7 +64,10 @@
     /// Tasks that the pool starts per second; nothing while it is not known.
     std::optional<double> startRate(const std::string &pool) const;
     void addSample(TimePoint now, const SchedulerDemand &demand, const std::string &pool);
-    void addArrivals(Duration elapsed, const QueueBacklog &backlog, Arrivals &arrivals) const;
+    static void addArrivals(Duration elapsed, const QueueBacklog &backlog, Arrivals &arrivals);
+    /// Share for which as much is accepted as is started, more or less when \a wait differs from
+    /// \a target (seconds). \a starts is the number of tasks per second.
+    static double nextShare(const Arrivals &arrivals, double starts, double wait, double target);
     /// Adapts the share of the queue; an unknown rate of starts leaves it as it is.
     void limit(const SchedulerDemand &demand, const std::string &name, const QueueBacklog &queue);
 
