review: Show that a cancelled job runs after its cancelling was answered 410

The cancelling of a job that has no row yet writes nothing, so that a write of its submission that the store does late is applied afterwards. The case leaves both writes of a submission unanswered, does them 6 s later, and cancels the job in between. The case on the limit of a wave becomes number 10.

--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,73 +1,92 @@
-"""A call for an upkeep gets no answer and is carried out late, and the process that sent it is stopped meanwhile. Judges
-whether an upkeep begins while as many machines of its wave as `cap` allows are down for theirs."""
+"""The store does the writes of one submission late and leaves them unanswered. The client cancels the job meanwhile. Judges
+whether a task of the job starts after its cancelling was acknowledged."""
 import os
-import signal
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.realpath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "shared-2"))
 import platform2 as p2  # noqa: E402
 
+LATE_SECONDS = 6.0  # the pages: 1 to 6 s later
+LOST_SECONDS = 1.2  # length of the disruption; the pages: 4.5 s
+SHARE = 0.35  # of the writes in that time, at most
+JOB = "5eed000000000001"
 CAPACITY = {"cpu": 32000, "mem_mb": 131072, "gpus": 0}
-LATE_SECONDS = 2.1  # the pages: 2 to 12 s later
-CAP = 1
+
+
+class LateStore(p2.Store):
+    """Does writes that name the job late, as long as `late` is set and no more than their share is reached."""
+
+    late = False
+    writes, delayed = 0, 0
+
+    def handle(self, method, url, headers, body):
+        if url.path == "/v1/rows-tx" and self.late:
+            self.writes += 1
+            if any(put["key"] == JOB for put in body.get("puts", [])):
+                self.delayed += 1
+                self.record.add(f"write of the submission gets no answer and is done {LATE_SECONDS} s later")
+                threading.Timer(LATE_SECONDS, self.do_late, (body,)).start()
+                raise p2.NoAnswer
+        return super().handle(method, url, headers, body)
+
+    def do_late(self, body):
+        self.record.add(f"late write of the submission: {self.transact(body)[0]}")
+
+
+p2.Store = LateStore
 
 
 def play(platform, start, trouble):
-    for name in ("m-a", "m-b", "m-c", "m-d"):
-        platform.machines.add(name, "intake", CAPACITY, ["a", "r1"])
-    p2.configure(platform, [p2.route("form-check", "/forms/", "intake")], [{"name": "intake", "rejects_overload": False}])
+    for number in range(3):
+        platform.machines.add(f"m-{number}", "treasury", CAPACITY, ["a", "r1"])
+    p2.configure(platform, [p2.route("fee-verify", "/fees/", "treasury", priority=1, max_attempts=2)],
+                 [{"name": "treasury", "rejects_overload": False}])
     processes = [start(f"edge-{n}") for n in range(3)]
     if not p2.wait_until(lambda: all(process.ready() for process in processes) and p2.leader_of(processes), 15):
         raise p2.CouldNotRun("the processes aren't ready")
-    client = p2.Client(platform, processes, prefix="/forms/")
-    time.sleep(2)
-    calls = []
+    client = p2.Client(platform, processes, prefix="/fees/")
+    other = p2.Client(platform, processes, prefix="/fees/")
+    step = {"count": 2, "cpu": 3800, "mem_mb": 7800, "est_runtime_ms": 2100}
+    stop = threading.Event()
 
-    def fault(path, body, headers):
-        if path != "/v1/machine-upkeep":
-            return None
-        calls.append(body["machine_id"])
-        platform.record.add(f"call {len(calls)}: upkeep of {body['machine_id']}, holder {headers.get('Duty-Holder')}, "
-                            f"token {headers.get('Fencing-Token')}")
-        if len(calls) > 1:
-            return None
-        platform.record.add("the call gets no answer" if trouble else "the call is answered")
-        for executor in platform.machines.executors():  # the task at work comes to its end
-            with executor.lock:
-                for run in executor.runs.values():
-                    run["end_at"] = time.monotonic() + 0.1
-        return LATE_SECONDS if trouble else None
+    def traffic():  # other clients hand in jobs all the while
+        number = 0x100
+        while not stop.wait(0.25):
+            number += 1
+            other.submit(f"{0x5eed000000000000 + number:016x}", {"ms": 300}, [step])
 
-    platform.machines.fault = fault
-    client.submit("5eed000000000001", {"ms": 5000}, [{"count": 1, "cpu": 2000, "mem_mb": 1024, "est_runtime_ms": 2000}])
-    if not p2.wait_until(lambda: platform.running, 5):
-        raise p2.CouldNotRun("the job didn't start")
-    busy = next(entry["executor"].machine for entry in platform.machines.machines.values()
-                if platform.running_on(entry["executor"]))
-    idle = [name for name in platform.machines.machines if name != busy]
-    wave = [busy, idle[0]]
-    platform.record.add(f"wave 1: machines {wave}, cap {CAP}; {busy} is at work")
-    platform.store.put("op", "wave/1", {"wave": 1, "machines": wave, "period_s": 26.0, "cap": CAP})
-    if not p2.wait_until(lambda: calls, 15):
-        raise p2.CouldNotRun("no upkeep was ordered")
-    leader = p2.leader_of(processes)
-    platform.record.add(f"SIGTERM to {leader.name}, which holds the duty")
-    leader.signal(signal.SIGTERM)
-    leader.process.wait()
-    platform.record.add(f"{leader.name} has ended")
-    leader.start()
-    done = lambda: (platform.store.get("status", "", "wave/1") or {}).get("state") == "completed"
-    p2.wait_until(done, 40)
-    time.sleep(3)
-    platform.record.add(f"status of the wave: {platform.store.get('status', '', 'wave/1')}")
+    threading.Thread(target=traffic, daemon=True).start()
+    time.sleep(1)
+    platform.store.late = trouble
+    begin = p2.now()
+    status, _ = client.call("POST", "/fees/" + JOB, {"spec": '{"ms": 2100}', "steps": [step]}, tries=1)
+    time.sleep(max(0, begin + LOST_SECONDS - p2.now()))
+    platform.store.late = False
+    end = p2.now()
+    store = platform.store
+    if trouble:
+        platform.record.add(f"the disruption lasted {end - begin:.2f} s, {store.delayed} of {store.writes} writes were late")
+        if not store.delayed or store.delayed > SHARE * store.writes:
+            raise p2.CouldNotRun("the share of late writes isn't as planned")
+    time.sleep(0.3)
+    cancelled, _ = client.cancel(JOB)
+    acknowledged = p2.now()
+    platform.record.add(f"submission: {status}, cancelling: {cancelled}")
+    if cancelled not in (200, 410):
+        raise p2.CouldNotRun("the cancelling wasn't acknowledged")
+    stop.set()
+    time.sleep(10)
+    client.state(JOB)
+    time.sleep(1)
     broken = []
-    for at, machine, number in platform.upkeeps:
-        down = [other for since, other, _ in platform.upkeeps
-                if other != machine and since < at < since + p2.BOUNDS["maintenance_s"]]
-        if len(down) >= CAP:
-            broken.append(f"LIMIT: at {at:.3f} s the upkeep of {machine} began while {down} was down for its own, cap {CAP}")
+    for at, _, executor, task, run in platform.starts_of(JOB):
+        in_touch = not trouble or at > end + p2.BOUNDS["contact_ms"] / 1000
+        if in_touch and at > acknowledged + p2.BOUNDS["cancel_ms"] / 1000:
+            broken.append(f"UNASKED: {task} run {run} started on {executor} {at - acknowledged:.1f} s after the cancelling of its "
+                          f"job was acknowledged with {cancelled}")
     return broken
 
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # nothing to compile: the script checks that they can be read.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
-python3 - shared-2/*.py [6-9]/run.py <<'CHECK'
+python3 - shared-2/*.py 6/run.py 8/run.py 9/run.py 10/run.py <<'CHECK'
 import sys
 for name in sys.argv[1:]:
     with open(name, encoding="utf-8") as file:
