--- a/review/shared-2/platform2.py
+++ b/review/shared-2/platform2.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -19,6 +20,7 @@
 
 ROOT = os.path.realpath(os.path.join(os.path.dirname(__file__), "..", ".."))
 BEGIN = time.monotonic()
+USED_PORTS = set()
 BOUNDS = {"contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6, "config_ms": 2000, "hold_max_ms": 10000,
           "stop_ms": 200, "gang_timeout_ms": 3000, "cancel_ms": 3000, "finish_s": 14, "status_s": 120,
           "migrate_s": 1.5, "maintenance_s": 2, "fencing_enforced": True, "lease_ttl_ms": 3000, "pace_ms": 100}
@@ -43,9 +45,17 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that no connection takes by itself before its process listens there."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            return port
 
 
 class NoAnswer(Exception):
