--- a/review/shared-2/platform2.py
+++ b/review/shared-2/platform2.py
@@ -582,9 +582,15 @@
     pass
 
 
+def end_early(number, frame):
+    raise CouldNotRun(f"signal {number}")
+
+
 def run_case(play, folder):
     """Runs play(platform, start, trouble). It returns the texts of what broke the rule. Exits as the issue tells."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, end_early)  # the processes are ended all the same
     platform = Platform(folder)
     platform.record.add(f"trouble {int(trouble)}")
     started = []
