Kernel/Jobs: Tell jobs that fail everywhere from workers that fail all runs

Cause: three failed runs in a row on a worker counted against the worker, also those of a job that failed on all of them. From then on the worker got a run only when it was empty, and only a run that is done ended that. A worker with a task that lasts is never empty.

Change: failures are kept by step, and those of a step that fails on several workers and succeeds on none count against its job, also in hindsight. A quarantined worker gets a run, or the members of one gang, every two seconds, whatever else it runs; one that is done, or a lasting task that enters service, ends the quarantine. Retries, gangs and evacuated tasks prefer other workers.

--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -270,6 +270,26 @@
     return static_cast<unsigned>(failed.size());
 }
 
+void Job::addFailingWorker(const TaskName &name, const std::string &worker)
+{
+    Step &failed = m_occurrences.at(name.occurrence).steps[name.step];
+    if (!failed.succeeded)
+        failed.failingWorkers.insert(worker);
+}
+
+void Job::markSucceeded(const TaskName &name)
+{
+    Step &successful = m_occurrences.at(name.occurrence).steps[name.step];
+    successful.succeeded = true;
+    successful.failingWorkers.clear();
+}
+
+std::size_t Job::failingWorkers(const TaskName &name) const
+{
+    const auto found = m_occurrences.find(name.occurrence);
+    return found == m_occurrences.end() ? 0 : found->second.steps[name.step].failingWorkers.size();
+}
+
 void Job::finish(JobPhase phase)
 {
     m_phase = phase;
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -155,6 +155,7 @@
 void JobScheduler::finishJob(TimePoint now, Job &job, JobPhase phase)
 {
     observe("job-finished", {{job.id(), 0, 0, 0}, 0}, {}, std::string(jobPhaseNames.nameOf(phase)));
+    attributeFailures(job);
     job.finish(phase);
     markDirty(job);
     stopRunsOf(now, job.id());
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -75,11 +75,11 @@
     return true;
 }
 
-bool JobScheduler::acceptsRuns(TimePoint now, const Worker &worker)
+bool JobScheduler::acceptsRuns(TimePoint now, const Worker &worker) const
 {
     return worker.listed && worker.contacted && worker.isDescribed() && worker.clockKnown()
            && worker.failedPolls == 0 && !worker.unschedulable && !worker.description.draining
-           && !worker.hasOrphanedRuns() && now >= worker.avoidUntil;
+           && !worker.hasOrphanedRuns() && now >= worker.avoidUntil && !waitsForProbe(now, worker);
 }
 
 JobScheduler::WorkersByPool JobScheduler::candidatesByPool(TimePoint now)
@@ -92,34 +92,29 @@
     return result;
 }
 
-bool JobScheduler::isProbed(const Worker &worker)
-{
-    return worker.consecutiveFailedRuns >= failuresBeforeProbing;
-}
-
-bool JobScheduler::hasRoom(const std::vector<Worker *> &workers, const StepSpecification &step)
+bool JobScheduler::hasRoom(TimePoint now, const std::vector<Worker *> &workers,
+                           const StepSpecification &step) const
 {
     const TaskSize size = reservedSize(step);
     return std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
         const bool hasLabel = step.requiredLabel.empty() || worker->hasLabel(step.requiredLabel);
-        const bool isBusyProbe = isProbed(*worker) && !worker->runs.empty();
-        return hasLabel && !isBusyProbe && fitsInto(size, worker->freeCapacity());
+        return hasLabel && fitsInto(size, worker->freeCapacity()) && !waitsForProbe(now, *worker);
     });
 }
 
-bool JobScheduler::canRunAnother(const StepSpecification &step,
+bool JobScheduler::canRunAnother(TimePoint now, const StepSpecification &step,
                                  const PlacementCandidate &candidate) const
 {
     if (!fitsInto(reservedSize(step), candidate.worker->freeCapacity())
         && !m_hooks.defects.ignoreCapacity)
         return false;
-    if (isProbed(*candidate.worker) && !candidate.worker->runs.empty())
+    if (waitsForProbe(now, *candidate.worker))
         return false;
     return step.maximumPerWorker == 0 || candidate.runsOfStep < step.maximumPerWorker;
 }
 
 std::vector<PlacementCandidate>
-JobScheduler::candidatesFor(const Job &job, const TaskName &name,
+JobScheduler::candidatesFor(TimePoint now, const Job &job, const TaskName &name,
                             const std::vector<Worker *> &workers) const
 {
     const StepSpecification &step = job.step(name.step);
@@ -130,7 +125,7 @@
             continue;
         const auto runs = active.find(worker->description.id);
         const PlacementCandidate candidate{worker, runs == active.end() ? 0 : runs->second};
-        if (canRunAnother(step, candidate))
+        if (canRunAnother(now, step, candidate))
             candidates.push_back(candidate);
     }
     return candidates;
@@ -174,14 +169,14 @@
     const std::vector<Worker *> workers = workersWithAdvice(now, job, first, usable);
     if (specification.gang) {
         placeGang(now, job, occurrence, step, workers);
-        if (state.ready > 0 && !hasRoom(usable, specification))
+        if (state.ready > 0 && !hasRoom(now, usable, specification))
             sizes.add(size);
         return;
     }
     // All tasks of a step have the same size, so placing one affects only whether its own worker
     // remains a candidate.
-    auto candidates = candidatesFor(job, first, workers);
-    if (candidates.empty() && !hasRoom(usable, specification))
+    auto candidates = candidatesFor(now, job, first, workers);
+    if (candidates.empty() && !hasRoom(now, usable, specification))
         sizes.add(size);
     for (unsigned index = 0; index < state.tasks.size() && !candidates.empty(); ++index) {
         const Job::Task &task = state.tasks[index];
@@ -189,8 +184,9 @@
             continue;
         const auto chosen = chooseCandidate(job.step(step), task, candidates);
         assign(now, job, {job.id(), occurrence, step, index}, task.run + 1, *chosen->worker);
+        probePlaced(now, *chosen->worker);
         ++chosen->runsOfStep;
-        if (!canRunAnother(job.step(step), *chosen))
+        if (!canRunAnother(now, job.step(step), *chosen))
             candidates.erase(chosen);
     }
 }
@@ -202,30 +198,55 @@
     if (task.avoidedWorker.empty() || candidates.size() == 1)
         return candidates.begin()
                + static_cast<std::ptrdiff_t>(m_placement->choose(step, candidates));
-    auto others = candidates;
-    std::erase_if(others, [&](const PlacementCandidate &candidate) {
-        return candidate.worker->description.id == task.avoidedWorker;
-    });
+    const auto others = candidatesForRetry(task, candidates);
     const Worker *worker = others[m_placement->choose(step, others)].worker;
     return std::find_if(
         candidates.begin(), candidates.end(),
         [&](const PlacementCandidate &candidate) { return candidate.worker == worker; });
 }
 
+std::vector<PlacementCandidate>
+JobScheduler::candidatesForRetry(const Job::Task &task,
+                                 const std::vector<PlacementCandidate> &candidates) const
+{
+    auto others = candidates;
+    std::erase_if(others, [&](const PlacementCandidate &candidate) {
+        return candidate.worker->description.id == task.avoidedWorker;
+    });
+    // The number of runs of a task may be limited, so that a retry is rather no probe.
+    auto trusted = others;
+    std::erase_if(trusted, [&](const PlacementCandidate &candidate) {
+        return isQuarantined(*candidate.worker);
+    });
+    return trusted.empty() ? others : trusted;
+}
+
 void JobScheduler::placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                              const std::vector<Worker *> &workers)
 {
-    Job::Step &state = job.occurrences().at(occurrence).steps[step];
+    const Job::Step &state = job.occurrences().at(occurrence).steps[step];
     if (state.ready != state.tasks.size())
         return; // some members of the previous run have not ended
-    const std::string rack = gangRack(job, step, workers);
-    if (!gangFits(job.step(step), rack, workers))
+    // A worker that fails all runs fails the gang, so that the others are tried first.
+    std::vector<Worker *> trusted = workers;
+    std::erase_if(trusted, [&](const Worker *worker) { return isQuarantined(*worker); });
+    if (placeGangOn(trusted, now, job, occurrence, step) || trusted.size() == workers.size())
         return;
+    placeGangOn(workers, now, job, occurrence, step);
+}
+
+bool JobScheduler::placeGangOn(const std::vector<Worker *> &workers, TimePoint now, Job &job,
+                               unsigned occurrence, unsigned step)
+{
+    const Job::Step &state = job.occurrences().at(occurrence).steps[step];
+    const std::string rack = gangRack(now, job, step, workers);
+    if (!gangFits(now, job.step(step), rack, workers))
+        return false;
     const std::uint64_t run = job.nextGangRun(occurrence, step);
     std::vector<TaskName> placed;
     for (unsigned index = 0; index < state.tasks.size(); ++index) {
         const TaskName name{job.id(), occurrence, step, index};
-        auto candidates = candidatesFor(job, name, workers);
+        auto candidates = candidatesFor(now, job, name, workers);
         if (!rack.empty()) {
             std::erase_if(candidates, [&](const PlacementCandidate &candidate) {
                 return !candidate.worker->hasLabel(rack);
@@ -237,23 +258,28 @@
         assign(now, job, name, run, *candidates[chosen].worker);
         placed.push_back(name);
     }
-    if (placed.size() == state.tasks.size())
-        return;
+    const bool isComplete = placed.size() == state.tasks.size();
     for (const TaskName &name : placed) {
-        const std::string worker = job.task(name)->worker;
-        m_workers.at(worker).runs.remove({name, run});
+        Worker &worker = m_workers.at(job.task(name)->worker);
+        if (isComplete) {
+            probePlaced(now, worker); // all members on a worker are one probe
+            continue;
+        }
+        worker.runs.remove({name, run});
         job.makeReady(name);
     }
+    return isComplete;
 }
 
-std::int64_t JobScheduler::slotsOn(const Worker &worker, const StepSpecification &step)
+std::int64_t JobScheduler::slotsOn(TimePoint now, const Worker &worker,
+                                   const StepSpecification &step) const
 {
     const bool hasLabel = step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel);
-    if (!hasLabel || (isProbed(worker) && !worker.runs.empty()))
+    if (!hasLabel || waitsForProbe(now, worker))
         return 0;
     const TaskSize free = worker.freeCapacity();
     const TaskSize size = reservedSize(step);
-    std::int64_t count = isProbed(worker) ? 1 : step.count;
+    std::int64_t count = step.count;
     if (size.milliProcessors > 0)
         count = std::min(count, free.milliProcessors / size.milliProcessors);
     if (size.megabytes > 0)
@@ -265,18 +291,18 @@
     return std::max<std::int64_t>(count, 0);
 }
 
-bool JobScheduler::gangFits(const StepSpecification &step, const std::string &rack,
+bool JobScheduler::gangFits(TimePoint now, const StepSpecification &step, const std::string &rack,
                             const std::vector<Worker *> &workers) const
 {
     std::int64_t slots = 0;
     for (const Worker *worker : workers) {
         if (rack.empty() || worker->hasLabel(rack))
-            slots += slotsOn(*worker, step);
+            slots += slotsOn(now, *worker, step);
     }
     return slots >= step.count || m_hooks.defects.ignoreCapacity;
 }
 
-std::string JobScheduler::gangRack(const Job &job, unsigned step,
+std::string JobScheduler::gangRack(TimePoint now, const Job &job, unsigned step,
                                    const std::vector<Worker *> &workers) const
 {
     const StepSpecification &specification = job.step(step);
@@ -285,7 +311,7 @@
     // Number of gang members that fit on the workers with each label. Racks are such labels, too.
     std::map<std::string, std::int64_t> slotsByLabel;
     for (const Worker *worker : workers) {
-        const std::int64_t count = slotsOn(*worker, specification);
+        const std::int64_t count = slotsOn(now, *worker, specification);
         for (const auto &label : worker->description.labels)
             slotsByLabel[label] += count;
     }
@@ -354,12 +380,14 @@
     }
 }
 
-bool JobScheduler::reserveForEvacuation(const Job &job, const TaskName &name,
+bool JobScheduler::reserveForEvacuation(TimePoint now, const Job &job, const TaskName &name,
                                         const std::vector<Worker *> &workers,
                                         EvacuationReservations &reservations) const
 {
     const TaskSize size = reservedSize(job.step(name.step));
-    for (const PlacementCandidate &candidate : candidatesFor(job, name, workers)) {
+    for (const PlacementCandidate &candidate : candidatesFor(now, job, name, workers)) {
+        if (isQuarantined(*candidate.worker))
+            continue; // the task runs well where it is
         TaskSize &taken = reservations[candidate.worker->description.id];
         if (!fitsInto(plus(taken, size), candidate.worker->freeCapacity()))
             continue;
@@ -386,7 +414,7 @@
     }
     const auto workers = workersByPool.find(queueOf(job).pool);
     if (workers == workersByPool.end()
-        || !reserveForEvacuation(job, name.task, workers->second, reservations))
+        || !reserveForEvacuation(now, job, name.task, workers->second, reservations))
         return; // a stopped task would only wait for capacity
     observe("run-evacuated", name, worker.description.id);
     stopRun(now, worker, name);
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -171,7 +171,7 @@
     const auto endedRun = worker.runs.take(end.run);
     worker.orphanedRuns.erase(end.run);
     if (end.outcome == RunOutcome::Done)
-        worker.consecutiveFailedRuns = 0;
+        clearFailures(worker);
     Job *job = jobOf(end.run.task);
     if (job != nullptr && end.outcome == RunOutcome::Done && endedRun)
         recordRuntime(now, *job, end.run, *endedRun);
@@ -213,24 +213,12 @@
         if (worker != m_workers.end())
             stopRun(now, worker->second, {other, tasks[index].run});
     }
+    job.markSucceeded(name);
     job.complete(name);
     if (job.allDone())
         finishJob(now, job, JobPhase::Completed);
 }
 
-void JobScheduler::handleTaskFailure(TimePoint now, Job &job, const RunName &run, Worker &worker)
-{
-    ++worker.consecutiveFailedRuns;
-    if (worker.consecutiveFailedRuns >= failuresBeforeProbing)
-        worker.avoidUntil = now + probeDelay;
-    job.task(run.task)->avoidedWorker = worker.description.id;
-    const unsigned failures = job.countFailure(run.task, run.run);
-    const bool hasAttemptLimit = !job.step(run.task.step).longRunning;
-    if (hasAttemptLimit && failures >= queueOf(job).maximumAttempts)
-        return finishJob(now, job, JobPhase::Failed);
-    requeueTask(now, run, RunOutcome::Failed, worker.description.id);
-}
-
 void JobScheduler::requeueTask(TimePoint now, const RunName &run, RunOutcome outcome,
                                const std::string &worker)
 {
@@ -280,9 +268,12 @@
     }
     WorkerRun &run = *found;
     run.fromEarlierIncarnation = false;
-    if (run.progressPercent != active.progressPercent)
+    if (run.progressPercent != active.progressPercent) {
         run.progressChangedAt = now;
-    run.progressPercent = active.progressPercent;
+        run.progressPercent = active.progressPercent;
+        if (active.progressPercent == 100)
+            enteredService(worker, active.run.task);
+    }
     if (active.latencyMilliseconds)
         run.latency = std::chrono::milliseconds(*active.latencyMilliseconds);
     if (!active.checkpoint.empty()) {
@@ -370,7 +361,7 @@
         for (const RunName &name : stalled) {
             observe("run-stalled", name, id);
             jobOf(name.task)->task(name.task)->avoidedWorker = id;
-            worker.avoidUntil = now + probeDelay;
+            worker.avoidUntil = now + stallBackoff;
             stopRun(now, worker, name);
         }
     }
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -33,10 +33,13 @@
 constexpr std::chrono::milliseconds initialPollBackoff{100};
 constexpr std::chrono::milliseconds maximumPollBackoff{1000};
 
-/// Number of consecutive failed runs after which a worker gets new runs only when it has none.
-constexpr unsigned failuresBeforeProbing = 3;
-/// Time for which a worker gets no new runs after so many failures, or after a run stalled on it.
-constexpr std::chrono::milliseconds probeDelay{2000};
+/// Minimum time between two runs that are placed on a quarantined worker.
+constexpr std::chrono::milliseconds probeInterval{2000};
+/// Time for which a worker gets no new runs after a run stalled on it.
+constexpr std::chrono::milliseconds stallBackoff{2000};
+/// Number of workers on which runs of a step must fail, with none succeeding anywhere, so that its
+/// job is taken for the cause.
+constexpr std::size_t workersBeforeJobIsAtFault = 2;
 
 /// A run is stopped, and its task is placed on another worker, when it made no progress for this
 /// time and for this multiple of its estimated runtime.
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -21,7 +21,7 @@
     processedEnds = 0;
     durableEnds = 0;
     acknowledgedEnds = 0;
-    consecutiveFailedRuns = 0;
+    failures.clear();
     m_clockKnown = false;
     m_leasesEnd = TimePoint{};
     contacted = false;
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -4,6 +4,7 @@
 #include <LibStore/Transaction.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
         unsigned ready = 0;
         unsigned active = 0;
         unsigned done = 0;
+        /// Workers on which runs have failed. Empty once a run has succeeded.
+        std::set<std::string> failingWorkers;
+        bool succeeded = false; ///< a run is done or, of a long-running task, in service
     };
 
     struct Occurrence
@@ -75,6 +79,12 @@
     /// Records a failed run; repeated calls for the same run have no effect. Returns the number of
     /// failed runs of the task or its gang.
     unsigned countFailure(const TaskName &name, std::uint64_t run);
+    /// Records on which worker a run of the step has failed.
+    void addFailingWorker(const TaskName &name, const std::string &worker);
+    /// Records that a run of the step has succeeded.
+    void markSucceeded(const TaskName &name);
+    /// Number of workers on which runs of the step have failed; 0 once a run has succeeded.
+    std::size_t failingWorkers(const TaskName &name) const;
 
     void finish(JobPhase phase);
     bool allDone() const;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -243,7 +243,6 @@
     bool isUnstored(const UnstoredEnd &end) const;
     void recordRuntime(TimePoint now, const Job &job, const RunName &run, const WorkerRun &ended);
     void completeTask(TimePoint now, Job &job, const TaskName &name);
-    void handleTaskFailure(TimePoint now, Job &job, const RunName &run, Worker &worker);
     /// Makes the task ready again when \a run is its current run.
     void requeueTask(TimePoint now, const RunName &run, RunOutcome outcome,
                      const std::string &worker);
@@ -258,6 +257,28 @@
     void discardRunsOfExpiredLeases(TimePoint now);
     void restartStalled(TimePoint now);
 
+    // JobSchedulerFailures.cpp
+    void handleTaskFailure(TimePoint now, Job &job, const RunName &run, Worker &worker);
+    /// Counts a failed run of the task against the worker, or against the job.
+    void recordFailure(TimePoint now, Job &job, const TaskName &name, Worker &worker);
+    /// Keeps failures that a finished job has caused from counting against workers.
+    void attributeFailures(const Job &job);
+    /// Whether the job of the step is the cause of failed runs of the step: they have failed on
+    /// several workers, and none has succeeded.
+    bool isAtFault(const TaskName &step) const;
+    /// Whether the worker is likely to fail all runs. It gets single ones now and then, as probes;
+    /// one that succeeds ends the quarantine.
+    bool isQuarantined(const Worker &worker) const;
+    /// A run has succeeded on the worker.
+    void clearFailures(Worker &worker);
+    /// A run of a long-running task has begun to serve.
+    void enteredService(Worker &worker, const TaskName &name);
+    /// Whether the worker is quarantined, and it is too early for its next probe. What else runs
+    /// there doesn't matter, because it may run for any time.
+    bool waitsForProbe(TimePoint now, const Worker &worker) const;
+    /// Begins the wait for the next probe when the worker is quarantined.
+    void probePlaced(TimePoint now, Worker &worker) const;
+
     // JobSchedulerPlacement.cpp
     /// Jobs with ready tasks, by pool.
     std::map<std::string, std::vector<PoolQueueEntry>> queuesByPool(TimePoint now);
@@ -266,26 +287,31 @@
     /// The same for the jobs of one pool.
     bool placePool(TimePoint now, std::vector<PoolQueueEntry> &queue,
                    const std::vector<Worker *> &workers);
-    static bool acceptsRuns(TimePoint now, const Worker &worker);
+    bool acceptsRuns(TimePoint now, const Worker &worker) const;
     /// Workers that accept new runs.
     WorkersByPool candidatesByPool(TimePoint now);
     /// Workers that the placement advice allows for the step. Requests advice about the others.
     std::vector<Worker *> workersWithAdvice(TimePoint now, const Job &job, const TaskName &step,
                                             const std::vector<Worker *> &workers);
     /// Workers with free capacity for a task of the step.
-    std::vector<PlacementCandidate> candidatesFor(const Job &job, const TaskName &name,
+    std::vector<PlacementCandidate> candidatesFor(TimePoint now, const Job &job,
+                                                  const TaskName &name,
                                                   const std::vector<Worker *> &workers) const;
     /// Chooses the worker for one task of the step; \a candidates must not be empty.
     std::vector<PlacementCandidate>::iterator
     chooseCandidate(const StepSpecification &step, const Job::Task &task,
                     std::vector<PlacementCandidate> &candidates) const;
+    /// Candidates for a task whose last run failed or stalled: on other workers, and if possible on
+    /// those that are not quarantined.
+    std::vector<PlacementCandidate>
+    candidatesForRetry(const Job::Task &task,
+                       const std::vector<PlacementCandidate> &candidates) const;
     /// Whether the candidate can run one more task of the step.
-    bool canRunAnother(const StepSpecification &step, const PlacementCandidate &candidate) const;
-    /// Whether the worker gets new runs only when it has none, because several runs in a row
-    /// failed.
-    static bool isProbed(const Worker &worker);
+    bool canRunAnother(TimePoint now, const StepSpecification &step,
+                       const PlacementCandidate &candidate) const;
     /// Whether one of the workers has the label of the step and room for one of its tasks.
-    static bool hasRoom(const std::vector<Worker *> &workers, const StepSpecification &step);
+    bool hasRoom(TimePoint now, const std::vector<Worker *> &workers,
+                 const StepSpecification &step) const;
     /// Places the ready tasks of a step. Adds its size to \a unplaceable, by the required label,
     /// when no worker has room.
     void placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
@@ -293,14 +319,18 @@
                    std::map<std::string, UnplaceableSizes> &unplaceable);
     void placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                    const std::vector<Worker *> &workers);
+    /// Places the whole gang on the workers. Returns false when it does not fit.
+    bool placeGangOn(const std::vector<Worker *> &workers, TimePoint now, Job &job,
+                     unsigned occurrence, unsigned step);
     /// Number of tasks of the step that the worker has room for, none of which it runs yet.
-    static std::int64_t slotsOn(const Worker &worker, const StepSpecification &step);
+    std::int64_t slotsOn(TimePoint now, const Worker &worker, const StepSpecification &step) const;
     /// Whether all members of a gang have room on the workers, of one rack unless it is empty.
-    bool gangFits(const StepSpecification &step, const std::string &rack,
+    bool gangFits(TimePoint now, const StepSpecification &step, const std::string &rack,
                   const std::vector<Worker *> &workers) const;
     /// Label of the rack for a gang that must run on one rack; empty when none has enough capacity,
     /// or when the step may span racks.
-    std::string gangRack(const Job &job, unsigned step, const std::vector<Worker *> &workers) const;
+    std::string gangRack(TimePoint now, const Job &job, unsigned step,
+                         const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
     /// Whether the worker is reachable and has ended the runs that an earlier scheduler stopped: it
     /// refuses further orders of that scheduler once it is contacted.
@@ -312,7 +342,7 @@
     void evacuateRun(TimePoint now, Worker &worker, const RunName &name,
                      const WorkersByPool &workersByPool, EvacuationReservations &reservations);
     /// Reserves capacity for the task on one of the workers. Returns whether one had enough.
-    bool reserveForEvacuation(const Job &job, const TaskName &name,
+    bool reserveForEvacuation(TimePoint now, const Job &job, const TaskName &name,
                               const std::vector<Worker *> &workers,
                               EvacuationReservations &reservations) const;
 
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/RunFailures.h>
 #include <Kernel/Jobs/WorkerRuns.h>
 #include <functional>
 #include <map>
@@ -91,7 +92,8 @@
     TimePoint lastPoll; ///< when the latest poll was sent
     TimePoint lastContact; ///< when the latest successful poll was answered
     TimePoint avoidUntil; ///< gets no new runs before this time
-    unsigned consecutiveFailedRuns = 0; ///< 0 after a run that is done
+    RunFailures failures; ///< of this incarnation, since its last success
+    TimePoint nextProbe; ///< earliest time of the next run while the worker is quarantined
 
 private:
     bool m_clockKnown = false;
