Services/Jobs: Keep late submissions of cancelled jobs from taking effect

Cause: the store did the unanswered writes of the submission late. Their condition, no row of the job, still held: the cancellation that had found no row had written nothing.

Change: before that answer, the cancellation writes a tombstone under the condition that the job has no row, and submissions are accepted under the condition that there is none. It is removed after 60 s. A host writes ten a second at most, and answers the other cancellations of unknown jobs 503. A submission that meets a tombstone is answered 503 (already-cancelled).

Test: one check of "The state of a job is read from its rows" cancelled an unknown id and then expected a submission of the same id to be accepted, which is the fault. It now cancels another id, and the new test checks what a submission after a cancellation gets.

--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -127,6 +127,11 @@
     return jobKey(id) + std::string(cancellationSuffix);
 }
 
+std::string tombstoneKey(std::string_view id)
+{
+    return jobKey(id) + std::string(tombstoneSuffix);
+}
+
 std::string progressKey(std::string_view id)
 {
     return std::string(progressPrefix) + std::string(id);
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -138,6 +138,11 @@
     m_retained.emplace(id, finishedAt + m_timing.statusRetention);
 }
 
+void JobScheduler::addTombstone(TimePoint now, const std::string &id)
+{
+    m_tombstones.try_emplace(id, now + tombstoneRetention);
+}
+
 void JobScheduler::cancelJob(TimePoint now, const std::string &id)
 {
     const auto found = m_jobs.find(id);
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -238,8 +238,23 @@
     return cleanup;
 }
 
+void JobScheduler::expireTombstones(TimePoint now)
+{
+    if (now < m_nextTombstoneExpiry)
+        return;
+    m_nextTombstoneExpiry = now + expiryPeriod;
+    std::erase_if(m_tombstones, [&](const auto &tombstone) {
+        const auto &[id, until] = tombstone;
+        if (now < until)
+            return false;
+        cleanupOf(now, id).writes.push_back({tombstoneKey(id), std::nullopt});
+        return true;
+    });
+}
+
 std::optional<Transaction> JobScheduler::takeCleanup(TimePoint now)
 {
+    expireTombstones(now);
     if (m_cleanupInFlight || now < m_nextCleanup)
         return std::nullopt;
     const auto oldest = std::min_element(
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -63,7 +63,7 @@
 /// limits are seconds, and each check visits all runs.
 constexpr std::chrono::milliseconds checkPeriod{50};
 
-/// Interval of the removal of expired rows of finished jobs.
+/// Interval of the removal of expired rows of finished jobs, and of tombstones.
 constexpr std::chrono::milliseconds expiryPeriod{1000};
 
 /// Maximum number of ended runs in one reply of a worker.
--- a/Kernel/include/Kernel/Jobs/JobRows.h
+++ b/Kernel/include/Kernel/Jobs/JobRows.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/JobTypes.h>
 #include <LibBase/Error.h>
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,18 +48,26 @@
 /// Keys of the rows. A cancellation is a separate row, so that it does not change the job row.
 std::string jobKey(std::string_view id);
 std::string cancellationKey(std::string_view id);
+std::string tombstoneKey(std::string_view id);
 std::string progressKey(std::string_view id);
 std::string finishedKey(std::string_view id);
 
 /// Rows of jobs are divided into partitions by their ids, so that submissions do not wait for each
-/// other, nor for the scheduler. One transaction on the rows job/<id>, job/<id>.cancel and
-/// finished/<id> concerns one partition.
+/// other, nor for the scheduler. One transaction on the rows job/<id>, job/<id>.cancel,
+/// job/<id>.tombstone and finished/<id> concerns one partition.
 constexpr unsigned jobPartitions = 16;
 unsigned jobPartition(std::string_view id);
 
 constexpr std::string_view jobPrefix = "job/";
 constexpr std::string_view progressPrefix = "progress/";
 constexpr std::string_view cancellationSuffix = ".cancel";
+/// Suffix of the rows that stand for jobs which were cancelled before they were accepted. A
+/// submission that the store applies later, or that arrives later, is refused. They have no
+/// content.
+constexpr std::string_view tombstoneSuffix = ".tombstone";
+/// How long a tombstone is kept: longer than a write may be late, and than a process that holds the
+/// submission may be suspended.
+constexpr std::chrono::seconds tombstoneRetention{60};
 /// Prefix of the rows that stand for finished jobs after their job rows are removed, so that a late
 /// copy of the submission is recognised. They have no content.
 constexpr std::string_view finishedPrefix = "finished/";
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -108,6 +108,8 @@
 
     /// Adds a finished job, whose progress row is removed after its retention.
     void addFinishedJob(const std::string &id, TimePoint finishedAt);
+    /// Adds the tombstone of a job, which is removed after its retention.
+    void addTombstone(TimePoint now, const std::string &id);
 
     void startFinished(TimePoint now, const StartOrder &order, const OrderReply &reply);
     void stopFinished(TimePoint now, const StopOrder &order, const OrderReply &reply);
@@ -210,6 +212,8 @@
     /// other rows.
     void retainJob(TimePoint now, const std::string &id, TimePoint finishedAt);
     Cleanup &cleanupOf(TimePoint now, const std::string &job);
+    /// Adds the removal of the tombstones whose retention has expired.
+    void expireTombstones(TimePoint now);
     void stopRunsOf(TimePoint now, const std::string &job);
     /// Orders the run to stop, or removes it when no start order was sent.
     void stopRun(TimePoint now, Worker &worker, const RunName &name);
@@ -412,6 +416,7 @@
     std::optional<unsigned> m_cleanupInFlight; ///< partition of the cleanup in flight
     std::vector<RowWrite> m_cleanupWrites; ///< of the cleanup in flight
     std::set<std::string> m_jobRowsToRemove; ///< keys of rows of finished jobs
+    std::map<std::string, TimePoint> m_tombstones; ///< time of the removal, by job
     TimePoint m_nextCleanup; ///< earliest time of the next cleanup
     Duration m_pollPause{0};
     std::size_t m_placements = 0; ///< of the current pass
@@ -419,6 +424,7 @@
     TimePoint m_nextFlush; ///< earliest time of the next transaction
     TimePoint m_nextCheck; ///< next check of due times, leases, stalled runs and evacuations
     TimePoint m_nextExpiry; ///< next removal of rows of finished jobs
+    TimePoint m_nextTombstoneExpiry; ///< next removal of tombstones
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobCalls.h
+++ b/Services/Jobs/JobCalls.h
@@ -44,6 +44,7 @@
     InvalidInput,
     TooLarge,
     Overloaded, ///< the submission is refused, as its job would start too late
+    AlreadyCancelled, ///< the submission is refused, as its job was cancelled before
     Unavailable, ///< the call had no effect and will have none; the caller may retry it
     Undetermined, ///< a submission or cancellation may have taken effect, or may do so later
 };
@@ -58,6 +59,7 @@
     {CallOutcome::InvalidInput, "invalid-input"},
     {CallOutcome::TooLarge, "too-large"},
     {CallOutcome::Overloaded, "overloaded"},
+    {CallOutcome::AlreadyCancelled, "already-cancelled"},
     {CallOutcome::Unavailable, "unavailable"},
     {CallOutcome::Undetermined, "undetermined"},
 });
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -1,4 +1,4 @@
-#include "JobFrontend.h"
+#include "PendingCall.h"
 
 #include <Kernel/Jobs/JobRows.h>
 #include <LibBase/Json.h>
@@ -27,6 +27,11 @@
 // Outages of the store last seconds; a caller that retries sooner meets the same outage.
 constexpr std::chrono::seconds outageRetryAfter{1};
 
+// Tombstones that one process may write, a second and at once. Cancellations of unknown jobs are
+// rare, unless a caller repeats them, and must leave the writes of the store to submissions.
+constexpr double tombstonesPerSecond = 10;
+constexpr double tombstoneBurst = 20;
+
 // Counts of waiting jobs that are older than this are not reported to callers.
 constexpr std::chrono::milliseconds maximumCountAge{2000};
 
@@ -44,27 +49,11 @@
                            [](const StepSpecification &step) { return step.longRunning; });
 }
 
-bool isPresent(const Row &row)
-{
-    return row.version != absentVersion;
-}
-
 } // namespace
 
-struct JobFrontend::PendingCall
-{
-    JobCall call;
-    Callback callback;
-    TimePoint arrivedAt;
-    bool writeMayBeApplied = false; ///< a write is unanswered, or its outcome is unknown
-    bool answered = false;
-    unsigned retries = 0;
-    std::unique_ptr<asio::steady_timer> retryTimer;
-    std::unique_ptr<asio::steady_timer> timeoutTimer; ///< fails the call when it expires
-};
-
 JobFrontend::JobFrontend(asio::io_context &context, Store &store, Hooks hooks)
-    : m_context(context), m_store(store), m_hooks(std::move(hooks))
+    : m_context(context), m_store(store), m_hooks(std::move(hooks)),
+      m_tombstoneLimit(tombstonesPerSecond, tombstoneBurst)
 {
 }
 
@@ -178,7 +167,9 @@
     job.queue = *queue;
     Transaction transaction;
     transaction.operationId = "submit/" + call.id;
-    transaction.checks = {{jobKey(call.id), absentVersion}, {finishedKey(call.id), absentVersion}};
+    transaction.checks = {{jobKey(call.id), absentVersion},
+                          {finishedKey(call.id), absentVersion},
+                          {tombstoneKey(call.id), absentVersion}};
     transaction.writes = {{jobKey(call.id), encodeSubmittedJob(job)}};
     commit(pending, transaction,
            [this, pending](const CommitResult &result) { submitFinished(pending, result); });
@@ -186,8 +177,14 @@
 
 void JobFrontend::submitFinished(const PendingCallPointer &pending, const CommitResult &result)
 {
-    // After a conflict, another copy of this submission was accepted, by this or another process,
-    // or an earlier write of this call was applied. The id is the same, so it is the same job.
+    // No submission is accepted while there is a tombstone, so that earlier writes of this call
+    // have no effect either.
+    if (hasConflict(result, tombstoneKey(pending->call.id)))
+        return answer(pending,
+                      {.outcome = CallOutcome::AlreadyCancelled, .retryAfter = tombstoneRetention});
+    // After another conflict, another copy of this submission was accepted, by this or another
+    // process, or an earlier write of this call was applied. The id is the same, so it is the same
+    // job.
     if (result.status == CommitStatus::Committed || result.status == CommitStatus::Conflict)
         return answer(pending, {.outcome = CallOutcome::Accepted});
     if (result.status == CommitStatus::Refused && !pending->writeMayBeApplied)
@@ -240,44 +237,6 @@
              });
 }
 
-void JobFrontend::cancel(const PendingCallPointer &pending)
-{
-    const std::string &id = pending->call.id;
-    readRows(pending, {jobKey(id), cancellationKey(id)}, [this, pending](const ReadResult &result) {
-        if (!isPresent(result.rows[0]))
-            return cancelFinishedJob(pending);
-        if (isPresent(result.rows[1]))
-            return answer(pending, {.outcome = CallOutcome::Cancelled});
-        cancelAcceptedJob(pending, result.rows[0]);
-    });
-}
-
-void JobFrontend::cancelAcceptedJob(const PendingCallPointer &pending, const Row &job)
-{
-    Json::Value value(Json::objectValue);
-    value["cancelled_ms"] = static_cast<Json::Int64>(toUnixMilliseconds(m_hooks.clock()));
-    Transaction transaction;
-    transaction.operationId = "cancel/" + pending->call.id;
-    transaction.checks = {{job.key, job.version}};
-    transaction.writes = {{cancellationKey(pending->call.id), writeJson(value)}};
-    commit(pending, transaction, [this, pending](const CommitResult &result) {
-        if (result.status == CommitStatus::Committed)
-            return answer(pending, {.outcome = CallOutcome::Cancelled});
-        // A conflict means that the job has finished. After a lost answer, the rows show whether
-        // the write was applied.
-        retry(pending, [this, pending] { cancel(pending); });
-    });
-}
-
-void JobFrontend::cancelFinishedJob(const PendingCallPointer &pending)
-{
-    readRows(pending, {progressKey(pending->call.id)}, [this, pending](const ReadResult &result) {
-        const CallOutcome outcome
-            = isPresent(result.rows[0]) ? CallOutcome::Cancelled : CallOutcome::UnknownJob;
-        answer(pending, {.outcome = outcome});
-    });
-}
-
 void JobFrontend::count(const PendingCallPointer &pending)
 {
     readRows(pending, {std::string(pendingJobsKey)}, [this, pending](const ReadResult &result) {
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -4,6 +4,7 @@
 #include "StoreThrottle.h"
 #include <LibBase/Time.h>
 #include <LibStore/Store.h>
+#include <LibStore/TokenBucket.h>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -67,8 +68,11 @@
     void cancel(const PendingCallPointer &pending);
     /// Writes the cancellation row of a job whose row exists.
     void cancelAcceptedJob(const PendingCallPointer &pending, const Row &job);
-    /// Answers the cancellation of a job without a job row: it has finished or never existed.
-    void cancelFinishedJob(const PendingCallPointer &pending);
+    /// Answers the cancellation of a job without a job row: it has finished, or was not accepted.
+    void cancelWithoutJobRow(const PendingCallPointer &pending, bool hasTombstone);
+    /// Writes the tombstone of a job that was not accepted, so that a submission which is still on
+    /// its way has no effect after the cancellation was answered.
+    void writeTombstone(const PendingCallPointer &pending);
     void count(const PendingCallPointer &pending);
 
     /// Reads rows, with retries, and passes the result of a successful read to \a next.
@@ -86,6 +90,7 @@
     Hooks m_hooks;
     StoreThrottle m_submissionThrottle;
     StoreThrottle m_refusalThrottle; ///< of the reads before a refusal
+    TokenBucket m_tombstoneLimit; ///< of the writes for cancellations of unknown jobs
     /// Callbacks that run after the destruction find it expired.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Services/Jobs/SchedulerSessionRows.cpp
+++ b/Services/Jobs/SchedulerSessionRows.cpp
@@ -16,6 +16,11 @@
     logEvent(LogLevel::Error, "row-unreadable", {{"key", key}, {"error", describe(error)}});
 }
 
+std::string jobIdOf(const std::string &key, std::string_view suffix)
+{
+    return key.substr(jobPrefix.size(), key.size() - jobPrefix.size() - suffix.size());
+}
+
 } // namespace
 
 void SchedulerSession::jobRowChanged(const RowChange &change)
@@ -24,8 +29,9 @@
     if (change.removed)
         return;
     if (key.ends_with(cancellationSuffix)) {
-        const auto length = key.size() - jobPrefix.size() - cancellationSuffix.size();
-        m_scheduler->cancelJob(m_hooks.clock(), key.substr(jobPrefix.size(), length));
+        m_scheduler->cancelJob(m_hooks.clock(), jobIdOf(key, cancellationSuffix));
+    } else if (key.ends_with(tombstoneSuffix)) {
+        m_scheduler->addTombstone(m_hooks.clock(), jobIdOf(key, tombstoneSuffix));
     } else {
         addJob(change.row);
     }
--- a/Tests/Kernel/Jobs/TestTransactions.cpp
+++ b/Tests/Kernel/Jobs/TestTransactions.cpp
@@ -251,6 +251,24 @@
     REQUIRE(second->writes.front().key == finishedKey(other));
 }
 
+TEST_CASE("A tombstone is removed after its retention")
+{
+    // Guards against rows for cancellations of unknown jobs that stay for good.
+    SchedulerFixture fixture;
+    const std::string id = "0000000000000001";
+    fixture.scheduler.addTombstone(fixture.now, id);
+    fixture.now += tombstoneRetention - 1s;
+    CHECK_FALSE(fixture.scheduler.takeCleanup(fixture.now));
+    fixture.now += 2s;
+    fixture.scheduler.takeCleanup(fixture.now);
+    fixture.now += 2s; // writes are collected for a while
+    const auto cleanup = fixture.scheduler.takeCleanup(fixture.now);
+    REQUIRE(cleanup);
+    REQUIRE(cleanup->writes.size() == 1);
+    CHECK(cleanup->writes.front().key == tombstoneKey(id));
+    CHECK_FALSE(cleanup->writes.front().value);
+}
+
 TEST_CASE("A transaction builder adds only what fits")
 {
     TransactionBuilder builder("operation", {5, 10'000});
--- a/Tests/Services/Jobs/TestJobFrontend.cpp
+++ b/Tests/Services/Jobs/TestJobFrontend.cpp
@@ -157,7 +157,7 @@
 {
     FrontendFixture fixture;
     CHECK(fixture.call(CallKind::Query).outcome == CallOutcome::UnknownJob);
-    CHECK(fixture.call(CallKind::Cancel).outcome == CallOutcome::UnknownJob);
+    CHECK(fixture.call(CallKind::Cancel, "fedcba9876543210").outcome == CallOutcome::UnknownJob);
     fixture.call(CallKind::Submit);
     CHECK(fixture.call(CallKind::Query).phase == JobPhase::Queued);
     SECTION("a running job")
@@ -182,3 +182,64 @@
         CHECK(fixture.call(CallKind::Count).pending == 4);
     }
 }
+
+TEST_CASE("A submission has no effect after the cancellation of its job was answered")
+{
+    // Guards against a job that runs although its caller was told that it does not exist: the store
+    // applied the submission late, or another process held it (UNASKED).
+    FrontendFixture fixture;
+    bool late = true;
+    fixture.store.setFaultHook([&](StoreCallKind kind, std::uint64_t) {
+        return late && kind == StoreCallKind::Commit ? StoreFault{StoreFaultKind::LateEffect, 6s}
+                                                     : StoreFault{};
+    });
+    SECTION("when all its writes are applied late")
+    {
+        CHECK(fixture.call(CallKind::Submit).outcome == CallOutcome::Undetermined);
+        late = false;
+        CHECK(fixture.call(CallKind::Cancel).outcome == CallOutcome::UnknownJob);
+    }
+    SECTION("when the first write of the cancellation is applied late, too")
+    {
+        CHECK(fixture.call(CallKind::Cancel).outcome == CallOutcome::Undetermined);
+        late = false;
+        CHECK(fixture.call(CallKind::Cancel).outcome == CallOutcome::UnknownJob);
+    }
+    SECTION("when it arrives afterwards, and it is refused for as long as the tombstone lasts")
+    {
+        late = false;
+        CHECK(fixture.call(CallKind::Cancel).outcome == CallOutcome::UnknownJob);
+        const CallAnswer answer = fixture.call(CallKind::Submit);
+        CHECK(answer.outcome == CallOutcome::AlreadyCancelled);
+        CHECK(answer.retryAfter == tombstoneRetention);
+    }
+    fixture.store.advanceTo(fixture.store.now() + 10s);
+    CHECK(fixture.store.row(jobKey(id)).version == absentVersion);
+    CHECK(fixture.call(CallKind::Query).outcome == CallOutcome::UnknownJob);
+}
+
+TEST_CASE("Cancellations of unknown jobs leave the writes of the store to submissions")
+{
+    FrontendFixture fixture;
+    SECTION("the same one writes once")
+    {
+        for (int count = 0; count < 50; ++count)
+            CHECK(fixture.call(CallKind::Cancel).outcome == CallOutcome::UnknownJob);
+        CHECK(fixture.store.calls(StoreCallKind::Commit) == 1);
+    }
+    SECTION("of many, ten a second write, and the others are answered that they had no effect")
+    {
+        const TimePoint begin = fixture.store.now();
+        unsigned refused = 0;
+        for (int number = 0; number < 200; ++number) {
+            const std::string suffix = std::to_string(100 + number);
+            const auto answer = fixture.call(CallKind::Cancel, "0000000000000" + suffix);
+            refused += answer.outcome == CallOutcome::Unavailable ? 1 : 0;
+        }
+        const double seconds = toSeconds(fixture.store.now() - begin);
+        const std::uint64_t writes = fixture.store.calls(StoreCallKind::Commit);
+        CHECK(static_cast<double>(writes) <= 20 + 10 * seconds);
+        CHECK(refused + writes == 200);
+        CHECK(refused > 0);
+    }
+}
--- a/Tests/platform/TestStorePartitions.cpp
+++ b/Tests/platform/TestStorePartitions.cpp
@@ -42,6 +42,7 @@
     {
         CHECK(partition(Jobs::jobKey(id)) == partition(Jobs::finishedKey(id)));
         CHECK(partition(Jobs::jobKey(id)) == partition(Jobs::cancellationKey(id)));
+        CHECK(partition(Jobs::jobKey(id)) == partition(Jobs::tombstoneKey(id)));
         CHECK(partition(Jobs::progressKey(id)) == partition(Jobs::progressEpochKey));
         CHECK(partition("host-order/m-1") == partition(Jobs::hostsEpochKey));
         CHECK(partition("wave/1") == partition(Jobs::hostsEpochKey));
