Kernel/Jobs: Let each reservation for a wave end

Cause: a reserved host gets no runs until it has been maintained, and nothing made sure that this comes about. All hosts of a pool could be reserved at once; a lasting task was stopped only if another host had room for it, so that none became empty; and the wave began when one round was left.

Change: waves leave each pool a host, and those that its lasting steps need while the allowed number of their tasks is away. Where that is less than the wave allows, it begins as early as its rounds require. Lasting tasks without room elsewhere are stopped when nothing else remains on the reserved host, as far as their steps allow. A reserved host without progress is released for 3 s while tasks wait.

The evacuation of workers has a file of its own now.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds unknownOutcomeDelay{2000};
 // Delay before the next order for a host whose last order was not accepted.
 constexpr std::chrono::milliseconds refusedOrderDelay{300};
+// Time for which long-running tasks on a host that is reserved for a wave wait for room elsewhere.
+constexpr std::chrono::milliseconds relocationTime{1000};
 
 } // namespace
 
@@ -115,8 +117,9 @@
         if (!wave.completed)
             planWave(now, wave, scheduler);
     }
+    releaseBlockedHosts(now, scheduler);
     planMoves(now, scheduler, configuration);
-    applyReservations(scheduler);
+    applyReservations(now, scheduler);
 }
 
 std::size_t HostPlanner::runCount(const Host &host, const JobScheduler &scheduler)
@@ -178,6 +181,8 @@
             wave->second.maintained.insert(order.host);
         host.reservedForWave = 0;
     }
+    if (outcome == HostOrderOutcome::Unknown)
+        host.blockedSince.reset();
     if (outcome == HostOrderOutcome::Invalid)
         m_invalidMoves.insert({order.host, order.pool});
     if (outcome == HostOrderOutcome::Accepted) {
@@ -193,13 +198,17 @@
     host.reservedForMove = false;
 }
 
-void HostPlanner::applyReservations(JobScheduler &scheduler) const
+void HostPlanner::applyReservations(TimePoint now, JobScheduler &scheduler) const
 {
     for (const auto &[id, host] : m_hosts) {
-        if (!host.description.worker.empty())
-            scheduler.setUnschedulable(host.description.worker, host.inTransition
-                                                                    || host.reservedForMove
-                                                                    || host.reservedForWave != 0);
+        const std::string &worker = host.description.worker;
+        if (worker.empty())
+            continue;
+        const bool isReservedForWave = host.reservedForWave != 0;
+        scheduler.setUnschedulable(worker,
+                                   host.inTransition || host.reservedForMove || isReservedForWave);
+        scheduler.setMustBeEmptied(worker,
+                                   isReservedForWave && now >= host.reservedAt + relocationTime);
     }
 }
 
--- a/Kernel/Jobs/HostPlannerWaves.cpp
+++ b/Kernel/Jobs/HostPlannerWaves.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Peridot::Jobs {
 
@@ -15,6 +16,10 @@
 constexpr std::chrono::milliseconds waveSafetyMargin{5000};
 // When less than this remains of the period, the short tasks on reserved hosts are stopped.
 constexpr std::chrono::milliseconds forcedDrainTime{4000};
+// When tasks wait for their pool, a reserved host whose runs do not end, or that the provider does
+// not take, is released after this time, and is not reserved again before the pause has passed.
+constexpr std::chrono::milliseconds reservationPatience{2000};
+constexpr std::chrono::milliseconds reservationPause{3000};
 
 } // namespace
 
@@ -29,15 +34,20 @@
         }));
 }
 
-unsigned HostPlanner::requiredConcurrency(TimePoint now, const Wave &wave,
-                                          std::size_t remainingHosts) const
+double HostPlanner::remainingRounds(TimePoint now, const Wave &wave) const
 {
     const Duration timePerHost = expectedDrainTime + m_timing.maintenanceDuration;
     const Duration remainingTime
         = wave.request.requestedAt + wave.request.period - waveSafetyMargin - now;
-    if (remainingTime <= timePerHost)
+    return toSeconds(remainingTime) / toSeconds(timePerHost);
+}
+
+unsigned HostPlanner::requiredConcurrency(TimePoint now, const Wave &wave,
+                                          std::size_t remainingHosts) const
+{
+    const double rounds = remainingRounds(now, wave);
+    if (rounds <= 1)
         return wave.request.maximumConcurrent;
-    const double rounds = toSeconds(remainingTime) / toSeconds(timePerHost);
     const auto needed
         = static_cast<unsigned>(std::ceil(static_cast<double>(remainingHosts) / rounds));
     return std::min(needed, wave.request.maximumConcurrent);
@@ -78,6 +88,38 @@
     }
 }
 
+std::map<std::string, HostPlanner::PoolInWave> HostPlanner::poolsOf(TimePoint now,
+                                                                    const Wave &wave) const
+{
+    std::map<std::string, PoolInWave> pools;
+    for (const std::string &id : wave.request.hosts) {
+        const auto host = m_hosts.find(id);
+        if (host != m_hosts.end() && !wave.maintained.contains(id))
+            ++pools[host->second.description.pool].remaining;
+    }
+    std::map<std::string, unsigned> hostsInPool;
+    for (const auto &[id, host] : m_hosts) {
+        const auto pool = pools.find(host.description.pool);
+        if (pool == pools.end() || host.description.phase == HostPhase::Down)
+            continue;
+        ++hostsInPool[pool->first];
+        if (host.reservedForWave != 0 || host.inTransition
+            || host.description.phase == HostPhase::Maintenance)
+            ++pool->second.outOfService;
+    }
+    for (auto &[name, pool] : pools) {
+        // Other tasks need a host, too.
+        const unsigned kept = std::max(1U, m_demand.minimumHostsInMaintenance(name));
+        const unsigned hosts = hostsInPool[name];
+        pool.limit = hosts > kept ? hosts - kept : 1;
+        const bool isBound = pool.limit < std::min(wave.request.maximumConcurrent, pool.remaining);
+        const unsigned rounds = (pool.remaining + pool.limit - 1) / pool.limit;
+        if (isBound && remainingRounds(now, wave) < rounds + 1)
+            pool.required = pool.limit;
+    }
+    return pools;
+}
+
 void HostPlanner::reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler)
 {
     std::vector<Host *> candidates;
@@ -92,31 +134,69 @@
             continue;
         if (host->second.reservedForWave != 0)
             ++concurrentHosts;
-        else if (host->second.description.phase == HostPhase::Up)
+        else if (host->second.description.phase == HostPhase::Up
+                 && now >= host->second.reservableAt)
             candidates.push_back(&host->second);
     }
-    const unsigned required = requiredConcurrency(now, wave, candidates.size() + concurrentHosts);
+    const unsigned maximum = wave.request.maximumConcurrent;
+    const unsigned requiredByWave
+        = requiredConcurrency(now, wave, candidates.size() + concurrentHosts);
+    auto pools = poolsOf(now, wave);
+    const unsigned requiredByPools
+        = std::accumulate(pools.begin(), pools.end(), 0U, [](unsigned sum, const auto &entry) {
+              return sum + entry.second.required;
+          });
+    const unsigned required = std::min(maximum, std::max(requiredByWave, requiredByPools));
     std::stable_sort(
         candidates.begin(), candidates.end(), [&](const Host *left, const Host *right) {
             return allocatedShare(*left, scheduler) < allocatedShare(*right, scheduler);
         });
-    const bool needsFullConcurrency = required >= wave.request.maximumConcurrent;
     for (Host *host : candidates) {
         // Maintaining an idle host disturbs no runs, so only the limit of the wave applies if the
         // pool can spare the host. A host that the pool needs is reserved only when the wave
-        // requires as many concurrent hosts as its limit allows.
+        // requires as many concurrent hosts as its limit, or that of the pool, allows.
         const bool idle = runCount(*host, scheduler) == 0;
-        const std::string &pool = host->description.pool;
-        const bool poolHasSurplus = present[pool] > m_demand.neededHosts(pool);
-        if (concurrentHosts >= (idle && poolHasSurplus ? wave.request.maximumConcurrent : required)
+        const std::string &name = host->description.pool;
+        PoolInWave &pool = pools[name];
+        const bool poolHasSurplus = present[name] > m_demand.neededHosts(name);
+        const bool needsFullConcurrency = requiredByWave >= maximum || pool.required > 0;
+        if (pool.outOfService >= pool.limit
+            || concurrentHosts >= (idle && poolHasSurplus ? maximum : required)
             || (!poolHasSurplus && !needsFullConcurrency))
             continue;
-        host->reservedForWave = wave.request.number;
-        host->reservedForMove = false;
+        reserve(now, *host, wave.request.number);
         ++concurrentHosts;
-        --present[pool];
-        observe("host-reserved", host->description.id,
-                "wave " + std::to_string(wave.request.number));
+        ++pool.outOfService;
+        --present[name];
+    }
+}
+
+void HostPlanner::reserve(TimePoint now, Host &host, std::uint64_t wave)
+{
+    host.reservedForWave = wave;
+    host.reservedAt = now;
+    host.reservedForMove = false;
+    host.blockedSince.reset();
+    observe("host-reserved", host.description.id, "wave " + std::to_string(wave));
+}
+
+void HostPlanner::releaseBlockedHosts(TimePoint now, const JobScheduler &scheduler)
+{
+    for (auto &[id, host] : m_hosts) {
+        if (host.reservedForWave == 0 || host.inTransition)
+            continue;
+        if (scheduler.isDraining(host.description.worker)) {
+            host.blockedSince.reset();
+            continue;
+        }
+        if (!host.blockedSince)
+            host.blockedSince = now;
+        if (now < *host.blockedSince + reservationPatience
+            || m_demand.waitingTasks(host.description.pool) == 0)
+            continue;
+        observe("host-released", id, "wave " + std::to_string(host.reservedForWave));
+        host.reservedForWave = 0;
+        host.reservableAt = now + reservationPause;
     }
 }
 
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -284,33 +284,10 @@
     return backlog;
 }
 
-void JobScheduler::stopShortRuns(TimePoint now, const std::string &id)
-{
-    const auto found = m_workers.find(id);
-    if (found == m_workers.end())
-        return;
-    std::vector<RunName> names;
-    for (const auto &[name, run] : found->second.runs) {
-        const Job *job = jobOf(name.task);
-        if (run.phase == RunPhase::Running && job != nullptr
-            && !job->step(name.task.step).longRunning)
-            names.push_back(name);
-    }
-    for (const RunName &name : names)
-        stopRun(now, found->second, name);
-}
-
 bool JobScheduler::isLongRunning(const TaskName &name) const
 {
     const auto found = m_jobs.find(name.job);
     return found != m_jobs.end() && found->second.step(name.step).longRunning;
 }
 
-void JobScheduler::setUnschedulable(const std::string &worker, bool unschedulable)
-{
-    const auto found = m_workers.find(worker);
-    if (found != m_workers.end())
-        found->second.unschedulable = unschedulable;
-}
-
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Jobs/PoolDemand.h>
 
+#include "SchedulerLimits.h"
 #include <algorithm>
 #include <cmath>
 
@@ -44,11 +45,18 @@
     TaskSize size = step.size;
     if (step.bestEffort)
         size.milliProcessors = 0;
+    load.waitingTasks += state.ready;
     if (step.longRunning) {
         load.longRunning = plus(load.longRunning, multiply(size, state.ready + state.active));
-        if (step.maximumPerWorker > 0)
-            load.minimumHosts = std::max(load.minimumHosts, (step.count + step.maximumPerWorker - 1)
-                                                                / step.maximumPerWorker);
+        if (step.maximumPerWorker == 0)
+            return;
+        const auto workersFor = [&](unsigned tasks) {
+            return (tasks + step.maximumPerWorker - 1) / step.maximumPerWorker;
+        };
+        const unsigned movable = std::min(step.count, unavailableLimit(step));
+        load.minimumHosts = std::max(load.minimumHosts, workersFor(step.count));
+        load.minimumHostsInMaintenance
+            = std::max(load.minimumHostsInMaintenance, workersFor(step.count - movable));
         return;
     }
     load.active = plus(load.active, multiply(size, state.active));
@@ -129,6 +137,8 @@
     const auto hostsByLoad
         = static_cast<unsigned>(std::ceil(hostsFor(milliProcessors, megabytes, hostSize)));
     state.neededHosts = std::max(hostsByLoad, load.minimumHosts);
+    state.minimumHostsInMaintenance = load.minimumHostsInMaintenance;
+    state.waitingTasks = load.waitingTasks;
     while (!state.recentMaxima.empty() && state.recentMaxima.back().second <= state.neededHosts)
         state.recentMaxima.pop_back();
     state.recentMaxima.emplace_back(now, state.neededHosts);
@@ -142,6 +152,18 @@
     return found == m_pools.end() ? 0 : found->second.neededHosts;
 }
 
+unsigned PoolDemand::waitingTasks(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.waitingTasks;
+}
+
+unsigned PoolDemand::minimumHostsInMaintenance(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.minimumHostsInMaintenance;
+}
+
 unsigned PoolDemand::recentPeakHosts(const std::string &pool) const
 {
     const auto found = m_pools.find(pool);
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/JobTypes.h>
 #include <LibBase/Time.h>
+#include <algorithm>
 
 namespace Peridot::Jobs {
 
@@ -92,4 +93,10 @@
     return size;
 }
 
+/// Number of tasks of a long-running step that orders may put out of service at the same time.
+inline unsigned unavailableLimit(const StepSpecification &step)
+{
+    return std::max(1U, step.maximumUnavailable.value_or(1));
+}
+
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -78,6 +78,10 @@
         std::optional<TimePoint> idleSince; ///< set while the host has no runs
         /// Number of the wave for which the host gets no further runs; 0: none.
         std::uint64_t reservedForWave = 0;
+        TimePoint reservedAt; ///< when reservedForWave was set
+        /// Since when the host is reserved and no run on it ends.
+        std::optional<TimePoint> blockedSince;
+        TimePoint reservableAt; ///< not reserved for a wave before
         /// The host gets no further runs, so that it can be moved to a pool that lacks hosts.
         bool reservedForMove = false;
     };
@@ -88,6 +92,18 @@
         bool completed = false;
     };
 
+    /// Hosts of one pool in a wave.
+    struct PoolInWave
+    {
+        unsigned remaining = 0; ///< hosts of the wave that are not maintained yet
+        unsigned outOfService = 0; ///< hosts of the pool that are reserved or in transition
+        /// Maximum of outOfService, by the tasks that last and so that the other tasks have a host.
+        unsigned limit = 0;
+        /// The limit when the wave needs it to be completed within its period, with a round to
+        /// spare; 0 otherwise, and where the limit of the wave is lower.
+        unsigned required = 0;
+    };
+
     /// State of one planning pass over the moves between pools.
     struct MovePlan
     {
@@ -102,9 +118,16 @@
     void planWave(TimePoint now, Wave &wave, JobScheduler &scheduler);
     /// Selects the hosts to be maintained next, least loaded first, and reserves them.
     void reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler);
+    /// How many times a host can be drained and maintained until the wave should be completed.
+    double remainingRounds(TimePoint now, const Wave &wave) const;
     /// Number of hosts that must be drained or maintained at the same time to complete the wave
     /// within its period, at most the limit of the wave.
     unsigned requiredConcurrency(TimePoint now, const Wave &wave, std::size_t remainingHosts) const;
+    /// The pools of the hosts that are not maintained yet.
+    std::map<std::string, PoolInWave> poolsOf(TimePoint now, const Wave &wave) const;
+    void reserve(TimePoint now, Host &host, std::uint64_t wave);
+    /// Ends reservations that lead to no maintenance, so that the hosts get runs again for a while.
+    void releaseBlockedHosts(TimePoint now, const JobScheduler &scheduler);
     /// Number of hosts of the wave that are in maintenance or in transition.
     unsigned hostsInMaintenance(const Wave &wave) const;
     /// Number of hosts that the pool keeps for its first burst, whether it needs them or not.
@@ -146,7 +169,7 @@
     void moveHost(TimePoint now, Host &host, const std::string &pool);
     void sendOrder(TimePoint now, Host &host, const HostOrder &order);
     /// Marks the workers on reserved hosts and on hosts in transition unschedulable.
-    void applyReservations(JobScheduler &scheduler) const;
+    void applyReservations(TimePoint now, JobScheduler &scheduler) const;
     void observe(std::string_view kind, const std::string &host, const std::string &detail) const;
     static std::size_t runCount(const Host &host, const JobScheduler &scheduler);
     /// Share of the processors of the host that its runs reserve.
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -146,6 +146,11 @@
     /// An unschedulable worker gets no new runs, and its long-running and checkpointing tasks are
     /// moved to other workers.
     void setUnschedulable(const std::string &worker, bool unschedulable);
+    /// The long-running tasks of an unschedulable worker that must be emptied are stopped although
+    /// no other worker has room for them, as far as their steps allow.
+    void setMustBeEmptied(const std::string &worker, bool mustBeEmptied);
+    /// Whether a run on the worker ends by itself, or is being stopped.
+    bool isDraining(const std::string &worker) const;
 
     const std::map<std::string, Job> &jobs() const { return m_jobs; }
     const std::map<std::string, Worker> &workers() const { return m_workers; }
@@ -336,6 +341,10 @@
     std::string gangRack(TimePoint now, const Job &job, unsigned step,
                          const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
+
+    // JobSchedulerEvacuation.cpp
+    /// Whether tasks run on the worker that are not long-running.
+    bool hasShortRuns(const Worker &worker) const;
     /// Whether the worker is reachable and has ended the runs that an earlier scheduler stopped: it
     /// refuses further orders of that scheduler once it is contacted.
     bool isSettled(const Worker &worker) const;
--- a/Kernel/include/Kernel/Jobs/PoolDemand.h
+++ b/Kernel/include/Kernel/Jobs/PoolDemand.h
@@ -27,8 +27,11 @@
     /// Work of the waiting tasks: their sizes times their expected runtimes.
     double waitingMilliProcessorSeconds = 0;
     double waitingMegabyteSeconds = 0;
+    unsigned waitingTasks = 0; ///< number of all tasks that are ready to start
     /// Number of hosts that the per-worker limits of long-running steps require.
     unsigned minimumHosts = 0;
+    /// The same while as many tasks of each step are out of service as it allows.
+    unsigned minimumHostsInMaintenance = 0;
     std::vector<WorkArrival> arrivals; ///< jobs received since the last observation
 };
 
@@ -45,6 +48,10 @@
                  const TaskSize &hostSize);
     /// Number of hosts needed at the last observation; 0 for a pool that was never observed.
     unsigned neededHosts(const std::string &pool) const;
+    /// Number of tasks that were ready to start at the last observation.
+    unsigned waitingTasks(const std::string &pool) const;
+    /// Number of hosts that maintenance must leave in service for the long-running tasks.
+    unsigned minimumHostsInMaintenance(const std::string &pool) const;
     /// Largest number of hosts needed recently. A pool keeps more hosts than this when it returns
     /// idle ones to the spare pool.
     unsigned recentPeakHosts(const std::string &pool) const;
@@ -53,6 +60,8 @@
     struct State
     {
         unsigned neededHosts = 0;
+        unsigned minimumHostsInMaintenance = 0;
+        unsigned waitingTasks = 0;
         /// Monotonic queue of the recent values of neededHosts: the values are in descending order,
         /// so the first one is the peak.
         std::deque<std::pair<TimePoint, unsigned>> recentMaxima;
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -78,6 +78,8 @@
     bool contacted = false; ///< the current incarnation answered a poll under the current epoch
     TimePoint contactedSince; ///< when it answered the first such poll
     bool unschedulable = false; ///< gets no new runs: its host will be maintained or moved
+    /// Its long-running tasks are stopped although no other worker has room for them.
+    bool mustBeEmptied = false;
     WorkerRuns runs;
     /// Runs of jobs that the scheduler does not know, with the time of the next stop order.
     std::map<RunName, TimePoint> orphanedRuns;
