platform: Keep few connections to each worker

Cause: a worker accepts 64 connections, and those of a process that lost power stay open there. Each process took up to 24, one for each order of a burst, and kept them.

--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -13,19 +13,20 @@
 constexpr std::size_t requestsBetweenDrops = 1000;
 // A request that has waited and has less time left would be sent in vain.
 constexpr std::chrono::milliseconds shortestExchange{20};
+constexpr int idleChecksPerTimeout = 2;
 
 } // namespace
 
 ClientPool::ClientPool(asio::io_context &context, ClientPoolSettings settings)
-    : m_context(context), m_settings(settings)
+    : m_context(context), m_settings(settings), m_idleTimer(context)
 {
 }
 
 ClientPool::~ClientPool()
 {
     for (auto &[endpoint, server] : m_servers) {
-        for (const auto &connection : server.idle)
-            connection->close();
+        for (const IdleConnection &idle : server.idle)
+            idle.connection->close();
     }
 }
 
@@ -48,7 +49,7 @@
 ClientPool::Connection ClientPool::takeIdle(Server &server)
 {
     while (!server.idle.empty()) {
-        Connection connection = std::move(server.idle.back());
+        Connection connection = std::move(server.idle.back().connection);
         server.idle.pop_back();
         if (connection->connected())
             return connection;
@@ -94,8 +95,40 @@
                    });
     }
     --server.busy;
-    if (connection->connected())
-        server.idle.push_back(connection);
+    if (!connection->connected())
+        return;
+    server.idle.push_back({connection, BootClock::now()});
+    scheduleIdleCheck();
+}
+
+void ClientPool::scheduleIdleCheck()
+{
+    if (m_settings.idleTimeout.count() == 0 || std::exchange(m_idleCheckScheduled, true))
+        return;
+    m_idleTimer.expires_after(m_settings.idleTimeout / idleChecksPerTimeout);
+    m_idleTimer.async_wait([this, alive = std::weak_ptr(m_alive)](const asio::error_code &error) {
+        if (error || alive.expired())
+            return;
+        m_idleCheckScheduled = false;
+        closeIdle();
+    });
+}
+
+void ClientPool::closeIdle()
+{
+    const auto unusedSince = BootClock::now() - m_settings.idleTimeout;
+    bool anyLeft = false;
+    for (auto &[endpoint, server] : m_servers) {
+        std::erase_if(server.idle, [&](const IdleConnection &idle) {
+            if (idle.since > unusedSince)
+                return false;
+            idle.connection->close();
+            return true;
+        });
+        anyLeft |= !server.idle.empty();
+    }
+    if (anyLeft)
+        scheduleIdleCheck();
 }
 
 void ClientPool::dropUnused()
@@ -104,7 +137,7 @@
     for (auto entry = m_servers.begin(); entry != m_servers.end();) {
         Server &server = entry->second;
         std::erase_if(server.idle,
-                      [](const Connection &connection) { return !connection->connected(); });
+                      [](const IdleConnection &idle) { return !idle.connection->connected(); });
         entry = server.idle.empty() && server.busy == 0 ? m_servers.erase(entry) : std::next(entry);
     }
 }
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -14,6 +14,9 @@
 {
     std::chrono::milliseconds connectTimeout{500};
     std::size_t connectionsPerServer = 8;
+    /// A connection that was not used for this time is closed, so that the server can accept those
+    /// of others. 0: it is kept.
+    std::chrono::milliseconds idleTimeout{0};
 };
 
 /// Sends requests to many servers over reused plain connections. Requests to a server that has all
@@ -41,9 +44,14 @@
         std::chrono::milliseconds receiveExtension;
         ClientConnection::Callback callback;
     };
+    struct IdleConnection
+    {
+        Connection connection;
+        BootClock::time_point since;
+    };
     struct Server
     {
-        std::vector<Connection> idle;
+        std::vector<IdleConnection> idle; ///< the one that was used last at the end
         std::size_t busy = 0;
         std::deque<Request> waiting;
     };
@@ -53,11 +61,16 @@
               Request request);
     void exchangeEnded(const asio::ip::tcp::endpoint &endpoint, const Connection &connection);
     void dropUnused();
+    /// Closes idle connections after their timeout, for as long as there are any.
+    void scheduleIdleCheck();
+    void closeIdle();
 
     asio::io_context &m_context;
     const ClientPoolSettings m_settings;
     std::map<asio::ip::tcp::endpoint, Server> m_servers;
     std::size_t m_requestsSinceDrop = 0;
+    asio::steady_timer m_idleTimer;
+    bool m_idleCheckScheduled = false;
     /// Answers that arrive after the destructor find it expired.
     std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
--- a/Tests/LibHttp/TestClientPool.cpp
+++ b/Tests/LibHttp/TestClientPool.cpp
@@ -104,9 +104,10 @@
         while (ends.size() < count)
             context.run_one();
     }
-    void makePool(std::size_t connectionsPerServer)
+    void makePool(std::size_t connectionsPerServer, std::chrono::milliseconds idleTimeout = {})
     {
         ClientPoolSettings settings;
+        settings.idleTimeout = idleTimeout;
         settings.connectTimeout = farTimeout;
         settings.connectionsPerServer = connectionsPerServer;
         pool = std::make_unique<ClientPool>(context, settings);
@@ -151,6 +152,25 @@
         REQUIRE(end == ExchangeEnd::Complete);
 }
 
+TEST_CASE("A connection that is not used is closed after a while")
+{
+    // Guards against connections that a server can accept from no other process.
+    PoolFixture fixture;
+    HoldingServer server;
+    fixture.makePool(8, std::chrono::milliseconds(60));
+    for (std::size_t request = 1; request <= 4; ++request) {
+        fixture.start(endpointOf(server));
+        fixture.runUntilEnded(request);
+        fixture.context.run_for(std::chrono::milliseconds(30));
+    }
+    CHECK(server.accepted == 1); // it was used again in time
+    fixture.context.run_for(std::chrono::milliseconds(200));
+    CHECK(server.open == 0);
+    fixture.start(endpointOf(server));
+    fixture.runUntilEnded(5);
+    CHECK(fixture.ends.back() == ExchangeEnd::Complete);
+}
+
 TEST_CASE("A connection that its server closed is not used again")
 {
     // Guards against an order that is lost with a connection that was closed long before.
