Kernel/Jobs: End the lease of a worker that receives no orders

Change: after ten start and stop orders in a row without an answer or an effect, the worker is quarantined; after 12 s, the longest that an order may be late, its lease is no longer extended. Stop orders without an answer are repeated with a growing delay.

Evidence: the new case of TestWorkerReports.cpp failed before (4 checks); a worker that answers an order each 5 s keeps its lease.

--- a/Kernel/Jobs/JobSchedulerFailures.cpp
+++ b/Kernel/Jobs/JobSchedulerFailures.cpp
@@ -52,7 +52,9 @@
 
 bool JobScheduler::isQuarantined(const Worker &worker) const
 {
-    return worker.failures.indicateWorker([this](const TaskName &step) { return isAtFault(step); });
+    return worker.leavesOrdersUnanswered()
+           || worker.failures.indicateWorker(
+               [this](const TaskName &step) { return isAtFault(step); });
 }
 
 void JobScheduler::clearFailures(Worker &worker)
@@ -73,6 +75,8 @@
 
 bool JobScheduler::waitsForProbe(TimePoint now, const Worker &worker) const
 {
+    if (worker.receivesNoOrders(now) && !worker.runs.empty())
+        return true;
     return now < worker.nextProbe && isQuarantined(worker);
 }
 
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -130,9 +130,9 @@
                          && !worker.nextPollDecidesRuns();
     if (mayWait && !worker.runs.empty())
         order.wait = worker.hasBestEffortBesideServing() ? latencyPollWait : pollWait;
-    // After a failed poll, the lease is not extended: its end is the time from which the tasks can
-    // be placed on other workers.
-    if (worker.clockKnown() && worker.failedPolls == 0)
+    // After a failed poll, and when no order arrives, the lease is not extended: its end is the
+    // time from which the tasks can be placed on other workers.
+    if (worker.clockKnown() && worker.failedPolls == 0 && !worker.receivesNoOrders(now))
         order.leaseEnd = worker.extendLease(now, m_timing.workerLease);
     worker.pollInFlight = true;
     worker.lastPoll = now;
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -29,6 +29,17 @@
     return &worker;
 }
 
+void JobScheduler::orderEnded(TimePoint now, Worker &worker, OrderOutcome outcome) const
+{
+    const bool isAnswered = outcome != OrderOutcome::Unknown && outcome != OrderOutcome::NotSent;
+    if (isAnswered)
+        return worker.orderArrived();
+    const bool wasQuarantined = isQuarantined(worker);
+    worker.orderUnanswered(now);
+    if (!wasQuarantined && isQuarantined(worker))
+        observe("worker-quarantined", {}, worker.description.id, "unanswered-orders");
+}
+
 WorkerRun *JobScheduler::answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation)
 {
     WorkerRun *run = worker == nullptr ? nullptr : worker->runs.find(name);
@@ -48,6 +59,7 @@
         return;
     Worker &worker = *answering;
     WorkerRun &run = *orderedRun;
+    orderEnded(now, worker, reply.outcome);
     switch (reply.outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::Superseded: // the next poll shows the state of the run
@@ -103,7 +115,8 @@
     WorkerRun *run = answeredRun(worker, order.run, order.incarnation);
     if (run == nullptr)
         return;
-    run->nextOrderAt = now + orderRetryDelay;
+    orderEnded(now, *worker, reply.outcome);
+    run->nextOrderAt = now + stopRetryDelay(run->ordersSent);
     if (reply.outcome != OrderOutcome::Accepted)
         return;
     run->stopAccepted = true;
@@ -170,6 +183,8 @@
             std::string(runOutcomeNames.nameOf(end.outcome)));
     const auto endedRun = worker.runs.take(end.run);
     worker.orphanedRuns.erase(end.run);
+    if (end.outcome == RunOutcome::Stopped)
+        worker.orderArrived();
     if (end.outcome == RunOutcome::Done)
         clearFailures(worker);
     Job *job = jobOf(end.run.task);
@@ -282,6 +297,7 @@
             task->checkpoint = active.checkpoint;
     }
     if (run.phase == RunPhase::Starting && run.earlierOrderUnanswered) {
+        worker.orderArrived();
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
         markStarted(active.run.task);
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -12,6 +12,8 @@
 
 /// Delay before an unanswered order is sent again.
 constexpr std::chrono::milliseconds orderRetryDelay{150};
+/// The delay doubles with each unanswered stop order of a run, up to this one.
+constexpr std::chrono::milliseconds maximumStopRetryDelay{1200};
 /// Number of unanswered start orders after which a run is stopped and its task is placed on another
 /// worker.
 constexpr unsigned maximumStartOrders = 3;
@@ -93,6 +95,14 @@
     return size;
 }
 
+/// Delay before the next stop order of a run after this many.
+inline std::chrono::milliseconds stopRetryDelay(unsigned ordersSent)
+{
+    constexpr unsigned maximumDoublings = 3;
+    const unsigned doublings = std::min(std::max(ordersSent, 1U) - 1, maximumDoublings);
+    return std::min(orderRetryDelay * (1 << doublings), maximumStopRetryDelay);
+}
+
 /// Number of tasks of a long-running step that orders may put out of service at the same time.
 inline unsigned unavailableLimit(const StepSpecification &step)
 {
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -10,6 +10,9 @@
 constexpr double minimumClockRate = 0.98;
 // Allows for the delay with which this process reads its own clock.
 constexpr std::chrono::milliseconds leaseEndMargin{100};
+// Orders that are not answered may be carried out up to 12 seconds later.
+constexpr std::chrono::seconds longestOrderDelay{12};
+constexpr unsigned unansweredOrdersLimit = 10;
 
 } // namespace
 
@@ -22,6 +25,7 @@
     durableEnds = 0;
     acknowledgedEnds = 0;
     failures.clear();
+    m_unansweredOrders = 0;
     m_clockKnown = false;
     m_leasesEnd = TimePoint{};
     contacted = false;
@@ -94,6 +98,23 @@
     unstoredEnds.erase(unstoredEnds.begin(), unstoredEnds.upper_bound(durableEnds));
 }
 
+void Worker::orderUnanswered(TimePoint now)
+{
+    if (m_unansweredOrders == 0)
+        m_unansweredSince = now;
+    ++m_unansweredOrders;
+}
+
+bool Worker::leavesOrdersUnanswered() const
+{
+    return m_unansweredOrders >= unansweredOrdersLimit;
+}
+
+bool Worker::receivesNoOrders(TimePoint now) const
+{
+    return leavesOrdersUnanswered() && now >= m_unansweredSince + longestOrderDelay;
+}
+
 bool Worker::hasLabel(const std::string &label) const
 {
     const auto &labels = description.labels;
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -232,6 +232,8 @@
     /// Run whose start or stop order was answered. Null when it is not known, and when its worker
     /// has started again since: the answer says nothing about the new incarnation.
     static WorkerRun *answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation);
+    /// Takes the outcome of a start or stop order as a sign of whether the worker receives orders.
+    void orderEnded(TimePoint now, Worker &worker, OrderOutcome outcome) const;
     void pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome);
     void markStarted(const TaskName &name);
     /// Compares the incarnation that answered a poll with the known one, and begins a later one.
@@ -275,15 +277,16 @@
     /// Whether the job of the step is the cause of failed runs of the step: they have failed on
     /// several workers, and none has succeeded.
     bool isAtFault(const TaskName &step) const;
-    /// Whether the worker is likely to fail all runs. It gets single ones now and then, as probes;
-    /// one that succeeds ends the quarantine.
+    /// Whether the worker is likely to fail all runs, or to receive no orders. It gets single runs
+    /// now and then, as probes; one that succeeds, or is answered, ends the quarantine.
     bool isQuarantined(const Worker &worker) const;
     /// A run has succeeded on the worker.
     void clearFailures(Worker &worker);
     /// A run of a long-running task has begun to serve.
     void enteredService(Worker &worker, const TaskName &name);
     /// Whether the worker is quarantined, and it is too early for its next probe. What else runs
-    /// there doesn't matter, because it may run for any time.
+    /// there doesn't matter, because it may run for any time, unless the worker receives no orders:
+    /// then its lease must end, which a start order would extend.
     bool waitsForProbe(TimePoint now, const Worker &worker) const;
     /// Begins the wait for the next probe when the worker is quarantined.
     void probePlaced(TimePoint now, Worker &worker) const;
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -49,6 +49,16 @@
     /// Marks the ended runs up to \a number as stored.
     void markEndsStored(std::uint64_t number);
 
+    /// A start or stop order was not answered.
+    void orderUnanswered(TimePoint now);
+    /// An order was answered, or the worker has shown that it carried one out.
+    void orderArrived() { m_unansweredOrders = 0; }
+    /// Whether many orders in a row were not answered, and none has shown an effect.
+    bool leavesOrdersUnanswered() const;
+    /// The same for so long that the worker is taken to receive none, although it answers polls.
+    /// One that is slow answers some orders, or carries them out late.
+    bool receivesNoOrders(TimePoint now) const;
+
     bool hasLabel(const std::string &label) const;
     bool clockKnown() const { return m_clockKnown; }
     /// Takes the clock that \a other knows when it is the same incarnation of the worker.
@@ -98,6 +108,8 @@
     TimePoint nextProbe; ///< earliest time of the next run while the worker is quarantined
 
 private:
+    unsigned m_unansweredOrders = 0; ///< since the last one that has arrived
+    TimePoint m_unansweredSince; ///< when the first of them ended
     bool m_clockKnown = false;
     WorkerClock m_clock = 0; ///< latest time that the worker reported
     TimePoint m_clockReceivedAt;
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -343,3 +343,63 @@
     REQUIRE(fixture.polls.size() == 1);
     CHECK(fixture.polls.front().leaseEnd == clock + 9000);
 }
+
+TEST_CASE("The lease of a worker that answers polls ends when no order arrives there")
+{
+    // Guards against tasks that are neither stopped nor started elsewhere: a worker that accepted
+    // no more connections answered the polls alone, which extended its lease for good.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    StepSpecification lasting;
+    lasting.longRunning = true;
+    lasting.size = {1000, 100, 0};
+    fixture.submit("0000000000000001", lasting);
+    fixture.planAndCommit();
+    const RunName run = fixture.starts.front().run;
+    fixture.acceptStarts();
+    fixture.scheduler.cancelJob(fixture.now, "0000000000000001");
+    const auto runFor = [&](Duration time, std::optional<Duration> answerEvery) {
+        TimePoint lastAnswer = fixture.now;
+        for (const TimePoint end = fixture.now + time; fixture.now < end; fixture.now += 100ms) {
+            fixture.answerPoll("w", 1000, {{run, {}, 100, {}}});
+            fixture.polls.clear();
+            fixture.planAndCommit();
+            for (const StopOrder &stop : std::exchange(fixture.stops, {})) {
+                const bool answered = answerEvery && fixture.now >= lastAnswer + *answerEvery;
+                lastAnswer = answered ? fixture.now : lastAnswer;
+                const OrderOutcome outcome
+                    = answered ? OrderOutcome::Unhealthy : OrderOutcome::Unknown;
+                fixture.scheduler.stopFinished(fixture.now, stop, {outcome, {}});
+            }
+        }
+    };
+    const auto extendsLease = [&] {
+        REQUIRE_FALSE(fixture.polls.empty());
+        return fixture.polls.back().leaseEnd.has_value();
+    };
+    SECTION("after a while, and the worker is used again afterwards")
+    {
+        runFor(11s, std::nullopt);
+        CHECK(extendsLease());
+        runFor(3s, std::nullopt);
+        CHECK_FALSE(extendsLease());
+        runFor(6500ms, std::nullopt);
+        CHECK(fixture.runsOn("w") == 0);
+        StepSpecification step;
+        step.count = 3;
+        step.size = {1000, 100, 0};
+        fixture.submit("0000000000000002", step);
+        fixture.answerPoll("w");
+        fixture.planAndCommit();
+        CHECK(fixture.starts.size() == 1); // a probe
+        fixture.acceptStarts();
+        fixture.planAndCommit();
+        CHECK(fixture.starts.size() == 2);
+    }
+    SECTION("but not when it is slow, and answers some orders")
+    {
+        runFor(40s, 5s);
+        CHECK(extendsLease());
+    }
+}
