--- a/Tests/Services/Jobs/TestHostSession.cpp
+++ b/Tests/Services/Jobs/TestHostSession.cpp
@@ -44,6 +44,8 @@
             hosts.push_back({hostId(number), "pool", HostPhase::Up, {1000, 1000, 0}, {}});
             wave.hosts.push_back(hostId(number));
         }
+        // A wave leaves each pool a host.
+        hosts.push_back({"other-host", "pool", HostPhase::Up, {1000, 1000, 0}, {}});
         waves.emplace(1, wave);
     }
 
