Kernel/Jobs: Count the maintenance that an earlier scheduler has ordered

Change: the row tells the kind of the order. A host whose maintenance may still begin by an order of an earlier scheduler counts as in maintenance, for its wave and its pool, is reserved, and is ordered first, which fences the earlier order. A reserved host that is down gives up its place in the wave.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -82,6 +82,11 @@
     m_ordersDeferredUntil[host] = time;
 }
 
+void HostPlanner::expectEarlierMaintenance(const std::string &host, TimePoint time)
+{
+    m_earlierMaintenanceUntil[host] = time;
+}
+
 bool HostPlanner::acceptsOrders(TimePoint now, const Host &host) const
 {
     const auto deferred = m_ordersDeferredUntil.find(host.description.id);
@@ -180,6 +185,7 @@
         if (wave != m_waves.end())
             wave->second.maintained.insert(order.host);
         host.reservedForWave = 0;
+        m_earlierMaintenanceUntil.erase(order.host);
     }
     if (outcome == HostOrderOutcome::Unknown)
         host.blockedSince.reset();
--- a/Kernel/Jobs/HostPlannerWaves.cpp
+++ b/Kernel/Jobs/HostPlannerWaves.cpp
@@ -23,17 +23,26 @@
 
 } // namespace
 
-unsigned HostPlanner::hostsInMaintenance(const Wave &wave) const
+unsigned HostPlanner::hostsInMaintenance(TimePoint now, const Wave &wave) const
 {
     return static_cast<unsigned>(std::count_if(
         wave.request.hosts.begin(), wave.request.hosts.end(), [&](const std::string &id) {
             const auto host = m_hosts.find(id);
             return host != m_hosts.end()
                    && (host->second.inTransition
-                       || host->second.description.phase == HostPhase::Maintenance);
+                       || host->second.description.phase == HostPhase::Maintenance
+                       || expectsEarlierMaintenance(now, wave, host->second));
         }));
 }
 
+bool HostPlanner::expectsEarlierMaintenance(TimePoint now, const Wave &wave, const Host &host) const
+{
+    const std::string &id = host.description.id;
+    const auto until = m_earlierMaintenanceUntil.find(id);
+    return until != m_earlierMaintenanceUntil.end() && now < until->second
+           && !wave.maintained.contains(id);
+}
+
 double HostPlanner::remainingRounds(TimePoint now, const Wave &wave) const
 {
     const Duration timePerHost = expectedDrainTime + m_timing.maintenanceDuration;
@@ -67,6 +76,7 @@
         m_hooks.waveCompleted(wave.request.number);
         return;
     }
+    reserveExpectedHosts(now, wave);
     reserveForWave(now, wave, scheduler);
     const bool stopsShortRuns
         = now > wave.request.requestedAt + wave.request.period - forcedDrainTime;
@@ -82,8 +92,10 @@
                 scheduler.stopShortRuns(now, host.description.worker);
             continue;
         }
-        if (hostsInMaintenance(wave) >= wave.request.maximumConcurrent)
-            return;
+        // A host that may be maintained already by an earlier order takes no further place.
+        const unsigned itself = expectsEarlierMaintenance(now, wave, host) ? 1 : 0;
+        if (hostsInMaintenance(now, wave) - itself >= wave.request.maximumConcurrent)
+            continue;
         sendOrder(now, host, {HostOrderKind::Maintain, id, {}, wave.request.number, m_epoch});
     }
 }
@@ -123,14 +135,15 @@
 void HostPlanner::reserveForWave(TimePoint now, Wave &wave, const JobScheduler &scheduler)
 {
     std::vector<Host *> candidates;
-    std::size_t concurrentHosts = hostsInMaintenance(wave);
+    std::size_t concurrentHosts = hostsInMaintenance(now, wave);
     auto present = presentHosts();
     for (const std::string &id : wave.request.hosts) {
         const auto host = m_hosts.find(id);
         if (host == m_hosts.end() || wave.maintained.contains(id))
             continue;
-        // hostsInMaintenance() has counted the hosts in transition already.
-        if (host->second.inTransition || host->second.description.phase == HostPhase::Maintenance)
+        // hostsInMaintenance() has counted these hosts already.
+        if (host->second.inTransition || host->second.description.phase == HostPhase::Maintenance
+            || expectsEarlierMaintenance(now, wave, host->second))
             continue;
         if (host->second.reservedForWave != 0)
             ++concurrentHosts;
@@ -171,6 +184,19 @@
     }
 }
 
+void HostPlanner::reserveExpectedHosts(TimePoint now, const Wave &wave)
+{
+    for (const std::string &id : wave.request.hosts) {
+        const auto entry = m_hosts.find(id);
+        if (entry == m_hosts.end() || !expectsEarlierMaintenance(now, wave, entry->second))
+            continue;
+        Host &host = entry->second;
+        const bool isInUse = !host.inTransition && host.description.phase == HostPhase::Up;
+        if (isInUse && host.reservedForWave == 0 && now >= host.reservableAt)
+            reserve(now, host, wave.request.number);
+    }
+}
+
 void HostPlanner::reserve(TimePoint now, Host &host, std::uint64_t wave)
 {
     host.reservedForWave = wave;
@@ -191,8 +217,10 @@
         }
         if (!host.blockedSince)
             host.blockedSince = now;
-        if (now < *host.blockedSince + reservationPatience
-            || m_demand.waitingTasks(host.description.pool) == 0)
+        const bool isBlocked = now >= *host.blockedSince + reservationPatience
+                               && m_demand.waitingTasks(host.description.pool) > 0;
+        // A host that is down takes no order, and would take a place of the wave.
+        if (!isBlocked && host.description.phase != HostPhase::Down)
             continue;
         observe("host-released", id, "wave " + std::to_string(host.reservedForWave));
         host.reservedForWave = 0;
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -48,6 +48,10 @@
     bool hasWave(std::uint64_t wave) const { return m_waves.contains(wave); }
     /// Sends no order for \a host before \a time, because a previous scheduler sent one recently.
     void deferOrders(const std::string &host, TimePoint time);
+    /// A previous scheduler ordered the maintenance of \a host, and the order may still be carried
+    /// out until \a time. Until then, or until an order of this planner is accepted, which fences
+    /// the earlier one, the host counts as in maintenance.
+    void expectEarlierMaintenance(const std::string &host, TimePoint time);
     /// Takes the outcome of an order that was passed to HostPlannerHooks::sendOrder.
     void orderFinished(TimePoint now, const HostOrder &order, HostOrderOutcome outcome);
 
@@ -126,10 +130,16 @@
     /// The pools of the hosts that are not maintained yet.
     std::map<std::string, PoolInWave> poolsOf(TimePoint now, const Wave &wave) const;
     void reserve(TimePoint now, Host &host, std::uint64_t wave);
+    /// Reserves the hosts that a previous scheduler may have ordered to be maintained: they come
+    /// first, and their runs would end with the maintenance.
+    void reserveExpectedHosts(TimePoint now, const Wave &wave);
     /// Ends reservations that lead to no maintenance, so that the hosts get runs again for a while.
     void releaseBlockedHosts(TimePoint now, const JobScheduler &scheduler);
-    /// Number of hosts of the wave that are in maintenance or in transition.
-    unsigned hostsInMaintenance(const Wave &wave) const;
+    /// Number of hosts of the wave that are in maintenance or in transition, or may be soon by an
+    /// order of a previous scheduler.
+    unsigned hostsInMaintenance(TimePoint now, const Wave &wave) const;
+    /// Whether the wave may maintain the host at any moment by an order of a previous scheduler.
+    bool expectsEarlierMaintenance(TimePoint now, const Wave &wave, const Host &host) const;
     /// Number of hosts that the pool keeps for its first burst, whether it needs them or not.
     unsigned standbyHosts(TimePoint now, const PoolSettings &pool) const;
     /// Number of hosts that the pool keeps when it gives hosts to a pool that needs them or, with
@@ -180,6 +190,8 @@
     HostPlannerHooks m_hooks;
     std::map<std::string, Host> m_hosts;
     std::map<std::string, TimePoint> m_ordersDeferredUntil; ///< by host; see deferOrders()
+    /// By host; see expectEarlierMaintenance().
+    std::map<std::string, TimePoint> m_earlierMaintenanceUntil;
     TimePoint m_shortageUntil; ///< pools keep fewer standby hosts until then
     /// The latest list as received, without the effects of later orders that m_hosts contains.
     std::map<std::string, HostDescription> m_listedHosts;
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::string_view wavePrefix = "wave/";
-constexpr std::string_view orderPrefix = "host-order/"; ///< time of the latest order by host
+constexpr std::string_view orderPrefix = "host-order/"; ///< latest order by host
 constexpr std::chrono::milliseconds listPeriod{1000};
 constexpr std::chrono::milliseconds pendingListPeriod{300}; ///< while changes are pending
 constexpr std::chrono::milliseconds planPeriod{100}; ///< minimum time between planning passes
@@ -21,6 +21,8 @@
 // takes a while to the provider. A successor adds the whole delay to its pause.
 constexpr std::chrono::milliseconds maximumRecordDelay{500};
 constexpr std::chrono::milliseconds maximumOrderDelay{700};
+// The provider may carry out an order that it did not answer up to this much later.
+constexpr std::chrono::seconds longestLateness{12};
 
 std::string waveKey(std::uint64_t wave)
 {
@@ -61,6 +63,19 @@
     return progress;
 }
 
+/// Row of the latest order for a host: when it was recorded on the clock of the store, in
+/// milliseconds, and its kind.
+std::string encodeOrder(std::int64_t storeTime, HostOrderKind kind)
+{
+    return std::to_string(storeTime) + ' ' + std::string(hostOrderKindNames.nameOf(kind));
+}
+
+/// Rows of earlier versions name no kind.
+bool isMaintenance(const Row &orderRow)
+{
+    return orderRow.value.ends_with(hostOrderKindNames.nameOf(HostOrderKind::Maintain));
+}
+
 } // namespace
 
 HostSession::HostSession(asio::io_context &context, const PlatformPorts &ports, std::uint64_t epoch,
@@ -139,10 +154,13 @@
     for (const Row &row : result.rows) {
         const auto orderedAt = std::strtoll(row.value.c_str(), nullptr, 10);
         const Duration age = std::chrono::milliseconds(result.storeMilliseconds - orderedAt);
+        const std::string host = row.key.substr(orderPrefix.size());
         const Duration pause = m_holderPause + maximumOrderDelay;
         if (age < pause)
-            m_planner.deferOrders(row.key.substr(orderPrefix.size()),
-                                  m_hooks.clock() + pause - age);
+            m_planner.deferOrders(host, m_hooks.clock() + pause - age);
+        const Duration lateness = longestLateness + maximumOrderDelay;
+        if (isMaintenance(row) && age < lateness)
+            m_planner.expectEarlierMaintenance(host, m_hooks.clock() + lateness - age);
     }
 }
 
@@ -223,9 +241,10 @@
         TransactionBuilder builder("host-orders/" + std::to_string(m_epoch) + '/'
                                    + std::to_string(++m_transactionCount));
         builder.add({m_epochCheck}, {});
-        const std::string time = std::to_string(m_hooks.storeTime());
+        const std::int64_t time = m_hooks.storeTime();
         const auto last = std::find_if_not(orders.begin(), orders.end(), [&](const auto &order) {
-            return builder.add({}, {{std::string(orderPrefix) + order.host, time}});
+            return builder.add(
+                {}, {{std::string(orderPrefix) + order.host, encodeOrder(time, order.kind)}});
         });
         if (last == orders.begin()) { // the store takes no such key
             m_planner.orderFinished(m_hooks.clock(), *last, HostOrderOutcome::Invalid);
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -332,3 +332,48 @@
     fleet.plan(3s);
     CHECK(fleet.maintenanceOrders() == 1);
 }
+
+TEST_CASE(
+    "A maintenance that a previous scheduler has ordered counts towards the limit of its wave")
+{
+    // Guards against two hosts in maintenance for a wave that allows one (LIMIT): the earlier
+    // order, which was not answered, was carried out beside that of the successor.
+    Fleet fleet(2);
+    fleet.configuration.pools.pop_back(); // no spare pool: idle hosts stay
+    fleet.planner.addWave({1, {"h0", "h1"}, 24s, 1, fleet.now}, {});
+    fleet.planner.deferOrders("h1", fleet.now + 3s);
+    fleet.planner.expectEarlierMaintenance("h1", fleet.now + 12s);
+    fleet.plan();
+    CHECK(fleet.orders.empty());
+    CHECK(fleet.scheduler.workers().at("w1").unschedulable); // its runs would end
+    SECTION("it is ordered once more first, which fences the earlier order")
+    {
+        fleet.plan(3s);
+        REQUIRE(fleet.maintenanceOrders() == 1);
+        const HostOrder order = fleet.orders.front();
+        CHECK(order.host == "h1");
+        fleet.planner.orderFinished(fleet.now, order, HostOrderOutcome::Accepted);
+        fleet.planner.setHosts(fleet.now + 1ms, fleet.hosts);
+        fleet.plan(2s);
+        REQUIRE(fleet.maintenanceOrders() == 1);
+        CHECK(fleet.orders.front().host == "h0");
+    }
+    SECTION(
+        "a host that takes no orders counts until the earlier one can't be carried out any more")
+    {
+        fleet.hosts[1].phase = HostPhase::Down;
+        fleet.planner.setHosts(fleet.now + 1ms, fleet.hosts);
+        fleet.plan(11s);
+        CHECK(fleet.maintenanceOrders() == 0);
+        fleet.plan(2s);
+        CHECK(fleet.maintenanceOrders() == 1);
+    }
+    SECTION("not when the earlier scheduler has recorded that it was carried out")
+    {
+        Fleet successor(2);
+        successor.planner.addWave({1, {"h0", "h1"}, 24s, 1, successor.now}, {"h1"});
+        successor.planner.expectEarlierMaintenance("h1", successor.now + 12s);
+        successor.plan();
+        CHECK(successor.maintenanceOrders() == 1);
+    }
+}
--- a/Tests/Services/Jobs/TestHostSession.cpp
+++ b/Tests/Services/Jobs/TestHostSession.cpp
@@ -126,6 +126,8 @@
     {
         fixture.runFor(1s);
         REQUIRE(fixture.ordered.size() == hostCount);
+        // The row tells the next holder that the host may be in maintenance.
+        CHECK(fixture.store.row("host-order/" + recent.front()).value == "1 maintain");
     }
 }
 
