--- a/Tests/Kernel/Jobs/SchedulerFixture.h
+++ b/Tests/Kernel/Jobs/SchedulerFixture.h
@@ -33,7 +33,8 @@
 
     /// Answers a poll of the worker that was sent now.
     void answerPoll(const std::string &id, std::int64_t startedAt = 1000,
-                    const std::vector<ActiveRun> &active = {})
+                    const std::vector<ActiveRun> &active = {},
+                    const std::vector<EndedRun> &ended = {})
     {
         PollOrder order;
         order.worker = id;
@@ -44,9 +45,19 @@
         reply.clock = toUnixMilliseconds(now);
         reply.startedAt = startedAt;
         reply.active = active;
+        reply.ended = ended;
         scheduler.pollFinished(now, order, reply);
     }
 
+    /// A step of tasks that take one of the four processors of a worker each.
+    static StepSpecification stepOf(unsigned count)
+    {
+        StepSpecification step;
+        step.count = count;
+        step.size = {1000, 100, 0};
+        return step;
+    }
+
     void submit(const std::string &id, const StepSpecification &step = {})
     {
         SubmittedJob job;
@@ -76,6 +87,17 @@
             scheduler.startFinished(now, order, {OrderOutcome::Accepted, toUnixMilliseconds(now)});
     }
 
+    /// Plans, and answers the start orders as accepted. Returns the started runs by worker.
+    std::map<std::string, std::vector<RunName>> startAll()
+    {
+        planAndCommit();
+        std::map<std::string, std::vector<RunName>> runs;
+        for (const StartOrder &order : starts)
+            runs[order.worker].push_back(order.run);
+        acceptStarts();
+        return runs;
+    }
+
     std::size_t runsOn(const std::string &id) const
     {
         return scheduler.workers().at(id).runs.size();
--- a/Tests/Kernel/Jobs/TestFailingWorkers.cpp
+++ b/Tests/Kernel/Jobs/TestFailingWorkers.cpp
@@ -23,50 +23,28 @@
         lasting.longRunning = true;
         lasting.maximumPerWorker = 1;
         submit("00000000000000aa", lasting);
-        planAndCommit();
-        for (const StartOrder &order : starts)
-            m_lasting[order.worker] = order.run;
-        acceptStarts();
+        for (const auto &[id, runs] : startAll())
+            m_lasting[id] = runs.front();
         for (const std::string &id : ids)
             report(id, {});
     }
 
-    static StepSpecification stepOf(unsigned count)
-    {
-        StepSpecification step;
-        step.count = count;
-        step.size = {1000, 100, 0};
-        return step;
-    }
-
     /// The worker reports that these runs have ended, and its lasting task.
     void report(const std::string &id, const std::vector<RunName> &ended,
                 RunOutcome outcome = RunOutcome::Failed)
     {
-        PollOrder order;
-        order.worker = id;
-        order.incarnation = 1000;
-        order.sentAt = now;
-        PollReply reply;
-        reply.outcome = OrderOutcome::Accepted;
-        reply.clock = toUnixMilliseconds(now);
-        reply.startedAt = 1000;
-        reply.active = {{m_lasting.at(id), {}, 100, {}}};
+        std::vector<EndedRun> ends;
+        ends.reserve(ended.size());
         for (const RunName &run : ended)
-            reply.ended.push_back({++m_ends[id], run, outcome, {}});
-        scheduler.pollFinished(now, order, reply);
+            ends.push_back({++m_ends[id], run, outcome, {}});
+        answerPoll(id, 1000, {{m_lasting.at(id), {}, 100, {}}}, ends);
     }
 
     /// Starts what can be placed, and ends it. Returns the number of runs by worker.
     std::map<std::string, unsigned> runAll(RunOutcome outcome = RunOutcome::Failed)
     {
-        planAndCommit();
-        std::map<std::string, std::vector<RunName>> runs;
-        for (const StartOrder &order : starts)
-            runs[order.worker].push_back(order.run);
-        acceptStarts();
         std::map<std::string, unsigned> counts;
-        for (const auto &[id, names] : runs) {
+        for (const auto &[id, names] : startAll()) {
             counts[id] = static_cast<unsigned>(names.size());
             report(id, names, outcome);
         }
@@ -96,9 +74,9 @@
     // Guards against a service that starts nothing any more (LOST): its workers were taken for
     // faulty, and a worker with a task that lasts was never tried again.
     BusyWorkers fleet(4);
-    fleet.submit("0000000000000001", BusyWorkers::stepOf(12));
+    fleet.submit("0000000000000001", SchedulerFixture::stepOf(12));
     CHECK(fleet.runAll().size() == 4);
-    fleet.submit("0000000000000002", BusyWorkers::stepOf(12));
+    fleet.submit("0000000000000002", SchedulerFixture::stepOf(12));
     SECTION("they start at once, and no worker is quarantined")
     {
         fleet.planAndCommit();
@@ -108,7 +86,7 @@
     {
         for (int attempt = 0; attempt < 3; ++attempt)
             fleet.runAll();
-        fleet.submit("0000000000000003", BusyWorkers::stepOf(12));
+        fleet.submit("0000000000000003", SchedulerFixture::stepOf(12));
         fleet.planAndCommit();
         CHECK(fleet.starts.size() == 12);
     }
@@ -118,7 +96,7 @@
 {
     BusyWorkers fleet(1);
     fleet.failJobs(3);
-    fleet.submit("0000000000000001", BusyWorkers::stepOf(3));
+    fleet.submit("0000000000000001", SchedulerFixture::stepOf(3));
     fleet.planAndCommit();
     CHECK(fleet.starts.empty());
     fleet.now += 2s;
@@ -151,7 +129,7 @@
     BusyWorkers fleet(1);
     fleet.failJobs(3);
     fleet.now += 2s;
-    StepSpecification gang = BusyWorkers::stepOf(3);
+    StepSpecification gang = SchedulerFixture::stepOf(3);
     gang.gang = true;
     fleet.scheduler.cancelJob(fleet.now, "00000000000000b0");
     fleet.scheduler.cancelJob(fleet.now, "00000000000000b1");
@@ -166,13 +144,9 @@
     BusyWorkers fleet(3);
     unsigned failed = 0;
     for (int round = 0; round < 10; ++round) {
-        fleet.submit("000000000000001" + std::to_string(round), BusyWorkers::stepOf(9));
+        fleet.submit("000000000000001" + std::to_string(round), SchedulerFixture::stepOf(9));
         for (int wave = 0; wave < 3; ++wave) {
-            fleet.planAndCommit();
-            std::map<std::string, std::vector<RunName>> runs;
-            for (const StartOrder &order : fleet.starts)
-                runs[order.worker].push_back(order.run);
-            fleet.acceptStarts();
+            auto runs = fleet.startAll();
             failed += static_cast<unsigned>(runs["a"].size());
             fleet.report("a", runs["a"], RunOutcome::Failed);
             fleet.report("b", runs["b"], RunOutcome::Done);
--- a/Tests/Kernel/Jobs/TestMaintainedPool.cpp
+++ b/Tests/Kernel/Jobs/TestMaintainedPool.cpp
@@ -33,9 +33,7 @@
         for (unsigned index = 0; index < hosts; ++index)
             addHost("h" + std::to_string(index));
         update();
-        StepSpecification lasting;
-        lasting.count = lastingTasks;
-        lasting.size = {1000, 100, 0};
+        StepSpecification lasting = stepOf(lastingTasks);
         lasting.longRunning = true;
         lasting.maximumPerWorker = 1;
         lasting.maximumUnavailable = 1;
@@ -58,9 +56,7 @@
         for (const TimePoint end = now + time; now < end; now += tick) {
             if (withJobs && now >= m_nextJob) {
                 m_nextJob = now + 1s;
-                StepSpecification step;
-                step.size = {1000, 100, 0};
-                submit("00000000000001" + std::to_string(10 + m_jobs++), step);
+                submit("00000000000001" + std::to_string(10 + m_jobs++), stepOf(1));
             }
             update();
             planner->plan(now, scheduler, configuration);
@@ -152,28 +148,23 @@
     /// Short tasks take 0.8 s; those that last are in service after half a second.
     void report(SimulatedHost &host)
     {
-        PollOrder order;
-        order.worker = host.description.worker;
-        order.incarnation = 1000;
-        order.sentAt = now;
-        PollReply reply;
-        reply.outcome = OrderOutcome::Accepted;
-        reply.clock = toUnixMilliseconds(now);
-        reply.startedAt = 1000;
+        const std::string &id = host.description.worker;
+        std::vector<EndedRun> ended;
+        std::vector<ActiveRun> active;
         std::erase_if(host.runs, [&](const auto &entry) {
             const auto &[name, startedAt] = entry;
-            const bool ended = !scheduler.isLongRunning(name.task) && now >= startedAt + 800ms;
-            if (ended)
-                reply.ended.push_back({++host.ends, name, RunOutcome::Done, {}});
-            return ended;
+            const bool isOver = !scheduler.isLongRunning(name.task) && now >= startedAt + 800ms;
+            if (isOver)
+                ended.push_back({++host.ends, name, RunOutcome::Done, {}});
+            return isOver;
         });
-        for (const StopOrder &stop : std::exchange(m_stops[order.worker], {})) {
+        for (const StopOrder &stop : std::exchange(m_stops[id], {})) {
             if (host.runs.erase(stop.run) > 0)
-                reply.ended.push_back({++host.ends, stop.run, RunOutcome::Stopped, {}});
+                ended.push_back({++host.ends, stop.run, RunOutcome::Stopped, {}});
         }
         for (const auto &[name, startedAt] : host.runs)
-            reply.active.push_back({name, {}, now >= startedAt + 500ms ? 100U : 50U, {}});
-        scheduler.pollFinished(now, order, reply);
+            active.push_back({name, {}, now >= startedAt + 500ms ? 100U : 50U, {}});
+        answerPoll(id, 1000, active, ended);
     }
 
     void answerOrders()
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -205,19 +205,11 @@
     step.longRunning = true;
     fixture.submit("0000000000000001", step);
     for (std::uint64_t failure = 1; failure <= 3; ++failure) {
-        fixture.planAndCommit();
-        REQUIRE(fixture.starts.size() == 1);
-        const RunName run = fixture.starts.front().run;
-        fixture.acceptStarts();
-        PollOrder order;
-        order.worker = "w";
-        order.sentAt = fixture.now;
-        PollReply reply;
-        reply.outcome = OrderOutcome::Accepted;
-        reply.clock = toUnixMilliseconds(fixture.now);
-        reply.startedAt = 1000;
-        reply.ended = {{failure, run, RunOutcome::Failed, {}}};
-        fixture.scheduler.pollFinished(fixture.now, order, reply);
+        const auto runs = fixture.startAll();
+        REQUIRE(runs.size() == 1);
+        REQUIRE(runs.at("w").size() == 1);
+        fixture.answerPoll("w", 1000, {},
+                           {{failure, runs.at("w").front(), RunOutcome::Failed, {}}});
     }
     step.count = 3;
     fixture.submit("0000000000000002", step);
@@ -351,13 +343,10 @@
     SchedulerFixture fixture;
     fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
     fixture.answerPoll("w");
-    StepSpecification lasting;
+    StepSpecification lasting = SchedulerFixture::stepOf(1);
     lasting.longRunning = true;
-    lasting.size = {1000, 100, 0};
     fixture.submit("0000000000000001", lasting);
-    fixture.planAndCommit();
-    const RunName run = fixture.starts.front().run;
-    fixture.acceptStarts();
+    const RunName run = fixture.startAll().at("w").front();
     fixture.scheduler.cancelJob(fixture.now, "0000000000000001");
     const auto runFor = [&](Duration time, std::optional<Duration> answerEvery) {
         TimePoint lastAnswer = fixture.now;
@@ -386,10 +375,7 @@
         CHECK_FALSE(extendsLease());
         runFor(6500ms, std::nullopt);
         CHECK(fixture.runsOn("w") == 0);
-        StepSpecification step;
-        step.count = 3;
-        step.size = {1000, 100, 0};
-        fixture.submit("0000000000000002", step);
+        fixture.submit("0000000000000002", SchedulerFixture::stepOf(3));
         fixture.answerPoll("w");
         fixture.planAndCommit();
         CHECK(fixture.starts.size() == 1); // a probe
