Kernel/Jobs: Don't begin waves early in pools that can get spare hosts

Change: while the spare pool has a host, a wave is bound by one host of the pool only. Lasting tasks on a reserved host wait 1.5 s for room elsewhere, as a move takes.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -13,7 +13,7 @@
 // Delay before the next order for a host whose last order was not accepted.
 constexpr std::chrono::milliseconds refusedOrderDelay{300};
 // Time for which long-running tasks on a host that is reserved for a wave wait for room elsewhere.
-constexpr std::chrono::milliseconds relocationTime{1000};
+constexpr std::chrono::milliseconds relocationTime{1500};
 
 } // namespace
 
@@ -123,6 +123,7 @@
             ++m_initialHosts[host.description.pool];
     }
     observeDemand(now, scheduler, configuration);
+    m_hasSpareHosts = hasSpareHosts(now, configuration);
     for (auto &[number, wave] : m_waves) {
         if (!wave.completed)
             planWave(now, wave, scheduler);
@@ -132,6 +133,20 @@
     applyReservations(now, scheduler);
 }
 
+bool HostPlanner::hasSpareHosts(TimePoint now, const JobConfiguration &configuration) const
+{
+    std::set<std::string> sparePools;
+    for (const PoolSettings &pool : configuration.pools) {
+        if (pool.spare)
+            sparePools.insert(pool.name);
+    }
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
+        const Host &host = entry.second;
+        return sparePools.contains(host.description.pool) && !host.inTransition
+               && host.reservedForWave == 0 && acceptsOrders(now, host);
+    });
+}
+
 std::size_t HostPlanner::runCount(const Host &host, const JobScheduler &scheduler)
 {
     const auto worker = scheduler.workers().find(host.description.worker);
--- a/Kernel/Jobs/HostPlannerWaves.cpp
+++ b/Kernel/Jobs/HostPlannerWaves.cpp
@@ -117,8 +117,9 @@
 
 unsigned HostPlanner::maintenanceLimit(const std::string &pool, unsigned hosts) const
 {
-    // Other tasks need a host, too.
-    const unsigned kept = std::max(1U, m_demand.minimumHostsInMaintenance(pool));
+    // Other tasks need a host, too. Hosts of the spare pool replace those of the tasks that last.
+    const unsigned kept
+        = m_hasSpareHosts ? 1U : std::max(1U, m_demand.minimumHostsInMaintenance(pool));
     return hosts > kept ? hosts - kept : 1;
 }
 
@@ -145,7 +146,7 @@
         pool.limit = maintenanceLimit(name, hostsInPool[name]);
         const bool isBound = pool.limit < std::min(wave.request.maximumConcurrent, pool.remaining);
         const unsigned rounds = (pool.remaining + pool.limit - 1) / pool.limit;
-        if (isBound && remainingRounds(now, wave) < rounds + 1)
+        if (isBound && !m_hasSpareHosts && remainingRounds(now, wave) < rounds + 1)
             pool.required = pool.limit;
     }
     return pools;
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -104,7 +104,7 @@
         /// Maximum of outOfService, by the tasks that last and so that the other tasks have a host.
         unsigned limit = 0;
         /// The limit when the wave needs it to be completed within its period, with a round to
-        /// spare; 0 otherwise, and where the limit of the wave is lower.
+        /// spare; 0 otherwise, and where the limit of the wave is lower or the pool can get hosts.
         unsigned required = 0;
     };
 
@@ -155,6 +155,8 @@
     unsigned hostsToKeep(TimePoint now, const PoolSettings &pool, bool forSparePool) const;
     /// Whether the pause after an order of a previous scheduler for the host has not passed yet.
     bool areOrdersDeferred(TimePoint now, const std::string &host) const;
+    /// Whether a spare pool has a host that can be moved to a pool that lacks hosts.
+    bool hasSpareHosts(TimePoint now, const JobConfiguration &configuration) const;
     /// Whether an order may be sent for the host now.
     bool acceptsOrders(TimePoint now, const Host &host) const;
     /// Moves a host of pool \a from that has been idle for \a minimumIdleTime to pool \a to.
@@ -202,6 +204,7 @@
     std::map<std::string, TimePoint> m_ordersDeferredUntil; ///< by host; see deferOrders()
     /// By host; see expectEarlierMaintenance().
     std::map<std::string, TimePoint> m_earlierMaintenanceUntil;
+    bool m_hasSpareHosts = false; ///< in the current planning pass
     TimePoint m_shortageUntil; ///< pools keep fewer standby hosts until then
     /// The latest list as received, without the effects of later orders that m_hosts contains.
     std::map<std::string, HostDescription> m_listedHosts;
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -377,3 +377,30 @@
         CHECK(successor.maintenanceOrders() == 1);
     }
 }
+
+TEST_CASE("A wave takes no hosts that a pool needs early when the spare pool can replace them")
+{
+    // Guards against waves that begin in a burst, because the hosts for the tasks that last seemed
+    // to allow few at a time: jobs started late.
+    const auto reservedHosts = [](bool withSparePool) {
+        Fleet fleet;
+        if (!withSparePool)
+            fleet.configuration.pools.pop_back();
+        SubmittedJob lasting;
+        lasting.id = "lasting";
+        lasting.queue = *fleet.configuration.queue("front-queue");
+        lasting.specification.steps.resize(1);
+        lasting.specification.steps[0].count = 6;
+        lasting.specification.steps[0].longRunning = true;
+        lasting.specification.steps[0].maximumPerWorker = 1;
+        fleet.scheduler.addJob(fleet.now, lasting, std::nullopt, absentVersion);
+        fleet.submit("front-queue", 40);
+        fleet.planner.addWave({1, {"h0", "h1", "h2", "h3", "h4"}, 24s, 5, fleet.now}, {});
+        fleet.plan();
+        return std::count_if(fleet.hosts.begin(), fleet.hosts.begin() + 5, [&](const auto &host) {
+            return fleet.scheduler.workers().at(host.worker).unschedulable;
+        });
+    };
+    CHECK(reservedHosts(true) == 0);
+    CHECK(reservedHosts(false) == 1); // one round for each host
+}
