Kernel/Jobs: Define the interfaces of organisations, quotas and the order of starts

Cause: calls have no organisation, and the order of starts is part of the placement. Change: types of organisations in the configuration and in job rows, authorize(), OrganisationUsage and sortForStart(), with the present order and without keys until a configuration has them. Not measured: nothing uses the new types yet.

--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -4,37 +4,56 @@
 #include "UnplaceableSizes.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
-#include <tuple>
 
 namespace Peridot::Jobs {
 
-std::map<std::string, std::vector<JobScheduler::PoolQueueEntry>>
-JobScheduler::queuesByPool(TimePoint now)
+namespace {
+
+// A result is late after this multiple of the latency objective, and of no use.
+constexpr int latestObjectives = 3;
+
+std::int64_t milliProcessorsOf(const std::vector<Worker *> &workers)
+{
+    std::int64_t sum = 0;
+    for (const Worker *worker : workers)
+        sum += worker->description.capacity.milliProcessors;
+    return sum;
+}
+
+} // namespace
+
+std::map<std::string, std::vector<WaitingJob>> JobScheduler::queuesByPool()
 {
-    std::map<std::string, std::vector<PoolQueueEntry>> queues;
+    std::map<std::string, std::vector<WaitingJob>> queues;
     for (auto &[id, job] : m_jobs) {
-        if (!job.hasReadyTasks() || m_refusedJobs.contains(id))
-            continue;
-        const QueueSettings &queue = queueOf(job);
-        PoolQueueEntry entry;
-        entry.job = &job;
-        entry.priority = queue.priority;
-        const Duration runtime = job.criticalPathEstimate();
-        const auto allowedRuntime = std::chrono::duration_cast<Duration>(runtime * queue.stretch);
-        const TimePoint waitingSince = job.occurrences().begin()->second.dueAt == TimePoint{}
-                                           ? job.receivedAt
-                                           : job.occurrences().begin()->second.dueAt;
-        entry.deadline = waitingSince + allowedRuntime + queue.latencyAllowance;
-        entry.overdue = !job.longRunning() && now > entry.deadline;
-        queues[queue.pool].push_back(entry);
+        if (job.hasReadyTasks() && !m_refusedJobs.contains(id))
+            queues[poolOf(job)].push_back(waitingJob(job));
     }
     return queues;
 }
 
+WaitingJob JobScheduler::waitingJob(Job &job) const
+{
+    const QueueSettings &queue = queueOf(job);
+    const Duration runtime = job.criticalPathEstimate();
+    const auto allowedRuntime = std::chrono::duration_cast<Duration>(runtime * queue.stretch);
+    const Duration objective = allowedRuntime + queue.latencyAllowance;
+    const TimePoint dueAt = job.occurrences().begin()->second.dueAt;
+    WaitingJob waiting;
+    waiting.job = &job;
+    waiting.priority = queue.priority;
+    waiting.isLongRunning = job.longRunning();
+    waiting.waitingSince = dueAt == TimePoint{} ? job.receivedAt : dueAt;
+    waiting.deadline = waiting.waitingSince + objective;
+    waiting.uselessAfter = waiting.waitingSince + objective * latestObjectives;
+    waiting.remainingRuntime = runtime;
+    return waiting;
+}
+
 bool JobScheduler::placeTasks(TimePoint now)
 {
     m_placements = 0;
-    auto queues = queuesByPool(now);
+    auto queues = queuesByPool();
     if (queues.empty())
         return true;
     const auto workersByPool = candidatesByPool(now);
@@ -55,15 +74,12 @@
     return true;
 }
 
-bool JobScheduler::placePool(TimePoint now, std::vector<PoolQueueEntry> &queue,
+bool JobScheduler::placePool(TimePoint now, std::vector<WaitingJob> &queue,
                              const std::vector<Worker *> &workers)
 {
     std::map<std::string, UnplaceableSizes> unplaceable;
-    std::sort(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
-        return std::tie(left.priority, left.overdue, left.deadline)
-               < std::tie(right.priority, right.overdue, right.deadline);
-    });
-    for (const PoolQueueEntry &entry : queue) {
+    sortForStart(now, milliProcessorsOf(workers), queue);
+    for (const WaitingJob &entry : queue) {
         for (auto &[number, occurrence] : entry.job->occurrences()) {
             for (unsigned step = 0; step < occurrence.steps.size(); ++step)
                 placeStep(now, *entry.job, number, step, workers, unplaceable);
--- a/Kernel/Jobs/JobTypes.cpp
+++ b/Kernel/Jobs/JobTypes.cpp
@@ -78,4 +78,22 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+const OrganisationSettings *JobConfiguration::organisation(std::string_view name) const
+{
+    const auto found
+        = std::find_if(organisations.begin(), organisations.end(),
+                       [&](const auto &organisation) { return organisation.name == name; });
+    return found == organisations.end() ? nullptr : &*found;
+}
+
+const OrganisationSettings *JobConfiguration::organisationOfKey(std::string_view key) const
+{
+    const auto found
+        = std::find_if(organisations.begin(), organisations.end(), [&](const auto &organisation) {
+              return std::find(organisation.keys.begin(), organisation.keys.end(), key)
+                     != organisation.keys.end();
+          });
+    return found == organisations.end() ? nullptr : &*found;
+}
+
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -5,6 +5,7 @@
 #include <Kernel/Jobs/Job.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
 #include <Kernel/Jobs/RuntimeModel.h>
+#include <Kernel/Jobs/StartOrder.h>
 #include <Kernel/Jobs/StepAdvice.h>
 #include <Kernel/Jobs/Worker.h>
 #include <LibStore/Transaction.h>
@@ -188,13 +189,6 @@
     using WorkersByPool = std::map<std::string, std::vector<Worker *>>;
     /// Capacity that the evacuations of one pass have reserved, by worker.
     using EvacuationReservations = std::map<std::string, TaskSize>;
-    struct PoolQueueEntry
-    {
-        Job *job = nullptr;
-        unsigned priority = 0;
-        bool overdue = false; ///< the deadline has passed
-        TimePoint deadline; ///< from the latency objective of the queue
-    };
 
     /// Known worker of this id, or a new one with \a description.
     Worker &findOrAddWorker(const WorkerDescription &description);
@@ -293,11 +287,13 @@
 
     // JobSchedulerPlacement.cpp
     /// Jobs with ready tasks, by pool.
-    std::map<std::string, std::vector<PoolQueueEntry>> queuesByPool(TimePoint now);
+    std::map<std::string, std::vector<WaitingJob>> queuesByPool();
+    /// What decides when the ready tasks of \a job start.
+    WaitingJob waitingJob(Job &job) const;
     /// Returns false when the limit of a pass left steps that were not looked at.
     bool placeTasks(TimePoint now);
     /// The same for the jobs of one pool.
-    bool placePool(TimePoint now, std::vector<PoolQueueEntry> &queue,
+    bool placePool(TimePoint now, std::vector<WaitingJob> &queue,
                    const std::vector<Worker *> &workers);
     bool acceptsRuns(TimePoint now, const Worker &worker) const;
     /// Workers that accept new runs.
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -139,10 +139,24 @@
     Duration latencyAllowance{0};
     /// How long a ticket of the placement advice is valid; 0: starts need no ticket.
     Duration adviceValidity{0};
+    bool isPublic = false; ///< calls need no key, also where organisations are configured
 
     bool operator==(const QueueSettings &) const = default;
 };
 
+/// An organisation whose callers share the fleet with those of others.
+struct OrganisationSettings
+{
+    std::string name;
+    std::vector<std::string> keys; ///< of its callers; never logged
+    unsigned priority = 0; ///< 0 is the highest
+    /// Its share of a full pool, and the submissions per second that are in profile; 0: not given.
+    double weight = 0;
+    TaskSize quota; ///< of all its runs together; 0 in a member: no limit
+
+    bool operator==(const OrganisationSettings &) const = default;
+};
+
 /// Row job/<id>: a job as it was accepted.
 struct SubmittedJob
 {
@@ -152,6 +166,7 @@
     /// Settings of the queue when the job was accepted, without host name and path. They apply when
     /// the queue no longer exists.
     QueueSettings queue;
+    std::string organisation; ///< that submitted the job; empty: none
 
     bool operator==(const SubmittedJob &) const = default;
 };
@@ -169,11 +184,18 @@
     std::uint64_t version = 0;
     std::vector<QueueSettings> queues;
     std::vector<PoolSettings> pools;
+    std::vector<OrganisationSettings> organisations;
+    /// Calls need the key of an organisation, except those to public queues. Remains true when the
+    /// last organisation is removed.
+    bool requiresKeys = false;
 
     /// Queue with the longest prefix of \a path for \a hostName, or a null pointer.
     const QueueSettings *route(std::string_view hostName, std::string_view path) const;
     const QueueSettings *queue(std::string_view name) const;
     const PoolSettings *pool(std::string_view name) const;
+    const OrganisationSettings *organisation(std::string_view name) const;
+    /// Organisation that holds \a key, or a null pointer.
+    const OrganisationSettings *organisationOfKey(std::string_view key) const;
 };
 
 /// A worker as registered in the platform's list.
--- a/Services/Jobs/JobCalls.h
+++ b/Services/Jobs/JobCalls.h
@@ -32,6 +32,7 @@
     std::string id; ///< job id; empty for Count
     JobSpecification specification; ///< only for Submit
     std::chrono::milliseconds timeout{0}; ///< how long the caller waits for the answer
+    std::string key; ///< of the calling organisation; empty: none. Never logged.
 };
 
 enum class CallOutcome {
@@ -39,6 +40,8 @@
     Found, ///< CallAnswer::phase holds the phase
     Cancelled,
     Counted, ///< CallAnswer::pending holds the number
+    Unauthorized, ///< the key is missing or unknown
+    WrongOrganisation, ///< the job was submitted by another organisation
     UnknownQueue,
     UnknownJob,
     InvalidInput,
@@ -54,6 +57,8 @@
     {CallOutcome::Found, "found"},
     {CallOutcome::Cancelled, "cancelled"},
     {CallOutcome::Counted, "counted"},
+    {CallOutcome::Unauthorized, "unauthorized"},
+    {CallOutcome::WrongOrganisation, "wrong-organisation"},
     {CallOutcome::UnknownQueue, "unknown-queue"},
     {CallOutcome::UnknownJob, "unknown-job"},
     {CallOutcome::InvalidInput, "invalid-input"},
