platform, Services/Jobs: Check the keys of organisations

Change: organisations and public routes are decoded; invalid entries are left out and logged. Each call is authorized when it arrives, when it is handled, and before a submission is written. Jobs keep their organisation in their rows; calls of other organisations are refused.

--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -335,6 +335,7 @@
     JobProgress progress;
     progress.phase = m_phase;
     progress.changedAt = now;
+    progress.organisation = m_submitted.organisation;
     if (isFinished(m_phase))
         return progress;
     progress.lastFinishedOccurrence = m_lastFinished;
--- a/Kernel/Jobs/JobRows.cpp
+++ b/Kernel/Jobs/JobRows.cpp
@@ -40,6 +40,7 @@
 void visitJob(Visitor &visitor, Job &job, Stretch &stretch)
 {
     visitor.member("id", job.id);
+    visitor.member("organisation", job.organisation);
     visitor.member("queue", job.queue.name);
     visitor.member("pool", job.queue.pool);
     visitor.member("priority", job.queue.priority);
@@ -219,6 +220,8 @@
     Json::Value object(Json::objectValue);
     object["phase"] = std::string(jobPhaseNames.nameOf(progress.phase));
     object["changed_ms"] = toJson(progress.changedAt);
+    if (!progress.organisation.empty())
+        object["organisation"] = progress.organisation;
     // A list, because rows of earlier versions name all finished occurrences.
     if (progress.lastFinishedOccurrence)
         object["finished"].append(*progress.lastFinishedOccurrence);
@@ -239,6 +242,7 @@
     progress.phase = *phase;
     RecordReader reader(object);
     reader.member("changed_ms", progress.changedAt);
+    reader.member("organisation", progress.organisation);
     std::vector<unsigned> finished;
     reader.member("finished", finished);
     if (!finished.empty())
--- a/Kernel/include/Kernel/Jobs/JobRows.h
+++ b/Kernel/include/Kernel/Jobs/JobRows.h
@@ -41,6 +41,7 @@
     std::vector<OccurrenceProgress> occurrences; ///< started and not finished
     /// Highest number of a finished occurrence. Lower ones are finished unless they are listed.
     std::optional<unsigned> lastFinishedOccurrence;
+    std::string organisation = {}; ///< that submitted the job; empty: none
 
     bool operator==(const JobProgress &) const = default;
 };
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -185,9 +185,9 @@
     std::vector<QueueSettings> queues;
     std::vector<PoolSettings> pools;
     std::vector<OrganisationSettings> organisations;
-    /// Calls need the key of an organisation, except those to public queues. Remains true when the
-    /// last organisation is removed.
+    /// Calls need the key of an organisation, except those to public queues.
     bool requiresKeys = false;
+    unsigned refusedEntries = 0; ///< invalid organisations and keys, which were left out
 
     /// Queue with the longest prefix of \a path for \a hostName, or a null pointer.
     const QueueSettings *route(std::string_view hostName, std::string_view path) const;
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -49,6 +49,22 @@
                            [](const StepSpecification &step) { return step.longRunning; });
 }
 
+/// Content of a row; nothing, and a log line, when it is malformed.
+template <typename Record>
+std::optional<Record> parseRow(const Row &row, Result<Record> (*parse)(std::string_view text))
+{
+    return valueOrElse(
+        [&]() -> Result<std::optional<Record>> {
+            BOOST_LEAF_AUTO(record, parse(row.value));
+            return std::optional<Record>(std::move(record));
+        },
+        [&](const Error &error) {
+            logEvent(LogLevel::Error, "row-unreadable",
+                     {{"key", row.key}, {"error", describe(error)}});
+            return std::optional<Record>();
+        });
+}
+
 } // namespace
 
 JobFrontend::JobFrontend(asio::io_context &context, Store &store, Hooks hooks)
@@ -65,6 +81,8 @@
     pending->arrivedAt = m_hooks.clock();
     pending->retryTimer = std::make_unique<asio::steady_timer>(m_context);
     startTimeout(pending);
+    if (!authenticate(pending))
+        return;
     switch (pending->call.kind) {
     case CallKind::Submit:
         return admit(pending);
@@ -77,6 +95,52 @@
     }
 }
 
+bool JobFrontend::authenticate(const PendingCallPointer &pending)
+{
+    const auto configuration = m_hooks.configuration();
+    if (!configuration) {
+        fail(pending);
+        return false;
+    }
+    // The queue of the call may have been removed since the call was decoded.
+    const JobCall &call = pending->call;
+    const QueueSettings *queue = configuration->route(call.hostName, call.path);
+    const auto caller = queue == nullptr ? std::optional<Caller>(Caller{})
+                                         : authorize(*configuration, *queue, call.key);
+    if (!caller) {
+        answer(pending, {.outcome = CallOutcome::Unauthorized});
+        return false;
+    }
+    pending->caller = *caller;
+    const bool isPublic = queue != nullptr && queue->isPublic;
+    pending->isBoundToOrganisation = configuration->requiresKeys && !isPublic;
+    return true;
+}
+
+bool JobFrontend::checkOwner(const PendingCallPointer &pending, const std::string &organisation)
+{
+    if (!pending->isBoundToOrganisation || mayAccess(pending->caller, organisation))
+        return true;
+    answer(pending, {.outcome = CallOutcome::WrongOrganisation});
+    return false;
+}
+
+std::optional<JobProgress> JobFrontend::parseProgressRow(const Row &row)
+{
+    return parseRow(row, parseJobProgress);
+}
+
+bool JobFrontend::checkOwnerOfRow(const PendingCallPointer &pending, const Row &job)
+{
+    if (!pending->isBoundToOrganisation)
+        return true;
+    const auto submitted = parseRow(job, parseSubmittedJob);
+    if (submitted)
+        return checkOwner(pending, submitted->organisation);
+    fail(pending);
+    return false;
+}
+
 void JobFrontend::startTimeout(const PendingCallPointer &pending)
 {
     pending->timeoutTimer = std::make_unique<asio::steady_timer>(m_context);
@@ -160,7 +224,15 @@
             return fail(pending);
         return answer(pending, {.outcome = CallOutcome::UnknownQueue});
     }
+    // The key may have been removed while the call was pending.
+    const auto caller = authorize(*configuration, *queue, call.key);
+    if (!caller) {
+        if (pending->writeMayBeApplied)
+            return fail(pending);
+        return answer(pending, {.outcome = CallOutcome::Unauthorized});
+    }
     SubmittedJob job;
+    job.organisation = caller->organisation;
     job.id = call.id;
     job.acceptedAt = m_hooks.clock();
     job.specification = call.specification;
@@ -199,19 +271,11 @@
     readRows(pending, {progressKey(pending->call.id)}, [this, pending](const ReadResult &result) {
         if (!isPresent(result.rows[0]))
             return queryJobRow(pending, false);
-        const auto phase = valueOrElse(
-            [&]() -> Result<std::optional<JobPhase>> {
-                BOOST_LEAF_AUTO(progress, parseJobProgress(result.rows[0].value));
-                return std::optional<JobPhase>(progress.phase);
-            },
-            [&](const Error &error) {
-                logEvent(LogLevel::Error, "row-unreadable",
-                         {{"key", result.rows[0].key}, {"error", describe(error)}});
-                return std::optional<JobPhase>();
-            });
-        if (!phase)
+        const auto progress = parseProgressRow(result.rows[0]);
+        if (!progress)
             return fail(pending);
-        answer(pending, {.outcome = CallOutcome::Found, .phase = *phase});
+        if (checkOwner(pending, progress->organisation))
+            answer(pending, {.outcome = CallOutcome::Found, .phase = progress->phase});
     });
 }
 
@@ -221,6 +285,8 @@
     readRows(pending, {jobKey(id), cancellationKey(id)},
              [this, pending, progressWasAbsent](const ReadResult &result) {
                  if (isPresent(result.rows[0])) {
+                     if (!checkOwnerOfRow(pending, result.rows[0]))
+                         return;
                      const JobPhase phase
                          = isPresent(result.rows[1]) ? JobPhase::Cancelled : JobPhase::Queued;
                      return answer(pending, {.outcome = CallOutcome::Found, .phase = phase});
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -2,6 +2,7 @@
 
 #include "JobCalls.h"
 #include "StoreThrottle.h"
+#include <Kernel/Jobs/JobRows.h>
 #include <LibBase/Time.h>
 #include <LibStore/Store.h>
 #include <LibStore/TokenBucket.h>
@@ -45,6 +46,15 @@
     struct PendingCall;
     using PendingCallPointer = std::shared_ptr<PendingCall>;
 
+    /// Finds the organisation of the caller. Answers the call when its key is not valid, or when
+    /// the configuration is not known. Returns whether the call goes on.
+    bool authenticate(const PendingCallPointer &pending);
+    /// Whether the caller may see or cancel a job of \a organisation. Answers the call otherwise.
+    bool checkOwner(const PendingCallPointer &pending, const std::string &organisation);
+    /// The same for the job of a job row.
+    bool checkOwnerOfRow(const PendingCallPointer &pending, const Row &job);
+    /// Progress of a job; nothing, and a log line, when the row is malformed.
+    static std::optional<JobProgress> parseProgressRow(const Row &row);
     /// Starts the timer that fails the call when it is not answered within answerTimeout().
     void startTimeout(const PendingCallPointer &pending);
     /// Commits a transaction of the call and passes the result to \a next. From this call until the
--- a/Services/Jobs/JobFrontendCancellation.cpp
+++ b/Services/Jobs/JobFrontendCancellation.cpp
@@ -15,6 +15,8 @@
                  const Row &job = result.rows[0];
                  if (!isPresent(job))
                      return cancelWithoutJobRow(pending, isPresent(result.rows[2]));
+                 if (!checkOwnerOfRow(pending, job))
+                     return;
                  if (isPresent(result.rows[1]))
                      return answer(pending, {.outcome = CallOutcome::Cancelled});
                  cancelAcceptedJob(pending, job);
@@ -43,9 +45,13 @@
     if (hasTombstone)
         return answer(pending, {.outcome = CallOutcome::UnknownJob});
     readRows(pending, {progressKey(pending->call.id)}, [this, pending](const ReadResult &result) {
-        if (isPresent(result.rows[0]))
-            return answer(pending, {.outcome = CallOutcome::Cancelled});
-        writeTombstone(pending);
+        if (!isPresent(result.rows[0]))
+            return writeTombstone(pending);
+        const auto progress = parseProgressRow(result.rows[0]);
+        if (!progress)
+            return fail(pending);
+        if (checkOwner(pending, progress->organisation))
+            answer(pending, {.outcome = CallOutcome::Cancelled});
     });
 }
 
--- a/Services/Jobs/JobMetrics.cpp
+++ b/Services/Jobs/JobMetrics.cpp
@@ -22,6 +22,9 @@
 JobMetrics::JobMetrics()
     : m_answers(registerFamily(prometheus::BuildCounter(), "peridot_job_calls_total",
                                "Answers to callers by call, queue and outcome.", m_registry)),
+      m_refusals(registerFamily(prometheus::BuildCounter(), "peridot_refused_requests_total",
+                                "Requests that were refused before they became calls, by outcome.",
+                                m_registry)),
       m_answerDurations(registerFamily(prometheus::BuildHistogram(), "peridot_job_call_seconds",
                                        "Time from the arrival of a call to its answer.",
                                        m_registry)),
@@ -36,6 +39,10 @@
                                             "peridot_configuration_version",
                                             "Version of the configuration in force.", m_registry)
                                  .Add({})),
+      m_refusedEntries(
+          registerFamily(prometheus::BuildGauge(), "peridot_configuration_refused_entries",
+                         "Invalid organisations and keys in the configuration.", m_registry)
+              .Add({})),
       m_scheduling(registerFamily(prometheus::BuildGauge(), "peridot_scheduling",
                                   "1 while this process schedules the jobs.", m_registry)
                        .Add({})),
@@ -56,6 +63,11 @@
     m_answerDurations.Add({{"call", kind}}, answerDurationBuckets).Observe(toSeconds(duration));
 }
 
+void JobMetrics::countRefusal(CallOutcome outcome)
+{
+    m_refusals.Add({{"outcome", std::string(callOutcomeNames.nameOf(outcome))}}).Increment();
+}
+
 void JobMetrics::countEvent(std::string_view kind)
 {
     const auto found = m_eventCounters.find(kind);
@@ -66,9 +78,10 @@
     counter.Increment();
 }
 
-void JobMetrics::setConfigurationVersion(std::uint64_t version)
+void JobMetrics::setConfiguration(std::uint64_t version, unsigned refusedEntries)
 {
     m_configurationVersion.Set(static_cast<double>(version));
+    m_refusedEntries.Set(refusedEntries);
 }
 
 void JobMetrics::setScheduling(bool scheduling)
--- a/Services/Jobs/JobMetrics.h
+++ b/Services/Jobs/JobMetrics.h
@@ -23,17 +23,20 @@
     std::uint64_t unacknowledgedEnds = 0; ///< ended runs that the workers list again
 };
 
-/// Metrics of one job service. serialize() may be called on any thread, the other functions only on
-/// the service's thread.
+/// Metrics of one job service. serialize() and countRefusal() may be called on any thread, the
+/// other functions only on the service's thread.
 class JobMetrics
 {
 public:
     JobMetrics();
 
     void recordAnswer(const JobCall &call, CallOutcome outcome, Duration duration);
+    /// Counts a request that was refused before it became a call.
+    void countRefusal(CallOutcome outcome);
     /// Counts an event of the scheduler or the host planner.
     void countEvent(std::string_view kind);
-    void setConfigurationVersion(std::uint64_t version);
+    /// \a refusedEntries is the number of entries that were left out as invalid.
+    void setConfiguration(std::uint64_t version, unsigned refusedEntries);
     void setScheduling(bool scheduling);
     void setWaitingJobs(const std::string &queue, unsigned jobs);
     void setSchedulerLoad(const SchedulerLoad &load);
@@ -47,11 +50,13 @@
 
     prometheus::Registry m_registry;
     Family<prometheus::Counter> &m_answers;
+    Family<prometheus::Counter> &m_refusals;
     Family<prometheus::Histogram> &m_answerDurations;
     Family<prometheus::Counter> &m_events;
     Family<prometheus::Gauge> &m_waitingJobs;
     Family<prometheus::Gauge> &m_schedulerDelays;
     prometheus::Gauge &m_configurationVersion;
+    prometheus::Gauge &m_refusedEntries;
     prometheus::Gauge &m_scheduling;
     prometheus::Gauge &m_unacknowledgedEnds;
     std::map<std::string, prometheus::Counter *, std::less<>> m_eventCounters; ///< by event kind
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -119,7 +119,7 @@
         return;
     m_configuration = configuration;
     m_configurationVersion = row.version;
-    m_metrics.setConfigurationVersion(configuration->version);
+    m_metrics.setConfiguration(configuration->version, configuration->refusedEntries);
     logEvent(LogLevel::Info, "configuration-in-force",
              {{"version", configuration->version},
               {"queues", static_cast<std::uint64_t>(configuration->queues.size())}});
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -51,6 +51,8 @@
 
     /// Returns the metrics in the Prometheus text exposition format. Any thread.
     std::string metrics() const { return m_metrics.serialize(); }
+    /// Counts a request that was refused before it became a call. May be called on any thread.
+    void countRefusal(CallOutcome outcome) { m_metrics.countRefusal(outcome); }
     /// Returns the state of the service, the scheduler and the workers as JSON, for diagnosis.
     std::string state() const;
 
--- a/Services/Jobs/PendingCall.h
+++ b/Services/Jobs/PendingCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "JobFrontend.h"
+#include <Kernel/Jobs/Authorization.h>
 #include <algorithm>
 
 namespace Peridot::Jobs {
@@ -10,6 +11,9 @@
     JobCall call;
     Callback callback;
     TimePoint arrivedAt;
+    Caller caller;
+    /// The call may concern only jobs of the caller's organisation, or of none.
+    bool isBoundToOrganisation = false;
     bool writeMayBeApplied = false; ///< a write is unanswered, or its outcome is unknown
     bool answered = false;
     unsigned retries = 0;
