Kernel/Jobs: Keep organisations within their quotas

Change: each planning pass adds up the runs of each organisation and starts only what stays within the quota, gangs as a whole. A successor counts what its predecessor may have left. What waits for a quota is reported, asks for no hosts and is no backlog for the admission. The random schedules keep a quota under takeovers, crashes and late orders, and detect the variant that ignores it.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -86,8 +86,10 @@
     const std::string id = submitted.id;
     if (m_jobs.contains(id) || m_retained.contains(id))
         return;
-    if (progress && isFinished(progress->phase))
+    if (progress && isFinished(progress->phase)) {
+        noteEndedJob(submitted, *progress);
         return retainJob(now, id, progress->changedAt);
+    }
     Job &job = m_jobs.try_emplace(id, submitted, progress, now).first->second;
     job.rowVersion = progressVersion;
     job.startDueOccurrences(now);
@@ -113,7 +115,7 @@
         WorkerDescription placeholder;
         placeholder.id = task.worker;
         Worker &worker = findOrAddWorker(placeholder);
-        WorkerRun run = newRun(job.step(step), now);
+        WorkerRun run = newRun(job, job.step(step), now);
         run.phase = RunPhase::Running;
         run.confirmedAt = m_startedAt;
         worker.runs.add({{job.id(), occurrence, step, index}, task.run}, run);
@@ -221,10 +223,12 @@
     return current == nullptr ? submitted : *current;
 }
 
-WorkerRun JobScheduler::newRun(const StepSpecification &step, TimePoint now)
+WorkerRun JobScheduler::newRun(const Job &job, const StepSpecification &step, TimePoint now)
 {
     WorkerRun run;
     run.reserved = reservedSize(step);
+    run.organisation = job.submitted().organisation;
+    run.charged = step.size;
     run.bestEffort = step.bestEffort;
     run.latencyTarget = step.latencyTarget;
     run.progressChangedAt = now;
--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -21,8 +21,18 @@
 // A result is late after this multiple of the latency objective, and of no use.
 constexpr int latestObjectives = 3;
 
-/// Number of tasks of the job that have no run and are not done.
-std::uint64_t waitingTasks(const Job &job, const PoolCapacity &pool)
+std::uint64_t tasksWithin(const OrganisationSettings *quota, OrganisationUsage &usage,
+                          const TaskSize &size, std::uint64_t tasks)
+{
+    if (quota == nullptr)
+        return tasks;
+    return static_cast<std::uint64_t>(usage.take(*quota, size, static_cast<std::int64_t>(tasks)));
+}
+
+/// Number of tasks of the job that have no run and are not done. Tasks that wait for \a quota
+/// (null: none) don't delay others, so that they don't count; the others are added to \a usage.
+std::uint64_t waitingTasks(const Job &job, const PoolCapacity &pool,
+                           const OrganisationSettings *quota, OrganisationUsage &usage)
 {
     std::uint64_t waiting = 0;
     for (const auto &[number, occurrence] : job.occurrences()) {
@@ -32,7 +42,8 @@
             const bool hasLabel = specification.requiredLabel.empty()
                                   || pool.labels.contains(specification.requiredLabel);
             if (hasLabel && fitsInto(reservedSize(specification), pool.largest))
-                waiting += step.tasks.size() - step.active - step.done;
+                waiting += tasksWithin(quota, usage, specification.size,
+                                       step.tasks.size() - step.active - step.done);
         }
     }
     return waiting;
@@ -78,6 +89,7 @@
     demand.startedTasks = m_startedTasks;
     demand.startsAreBlocked = m_flushFailed || (m_flush && now > m_flushSentAt + lateTransaction);
     const auto pools = poolCapacities(m_workers);
+    OrganisationUsage usage = m_usage;
     std::map<std::string, unsigned> jobs;
     for (const auto &[id, job] : m_jobs) {
         if (isFinished(job.phase()) || job.longRunning()
@@ -92,7 +104,7 @@
         demand.startedTasks.try_emplace(settings.pool);
         const auto pool = pools.find(settings.pool);
         if (pool != pools.end())
-            addWaitingTasks(queue, waitingTasks(job, pool->second),
+            addWaitingTasks(queue, waitingTasks(job, pool->second, quotaOf(job), usage),
                             now > job.receivedAt + objectiveOf(job, settings));
         // The mean of the jobs so far.
         const auto count = static_cast<Duration::rep>(++jobs[settings.name]);
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -4,6 +4,7 @@
 #include "UnplaceableSizes.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
+#include <utility>
 
 namespace Peridot::Jobs {
 
@@ -54,8 +55,18 @@
 {
     m_placements = 0;
     auto queues = queuesByPool();
+    const auto quotaWaits = std::exchange(m_quotaWaits, {});
+    m_jobsWaitingForQuota.clear();
     if (queues.empty())
         return true;
+    updateUsage(now);
+    const bool complete = placePools(now, queues);
+    reportQuotaWaits(quotaWaits);
+    return complete;
+}
+
+bool JobScheduler::placePools(TimePoint now, std::map<std::string, std::vector<WaitingJob>> &queues)
+{
     const auto workersByPool = candidatesByPool(now);
     // After a pass that was ended by its limit, the next one begins with the next pool, so that
     // none is left out.
@@ -180,6 +191,9 @@
     const TaskSize size = reservedSize(specification);
     if (sizes.contain(size) && !m_hooks.defects.ignoreCapacity)
         return;
+    const std::int64_t allowed = tasksWithinQuota(job, specification, state.ready);
+    if (allowed == 0)
+        return;
     const TaskName first{job.id(), occurrence, step, 0};
     const std::vector<Worker *> workers = workersWithAdvice(now, job, first, usable);
     if (specification.gang) {
@@ -193,10 +207,13 @@
     auto candidates = candidatesFor(now, job, first, workers);
     if (candidates.empty() && !hasRoom(now, usable, specification))
         sizes.add(size);
-    for (unsigned index = 0; index < state.tasks.size() && !candidates.empty(); ++index) {
+    std::int64_t placed = 0;
+    for (unsigned index = 0; index < state.tasks.size() && !candidates.empty() && placed < allowed;
+         ++index) {
         const Job::Task &task = state.tasks[index];
         if (task.phase != TaskPhase::Ready)
             continue;
+        ++placed;
         const auto chosen = chooseCandidate(job.step(step), task, candidates);
         assign(now, job, {job.id(), occurrence, step, index}, task.run + 1, *chosen->worker);
         probePlaced(now, *chosen->worker);
@@ -281,6 +298,7 @@
             continue;
         }
         worker.runs.remove({name, run});
+        m_usage.remove(job.submitted().organisation, job.step(step).size);
         job.makeReady(name);
     }
     return isComplete;
@@ -345,7 +363,8 @@
 {
     job.activate(name, run, worker.description.id, now);
     const RunName runName{name, run};
-    worker.runs.add(runName, newRun(job.step(name.step), now));
+    worker.runs.add(runName, newRun(job, job.step(name.step), now));
+    m_usage.add(job.submitted().organisation, job.step(name.step).size);
     m_recording.emplace_back(worker.description.id, runName);
     markDirty(job);
     ++m_placements;
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -35,8 +35,9 @@
     return std::max(hostsByProcessors, hostsByMemory);
 }
 
+/// \a ready is the number of tasks that can start when there is room for them.
 void addStepLoad(PoolLoad &load, const StepSpecification &step, const Job::Step &state,
-                 Duration expectedRuntime)
+                 unsigned ready, Duration expectedRuntime)
 {
     const auto multiply = [](const TaskSize &size, unsigned count) {
         return TaskSize{size.milliProcessors * count, size.megabytes * count,
@@ -45,9 +46,9 @@
     TaskSize size = step.size;
     if (step.bestEffort)
         size.milliProcessors = 0;
-    load.waitingTasks += state.ready;
+    load.waitingTasks += ready;
     if (step.longRunning) {
-        load.longRunning = plus(load.longRunning, multiply(size, state.ready + state.active));
+        load.longRunning = plus(load.longRunning, multiply(size, ready + state.active));
         if (step.maximumPerWorker == 0)
             return;
         const auto workersFor = [&](unsigned tasks) {
@@ -60,8 +61,8 @@
         return;
     }
     load.active = plus(load.active, multiply(size, state.active));
-    load.waiting = plus(load.waiting, multiply(size, state.ready));
-    const double seconds = toSeconds(expectedRuntime) * state.ready;
+    load.waiting = plus(load.waiting, multiply(size, ready));
+    const double seconds = toSeconds(expectedRuntime) * ready;
     load.waitingMilliProcessorSeconds += static_cast<double>(size.milliProcessors) * seconds;
     load.waitingMegabyteSeconds += static_cast<double>(size.megabytes) * seconds;
 }
@@ -84,14 +85,23 @@
 std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint since)
 {
     std::map<std::string, PoolLoad> loads;
+    OrganisationUsage usage = scheduler.organisationUsage();
     for (const auto &[id, job] : scheduler.jobs()) {
         PoolLoad &load = loads[scheduler.poolOf(job)];
-        if (job.receivedAt > since && !job.longRunning())
+        // Hosts are of no use to tasks that wait for the quota of their organisation.
+        const OrganisationSettings *quota = scheduler.quotaOf(job);
+        const bool isBlocked = quota != nullptr && scheduler.waitsForQuota(id);
+        if (job.receivedAt > since && !job.longRunning() && !isBlocked)
             load.arrivals.push_back(estimatedWorkOf(scheduler, job));
         for (const auto &[number, occurrence] : job.occurrences()) {
-            for (unsigned step = 0; step < occurrence.steps.size(); ++step)
-                addStepLoad(load, job.step(step), occurrence.steps[step],
-                            scheduler.expectedRuntime(job, job.step(step)));
+            for (unsigned index = 0; index < occurrence.steps.size(); ++index) {
+                const StepSpecification &step = job.step(index);
+                const Job::Step &state = occurrence.steps[index];
+                const std::int64_t ready
+                    = quota == nullptr ? state.ready : usage.take(*quota, step.size, state.ready);
+                addStepLoad(load, step, state, static_cast<unsigned>(ready),
+                            scheduler.expectedRuntime(job, step));
+            }
         }
     }
     return loads;
--- a/Kernel/Jobs/WorkerRuns.cpp
+++ b/Kernel/Jobs/WorkerRuns.cpp
@@ -6,8 +6,10 @@
 
 void WorkerRuns::add(const RunName &name, const WorkerRun &run)
 {
-    if (m_runs.emplace(name, run).second)
-        m_reserved = plus(m_reserved, run.reserved);
+    if (!m_runs.emplace(name, run).second)
+        return;
+    m_reserved = plus(m_reserved, run.reserved);
+    m_usage.add(run.organisation, run.charged);
 }
 
 std::optional<WorkerRun> WorkerRuns::take(const RunName &name)
@@ -16,12 +18,14 @@
     if (!node)
         return std::nullopt;
     m_reserved = minus(m_reserved, node.mapped().reserved);
+    m_usage.remove(node.mapped().organisation, node.mapped().charged);
     return node.mapped();
 }
 
 WorkerRuns::Map WorkerRuns::takeAll()
 {
     m_reserved = {};
+    m_usage = {};
     return std::exchange(m_runs, {});
 }
 
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -42,6 +42,7 @@
     bool acknowledgeEndsBeforeWriting = false;
     bool ignoreLeasesOfUnreachableWorkers = false;
     bool ignoreCapacity = false;
+    bool ignoreQuotas = false;
 };
 
 /// What waits in the scheduler, for logs and metrics.
@@ -161,6 +162,17 @@
     /// What waits in the queues, and what was started, for the admission of further jobs. Tasks
     /// that no worker of their pool could run even if it was empty are not counted.
     SchedulerDemand demand(TimePoint now) const;
+    /// Organisation of the job when it has a quota, otherwise a null pointer.
+    const OrganisationSettings *quotaOf(const Job &job) const;
+    /// What the organisations used at the latest planning pass.
+    const OrganisationUsage &organisationUsage() const { return m_usage; }
+    /// Tasks that waited for the quota of their organisation at the latest planning pass.
+    const std::map<std::string, std::uint64_t> &tasksWaitingForQuota() const
+    {
+        return m_quotaWaits;
+    }
+    /// Whether tasks of the job wait for the quota of its organisation.
+    bool waitsForQuota(const std::string &job) const { return m_jobsWaitingForQuota.contains(job); }
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
@@ -190,11 +202,18 @@
     /// Capacity that the evacuations of one pass have reserved, by worker.
     using EvacuationReservations = std::map<std::string, TaskSize>;
 
+    /// Job that an earlier scheduler has ended, and whose runs may not have ended yet.
+    struct EndedJob
+    {
+        std::string organisation;
+        std::vector<StepSpecification> steps;
+    };
+
     /// Known worker of this id, or a new one with \a description.
     Worker &findOrAddWorker(const WorkerDescription &description);
     static void updateDescription(TimePoint now, Worker &worker,
                                   const WorkerDescription &description);
-    static WorkerRun newRun(const StepSpecification &step, TimePoint now);
+    static WorkerRun newRun(const Job &job, const StepSpecification &step, TimePoint now);
     /// Adds the runs that the row of a loaded job records as active to their workers.
     void restoreRuns(TimePoint now, Job &job, unsigned occurrence, unsigned step);
     /// Unfinished job of the task, or a null pointer.
@@ -292,6 +311,7 @@
     WaitingJob waitingJob(Job &job) const;
     /// Returns false when the limit of a pass left steps that were not looked at.
     bool placeTasks(TimePoint now);
+    bool placePools(TimePoint now, std::map<std::string, std::vector<WaitingJob>> &queues);
     /// The same for the jobs of one pool.
     bool placePool(TimePoint now, std::vector<WaitingJob> &queue,
                    const std::vector<Worker *> &workers);
@@ -341,6 +361,19 @@
                          const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
 
+    // JobSchedulerQuota.cpp
+    /// Adds up what the organisations use, if any has a quota.
+    void updateUsage(TimePoint now);
+    /// Adds the runs that an earlier scheduler may have left of jobs that it has ended.
+    void addRunsOfEndedJobs(TimePoint now);
+    /// Remembers the steps of a job that an earlier scheduler has ended.
+    void noteEndedJob(const SubmittedJob &job, const JobProgress &progress);
+    /// Number of tasks of the step, at most \a count, that the quota of its organisation allows.
+    /// Notes that the others wait for it.
+    std::int64_t tasksWithinQuota(const Job &job, const StepSpecification &step, unsigned count);
+    /// Reports the organisations whose tasks have begun to wait for their quota.
+    void reportQuotaWaits(const std::map<std::string, std::uint64_t> &before) const;
+
     // JobSchedulerEvacuation.cpp
     /// Whether tasks run on the worker that are not long-running.
     bool hasShortRuns(const Worker &worker) const;
@@ -409,6 +442,10 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, std::uint64_t> m_startedTasks; ///< by pool, since the scheduler began
     std::map<std::string, std::uint64_t> m_acceptedTasks; ///< by queue, since the scheduler began
+    OrganisationUsage m_usage; ///< of the current or latest planning pass
+    std::map<std::string, std::uint64_t> m_quotaWaits; ///< waiting tasks, by organisation
+    std::set<std::string> m_jobsWaitingForQuota;
+    std::map<std::string, EndedJob> m_endedJobs; ///< by id
     ChangedJobs m_dirty;
     std::set<std::string> m_suspects; ///< jobs of a refused transaction
     /// Jobs whose row the store refuses, with the time of the next attempt.
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -148,11 +148,11 @@
 struct OrganisationSettings
 {
     std::string name;
-    std::vector<std::string> keys; ///< of its callers; never logged
+    std::vector<std::string> keys = {}; ///< of its callers; never logged
     unsigned priority = 0; ///< 0 is the highest
     /// Its share of a full pool, and the submissions per second that are in profile; 0: not given.
     double weight = 0;
-    TaskSize quota; ///< of all its runs together; 0 in a member: no limit
+    TaskSize quota = {}; ///< of all its runs together; 0 in a member: no limit
 
     bool operator==(const OrganisationSettings &) const = default;
 };
--- a/Kernel/include/Kernel/Jobs/WorkerRun.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRun.h
@@ -24,7 +24,9 @@
 struct WorkerRun
 {
     RunPhase phase = RunPhase::Recording;
-    TaskSize reserved;
+    TaskSize reserved; ///< of the worker's capacity
+    std::string organisation; ///< against whose quota the run counts; empty: none
+    TaskSize charged; ///< to the quota
     bool orderInFlight = false;
     /// An earlier start order was not answered and may still take effect.
     bool earlierOrderUnanswered = false;
--- a/Kernel/include/Kernel/Jobs/WorkerRuns.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRuns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/OrganisationUsage.h>
 #include <Kernel/Jobs/WorkerRun.h>
 #include <map>
 #include <optional>
@@ -24,6 +25,8 @@
     bool empty() const { return m_runs.empty(); }
     std::size_t size() const { return m_runs.size(); }
     const TaskSize &reserved() const { return m_reserved; }
+    /// What the runs use of the quotas of their organisations.
+    const OrganisationUsage &usage() const { return m_usage; }
 
     Map::iterator begin() { return m_runs.begin(); }
     Map::iterator end() { return m_runs.end(); }
@@ -35,6 +38,7 @@
 private:
     Map m_runs;
     TaskSize m_reserved;
+    OrganisationUsage m_usage;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -1,6 +1,7 @@
 #include "PendingCall.h"
 
 #include <Kernel/Jobs/JobRows.h>
+#include <Kernel/Jobs/OrganisationUsage.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <algorithm>
@@ -231,6 +232,10 @@
             return fail(pending);
         return answer(pending, {.outcome = CallOutcome::Unauthorized});
     }
+    const auto *organisation = configuration->organisation(caller->organisation);
+    if (organisation != nullptr && !fitsQuota(*organisation, call.specification)
+        && !pending->writeMayBeApplied)
+        return answer(pending, {.outcome = CallOutcome::TooLarge, .field = "quota"});
     SubmittedJob job;
     job.organisation = caller->organisation;
     job.id = call.id;
--- a/Services/Jobs/JobMetrics.cpp
+++ b/Services/Jobs/JobMetrics.cpp
@@ -32,6 +32,9 @@
                               "Events of the scheduler and the host planner by kind.", m_registry)),
       m_waitingJobs(registerFamily(prometheus::BuildGauge(), "peridot_waiting_jobs",
                                    "Accepted jobs without a started task by queue.", m_registry)),
+      m_quotaWaits(registerFamily(prometheus::BuildGauge(), "peridot_quota_waiting_tasks",
+                                  "Tasks that wait for the quota of their organisation.",
+                                  m_registry)),
       m_schedulerDelays(registerFamily(prometheus::BuildGauge(), "peridot_scheduler_delay_seconds",
                                        "Longest delays of the scheduler in the latest second.",
                                        m_registry)),
@@ -94,6 +97,17 @@
     m_waitingJobs.Add({{"queue", queue}}).Set(jobs);
 }
 
+void JobMetrics::setQuotaWaits(const std::map<std::string, std::uint64_t> &tasks)
+{
+    for (const auto &[organisation, gauge] : m_quotaWaitGauges)
+        gauge->Set(0);
+    for (const auto &[organisation, count] : tasks) {
+        prometheus::Gauge &gauge = m_quotaWaits.Add({{"organisation", organisation}});
+        m_quotaWaitGauges[organisation] = &gauge;
+        gauge.Set(static_cast<double>(count));
+    }
+}
+
 void JobMetrics::setSchedulerLoad(const SchedulerLoad &load)
 {
     m_schedulerDelays.Add({{"kind", "event"}}).Set(toSeconds(load.eventDelay));
--- a/Services/Jobs/JobMetrics.h
+++ b/Services/Jobs/JobMetrics.h
@@ -39,6 +39,8 @@
     void setConfiguration(std::uint64_t version, unsigned refusedEntries);
     void setScheduling(bool scheduling);
     void setWaitingJobs(const std::string &queue, unsigned jobs);
+    /// \a tasks are those that wait for the quota of their organisation, by organisation.
+    void setQuotaWaits(const std::map<std::string, std::uint64_t> &tasks);
     void setSchedulerLoad(const SchedulerLoad &load);
 
     /// Returns all metrics in the Prometheus text exposition format.
@@ -54,11 +56,13 @@
     Family<prometheus::Histogram> &m_answerDurations;
     Family<prometheus::Counter> &m_events;
     Family<prometheus::Gauge> &m_waitingJobs;
+    Family<prometheus::Gauge> &m_quotaWaits;
     Family<prometheus::Gauge> &m_schedulerDelays;
     prometheus::Gauge &m_configurationVersion;
     prometheus::Gauge &m_refusedEntries;
     prometheus::Gauge &m_scheduling;
     prometheus::Gauge &m_unacknowledgedEnds;
+    std::map<std::string, prometheus::Gauge *> m_quotaWaitGauges; ///< by organisation
     std::map<std::string, prometheus::Counter *, std::less<>> m_eventCounters; ///< by event kind
 };
 
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -315,6 +315,10 @@
         Json::Value entry(Json::objectValue);
         entry["queue"] = job.submitted().queue.name;
         entry["phase"] = std::string(jobPhaseNames.nameOf(job.phase()));
+        if (!job.submitted().organisation.empty())
+            entry["organisation"] = job.submitted().organisation;
+        if (scheduler->waitsForQuota(id))
+            entry["waits_for"] = "organisation-quota";
         state["jobs"][id] = std::move(entry);
     }
     for (const auto &[id, worker] : scheduler->workers()) {
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -309,6 +309,7 @@
     m_countTimer.runAfter(countWriteInterval, [this] { writePendingCounts(); });
     for (const auto &[queue, count] : counts.byQueue)
         m_metrics.setWaitingJobs(queue, count);
+    m_metrics.setQuotaWaits(m_scheduler->tasksWaitingForQuota());
     Transaction transaction;
     transaction.operationId = "pending/" + std::to_string(m_epoch) + '/'
                               + std::to_string(m_storeClock.at(m_hooks.clock()));
--- a/Tests/Kernel/Jobs/JobSimulation.cpp
+++ b/Tests/Kernel/Jobs/JobSimulation.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t storeEntries = 100;
 constexpr std::size_t storeRowBytes = 65'536;
 constexpr TaskSize workerCapacity{8000, 16000, 0};
+constexpr const char *limitedOrganisation = "limited";
+// A third of what the workers hold.
+constexpr TaskSize limitedQuota{10'000, 20'000, 0};
 
 JobConfiguration configuration()
 {
@@ -23,6 +26,7 @@
     result.queues.push_back(
         {"checks", "example", "/checks/", "pool", 0, maximumAttempts, 1.6, 600ms});
     result.pools.push_back({"pool", false});
+    result.organisations = {{limitedOrganisation, {}, 0, 0, limitedQuota}, {"unlimited", {}}};
     return result;
 }
 
@@ -119,6 +123,8 @@
                     + std::to_string(step.size.megabytes));
         job.submitted.specification.steps.push_back(step);
     }
+    if (m_faults.quotas)
+        job.submitted.organisation = chance(0.7) ? limitedOrganisation : "unlimited";
     Transaction transaction;
     transaction.operationId = "submit/" + job.submitted.id;
     transaction.writes = {{jobKey(job.submitted.id), encodeSubmittedJob(job.submitted)}};
@@ -193,6 +199,27 @@
         violation("start after a cancellation", name.task.text());
 }
 
+void JobSimulation::checkQuota(const RunName &name)
+{
+    const auto isLimited = [&](const RunName &run) {
+        return m_jobs.at(run.task.job).submitted.organisation == limitedOrganisation;
+    };
+    if (!isLimited(name))
+        return;
+    TaskSize used;
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[run, state] : worker.runs) {
+            if (worker.up && isLimited(run))
+                used = plus(used, state.size);
+        }
+    }
+    // The start itself is the one task more that the limit allows.
+    const TaskSize most{limitedQuota.milliProcessors * 11 / 10, limitedQuota.megabytes * 11 / 10,
+                        0};
+    if (!fitsInto(used, most))
+        violation("quota", name.task.text());
+}
+
 OrderReply JobSimulation::start(SimulatedWorker &worker, const StartOrder &order)
 {
     if (order.fencingEpoch < worker.highestEpoch)
@@ -208,6 +235,7 @@
     if (ended != worker.highestEnded.end() && name.run <= ended->second)
         return {OrderOutcome::Superseded, clockOf(worker)};
     checkStart(worker, name);
+    checkQuota(name);
     recordEvent("start " + name.task.text() + " on " + worker.description.id);
     SimulatedRun run;
     run.size = m_jobs.at(name.task.job).submitted.specification.steps[name.task.step].size;
--- a/Tests/Kernel/Jobs/JobSimulation.h
+++ b/Tests/Kernel/Jobs/JobSimulation.h
@@ -28,6 +28,7 @@
     bool partitions = false; ///< workers become unreachable and keep running
     bool takeovers = false; ///< schedulers are replaced, and keep running for a while
     bool cancellations = false; ///< some jobs are cancelled
+    bool quotas = false; ///< jobs belong to two organisations, one of which has a small quota
 };
 
 /// Simulates workers, a store and schedulers on one virtual clock. The simulated workers record
@@ -125,6 +126,9 @@
     void endRunsOfExpiredLease(SimulatedWorker &worker);
     /// Checks the invariants that a start of the run must not violate.
     void checkStart(const SimulatedWorker &worker, const RunName &name);
+    /// Checks that what its organisation has running is within a tenth above the quota before the
+    /// start.
+    void checkQuota(const RunName &name);
     void violation(const std::string &rule, const std::string &detail);
     void recordEvent(const std::string &event);
 
--- a/Tests/Kernel/Jobs/TestJobSchedules.cpp
+++ b/Tests/Kernel/Jobs/TestJobSchedules.cpp
@@ -42,16 +42,17 @@
 
 TEST_CASE("All jobs finish and no invariant is violated under injected faults")
 {
-    const auto runSeeds = [](const char *name, InjectedFaults faults, unsigned seeds) {
-        for (unsigned seed = 0; seed < seedCount(seeds); ++seed) {
-            JobSimulation simulation(firstSeed + seed, faults);
-            simulation.run(15s, 40s);
-            INFO(name << " seed " << firstSeed + seed << " violations "
-                      << simulation.violations().size());
-            CHECK(firstViolation(simulation).empty());
-            CHECK(simulation.completedJobs() > simulation.acceptedJobs() / 2);
-        }
-    };
+    const auto runSeeds
+        = [](const char *name, InjectedFaults faults, unsigned seeds, Duration drain = 40s) {
+              for (unsigned seed = 0; seed < seedCount(seeds); ++seed) {
+                  JobSimulation simulation(firstSeed + seed, faults);
+                  simulation.run(15s, drain);
+                  INFO(name << " seed " << firstSeed + seed << " violations "
+                            << simulation.violations().size());
+                  CHECK(firstViolation(simulation) == std::string());
+                  CHECK(simulation.completedJobs() > simulation.acceptedJobs() / 2);
+              }
+          };
     InjectedFaults faults;
     runSeeds("calm", faults, 3);
     SECTION("replies to orders are lost, and some orders arrive seconds later")
@@ -87,6 +88,20 @@
         faults.cancellations = true;
         runSeeds("takeovers", faults, 10);
     }
+    SECTION("an organisation has a small quota while workers restart and schedulers are replaced")
+    {
+        faults.quotas = true;
+        // An organisation with a quota needs longer for its jobs.
+        constexpr std::chrono::seconds quotaDrain{90};
+        runSeeds("quotas", faults, 5, quotaDrain);
+        faults.lostReplies = 0.05;
+        faults.delayedOrders = 0.03;
+        faults.crashes = true;
+        faults.partitions = true;
+        faults.takeovers = true;
+        faults.cancellations = true;
+        runSeeds("quotas together", faults, 20, quotaDrain);
+    }
     SECTION("all of these faults occur in the same simulation")
     {
         runSeeds("together", {0.05, 0.03, 0.05, 0.1, 0.1, true, false, true, true, true}, 20);
@@ -133,6 +148,13 @@
         defects.ignoreLeasesOfUnreachableWorkers = true;
         CHECK(detects("concurrent runs of a task", faults, defects));
     }
+    SECTION("an organisation exceeds its quota when it is ignored")
+    {
+        faults.quotas = true;
+        SchedulerDefects defects;
+        defects.ignoreQuotas = true;
+        CHECK(detects("quota", faults, defects));
+    }
     SECTION("a worker is overcommitted when its capacity is ignored")
     {
         SchedulerDefects defects;
