Kernel/Jobs: Start first what can still be in time

Cause: a job went back only after its deadline had passed, so that under overload each job was started when it could just no longer be in time. Change: sortForStart() puts back jobs that can't meet their objective, and the largest ones where a pool can't do all in time (Moore-Hodgson). Jobs beyond the rate of their organisation come after the others. Objectives follow the runtimes of earlier tasks.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -92,6 +92,8 @@
     }
     Job &job = m_jobs.try_emplace(id, submitted, progress, now).first->second;
     job.rowVersion = progressVersion;
+    if (!submitted.organisation.empty())
+        m_unprofiledJobs.push_back(id);
     job.startDueOccurrences(now);
     for (const auto &[number, occurrence] : job.occurrences()) {
         for (unsigned step = 0; step < occurrence.steps.size(); ++step)
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -8,66 +8,25 @@
 
 namespace Peridot::Jobs {
 
-namespace {
-
-// A result is late after this multiple of the latency objective, and of no use.
-constexpr int latestObjectives = 3;
-
-std::int64_t milliProcessorsOf(const std::vector<Worker *> &workers)
-{
-    std::int64_t sum = 0;
-    for (const Worker *worker : workers)
-        sum += worker->description.capacity.milliProcessors;
-    return sum;
-}
-
-} // namespace
-
-std::map<std::string, std::vector<WaitingJob>> JobScheduler::queuesByPool()
-{
-    std::map<std::string, std::vector<WaitingJob>> queues;
-    for (auto &[id, job] : m_jobs) {
-        if (job.hasReadyTasks() && !m_refusedJobs.contains(id))
-            queues[poolOf(job)].push_back(waitingJob(job));
-    }
-    return queues;
-}
-
-WaitingJob JobScheduler::waitingJob(Job &job) const
-{
-    const QueueSettings &queue = queueOf(job);
-    const Duration runtime = job.criticalPathEstimate();
-    const auto allowedRuntime = std::chrono::duration_cast<Duration>(runtime * queue.stretch);
-    const Duration objective = allowedRuntime + queue.latencyAllowance;
-    const TimePoint dueAt = job.occurrences().begin()->second.dueAt;
-    WaitingJob waiting;
-    waiting.job = &job;
-    waiting.priority = queue.priority;
-    waiting.isLongRunning = job.longRunning();
-    waiting.waitingSince = dueAt == TimePoint{} ? job.receivedAt : dueAt;
-    waiting.deadline = waiting.waitingSince + objective;
-    waiting.uselessAfter = waiting.waitingSince + objective * latestObjectives;
-    waiting.remainingRuntime = runtime;
-    return waiting;
-}
-
 bool JobScheduler::placeTasks(TimePoint now)
 {
     m_placements = 0;
-    auto queues = queuesByPool();
     const auto quotaWaits = std::exchange(m_quotaWaits, {});
     m_jobsWaitingForQuota.clear();
+    updateUsage(now);
+    assignProfiles();
+    const auto workers = candidatesByPool(now);
+    auto queues = queuesByPool(now, workers);
     if (queues.empty())
         return true;
-    updateUsage(now);
-    const bool complete = placePools(now, queues);
+    const bool complete = placePools(now, queues, workers);
     reportQuotaWaits(quotaWaits);
     return complete;
 }
 
-bool JobScheduler::placePools(TimePoint now, std::map<std::string, std::vector<WaitingJob>> &queues)
+bool JobScheduler::placePools(TimePoint now, std::map<std::string, PoolQueue> &queues,
+                              const WorkersByPool &workersByPool)
 {
-    const auto workersByPool = candidatesByPool(now);
     // After a pass that was ended by its limit, the next one begins with the next pool, so that
     // none is left out.
     auto next = queues.upper_bound(m_lastPool);
@@ -85,12 +44,11 @@
     return true;
 }
 
-bool JobScheduler::placePool(TimePoint now, std::vector<WaitingJob> &queue,
-                             const std::vector<Worker *> &workers)
+bool JobScheduler::placePool(TimePoint now, PoolQueue &queue, const std::vector<Worker *> &workers)
 {
     std::map<std::string, UnplaceableSizes> unplaceable;
-    sortForStart(now, milliProcessorsOf(workers), queue);
-    for (const WaitingJob &entry : queue) {
+    sortForStart(now, queue.busyTime, queue.jobs);
+    for (const WaitingJob &entry : queue.jobs) {
         for (auto &[number, occurrence] : entry.job->occurrences()) {
             for (unsigned step = 0; step < occurrence.steps.size(); ++step)
                 placeStep(now, *entry.job, number, step, workers, unplaceable);
--- a/Kernel/Jobs/JobSchedulerQuota.cpp
+++ b/Kernel/Jobs/JobSchedulerQuota.cpp
@@ -19,11 +19,13 @@
 void JobScheduler::updateUsage(TimePoint now)
 {
     m_usage = {};
-    if (std::none_of(m_configuration->organisations.begin(), m_configuration->organisations.end(),
-                     hasQuota))
+    m_capacity = {};
+    if (m_configuration->organisations.empty())
         return;
-    for (const auto &[id, worker] : m_workers)
+    for (const auto &[id, worker] : m_workers) {
         m_usage.add(worker.runs.usage());
+        m_capacity = plus(m_capacity, worker.description.capacity);
+    }
     addRunsOfEndedJobs(now);
 }
 
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -44,6 +44,19 @@
         std::vector<Step> steps;
     };
 
+    /// What the scheduler expects of the tasks of a job, by the runtimes of earlier ones.
+    struct ExpectedPath
+    {
+        TimePoint estimatedAt;
+        std::uint64_t changes = 0; ///< of the job when it was estimated
+        Duration whole{0}; ///< runtime of the critical path
+        Duration remaining{0}; ///< the same of the tasks that are not done
+        /// Processor time of the tasks that have not started, in thousandths of a core times
+        /// seconds, and the same of memory.
+        double waitingMilliProcessorSeconds = 0;
+        double waitingMegabyteSeconds = 0;
+    };
+
     /// Restores the job from \a progress, or creates a new job when there is none. \a now replaces
     /// the times that are not stored in the rows.
     Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now);
@@ -103,6 +116,9 @@
     std::uint64_t writtenChanges = 0; ///< in the row that is stored, or that is being written
     std::uint64_t storedChanges = 0; ///< in the row that is stored
     TimePoint receivedAt; ///< when this process first read the job
+    /// Whether its organisation had not submitted more than its rate before; nothing until then.
+    std::optional<bool> isInProfile;
+    ExpectedPath expectedPath; ///< the latest estimate, for the scheduler
     bool started = false; ///< a worker confirmed a run, or a previous scheduler had placed one
 
 private:
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -3,6 +3,7 @@
 #include <Kernel/Jobs/AdmissionControl.h>
 #include <Kernel/Jobs/ChangedJobs.h>
 #include <Kernel/Jobs/Job.h>
+#include <Kernel/Jobs/OrganisationProfiles.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
 #include <Kernel/Jobs/RuntimeModel.h>
 #include <Kernel/Jobs/StartOrder.h>
@@ -199,6 +200,13 @@
         std::vector<RowWrite> writes;
     };
     using WorkersByPool = std::map<std::string, std::vector<Worker *>>;
+    /// The jobs with ready tasks of one pool.
+    struct PoolQueue
+    {
+        TaskSize capacity; ///< for tasks that end by themselves
+        Duration busyTime{0}; ///< until half of what runs has ended
+        std::vector<WaitingJob> jobs;
+    };
     /// Capacity that the evacuations of one pass have reserved, by worker.
     using EvacuationReservations = std::map<std::string, TaskSize>;
 
@@ -304,17 +312,25 @@
     /// Begins the wait for the next probe when the worker is quarantined.
     void probePlaced(TimePoint now, Worker &worker) const;
 
-    // JobSchedulerPlacement.cpp
+    // JobSchedulerOrder.cpp
     /// Jobs with ready tasks, by pool.
-    std::map<std::string, std::vector<WaitingJob>> queuesByPool();
+    std::map<std::string, PoolQueue> queuesByPool(TimePoint now, const WorkersByPool &workers);
     /// What decides when the ready tasks of \a job start.
-    WaitingJob waitingJob(Job &job) const;
+    WaitingJob waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const;
+    /// Estimates the job again when it has changed, or when much more is known about runtimes.
+    const Job::ExpectedPath &estimate(TimePoint now, Job &job) const;
+    /// Decides which of the jobs that came since the last pass are in profile.
+    void assignProfiles();
+    /// Largest share of the capacity of all workers that the organisation uses, over its weight.
+    double weightedShareOf(const std::string &organisation) const;
+
+    // JobSchedulerPlacement.cpp
     /// Returns false when the limit of a pass left steps that were not looked at.
     bool placeTasks(TimePoint now);
-    bool placePools(TimePoint now, std::map<std::string, std::vector<WaitingJob>> &queues);
+    bool placePools(TimePoint now, std::map<std::string, PoolQueue> &queues,
+                    const WorkersByPool &workersByPool);
     /// The same for the jobs of one pool.
-    bool placePool(TimePoint now, std::vector<WaitingJob> &queue,
-                   const std::vector<Worker *> &workers);
+    bool placePool(TimePoint now, PoolQueue &queue, const std::vector<Worker *> &workers);
     bool acceptsRuns(TimePoint now, const Worker &worker) const;
     /// Workers that accept new runs.
     WorkersByPool candidatesByPool(TimePoint now);
@@ -362,7 +378,7 @@
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
 
     // JobSchedulerQuota.cpp
-    /// Adds up what the organisations use, if any has a quota.
+    /// Adds up what the organisations use.
     void updateUsage(TimePoint now);
     /// Adds the runs that an earlier scheduler may have left of jobs that it has ended.
     void addRunsOfEndedJobs(TimePoint now);
@@ -442,6 +458,9 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, std::uint64_t> m_startedTasks; ///< by pool, since the scheduler began
     std::map<std::string, std::uint64_t> m_acceptedTasks; ///< by queue, since the scheduler began
+    OrganisationProfiles m_profiles;
+    std::vector<std::string> m_unprofiledJobs; ///< of organisations, added since the last pass
+    TaskSize m_capacity; ///< of all listed workers
     OrganisationUsage m_usage; ///< of the current or latest planning pass
     std::map<std::string, std::uint64_t> m_quotaWaits; ///< waiting tasks, by organisation
     std::set<std::string> m_jobsWaitingForQuota;
