Kernel/Jobs: Share hosts by what can still be in time

Change: when pools need more hosts than there are, work that can still be in time goes first, with max-min fairness between pools.

--- a/Kernel/Jobs/HostPlannerMoves.cpp
+++ b/Kernel/Jobs/HostPlannerMoves.cpp
@@ -32,30 +32,44 @@
     }
     // Jobs received before the first observation are not counted as arrivals, because they did not
     // all arrive at this moment.
-    const auto loads = poolLoads(scheduler, m_demandObservedAt.value_or(now));
+    const auto loads = poolLoads(scheduler, now, m_demandObservedAt.value_or(now));
     m_demandObservedAt = now;
     auto present = presentHosts();
+    std::map<std::string, unsigned> neededBefore;
     for (const PoolSettings &pool : configuration.pools) {
         if (pool.spare)
             continue;
         const auto load = loads.find(pool.name);
         const auto size = hostSizes.find(pool.name);
-        const unsigned neededBefore = m_demand.neededHosts(pool.name);
         const PoolLoad poolLoad = load == loads.end() ? PoolLoad{} : load->second;
+        neededBefore[pool.name] = m_demand.neededHosts(pool.name);
         m_demand.observe(now, pool.name, poolLoad,
                          size == hostSizes.end() ? fallbackSize : size->second);
-        const unsigned neededAfter = m_demand.neededHosts(pool.name);
-        if (neededAfter > 0 && neededAfter >= m_initialHosts[pool.name])
+        const unsigned needed = m_demand.neededHosts(pool.name);
+        if (needed > 0 && needed >= m_initialHosts[pool.name])
             m_poolsWithBurst.insert(pool.name);
-        if (neededAfter != neededBefore)
-            observe(
-                "pool-demand", {},
-                pool.name + ": " + std::to_string(neededAfter) + " hosts, active="
-                    + std::to_string(poolLoad.active.milliProcessors / 1000) + " waiting="
-                    + std::to_string(poolLoad.waiting.milliProcessors / 1000) + " work="
-                    + std::to_string(static_cast<int>(poolLoad.waitingMilliProcessorSeconds / 1000))
-                    + " present=" + std::to_string(present[pool.name]));
     }
+    unsigned hosts = 0;
+    for (const auto &[pool, count] : present)
+        hosts += count;
+    m_demand.share(hosts);
+    for (const auto &[pool, before] : neededBefore) {
+        const auto load = loads.find(pool);
+        if (m_demand.neededHosts(pool) != before)
+            reportDemand(pool, load == loads.end() ? PoolLoad{} : load->second, present[pool]);
+    }
+}
+
+void HostPlanner::reportDemand(const std::string &pool, const PoolLoad &load,
+                               unsigned present) const
+{
+    observe("pool-demand", {},
+            pool + ": " + std::to_string(m_demand.neededHosts(pool))
+                + " hosts, active=" + std::to_string(load.active.milliProcessors / 1000)
+                + " waiting=" + std::to_string(load.waiting.milliProcessors / 1000) + " work="
+                + std::to_string(static_cast<int>(load.waitingMilliProcessorSeconds / 1000))
+                + " late=" + std::to_string(static_cast<int>(load.lateMilliProcessorSeconds / 1000))
+                + " present=" + std::to_string(present));
 }
 
 void HostPlanner::updateIdleTimes(TimePoint now, const JobScheduler &scheduler)
--- /dev/null
+++ b/Kernel/Jobs/HostShares.cpp
@@ -0,0 +1,42 @@
+#include <Kernel/Jobs/HostShares.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Peridot::Jobs {
+
+namespace {
+
+/// Adds to \a shares what the pools need, as far as there are hosts, by max-min fairness.
+void share(std::vector<std::pair<unsigned, std::string>> needs, unsigned &hosts,
+           std::map<std::string, unsigned> &shares)
+{
+    std::sort(needs.begin(), needs.end());
+    auto remaining = static_cast<unsigned>(needs.size());
+    for (const auto &[need, pool] : needs) {
+        const unsigned given = std::min(need, hosts / remaining);
+        shares[pool] += given;
+        hosts -= given;
+        --remaining;
+    }
+}
+
+} // namespace
+
+std::map<std::string, unsigned> shareHosts(const std::map<std::string, HostNeed> &needs,
+                                           unsigned hosts)
+{
+    std::vector<std::pair<unsigned, std::string>> inTime;
+    std::vector<std::pair<unsigned, std::string>> late;
+    for (const auto &[pool, need] : needs) {
+        inTime.emplace_back(need.inTime, pool);
+        late.emplace_back(need.total - need.inTime, pool);
+    }
+    std::map<std::string, unsigned> shares;
+    share(std::move(inTime), hosts, shares);
+    share(std::move(late), hosts, shares);
+    return shares;
+}
+
+} // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobSchedulerOrder.cpp
+++ b/Kernel/Jobs/JobSchedulerOrder.cpp
@@ -37,8 +37,28 @@
         std::chrono::duration<double>(seconds));
 }
 
+Duration objectiveOf(const Job::ExpectedPath &path, const QueueSettings &queue)
+{
+    return std::chrono::duration_cast<Duration>(path.whole * queue.stretch)
+           + queue.latencyAllowance;
+}
+
+TimePoint waitingSince(const Job &job)
+{
+    const TimePoint dueAt = job.occurrences().begin()->second.dueAt;
+    return dueAt == TimePoint{} ? job.receivedAt : dueAt;
+}
+
 } // namespace
 
+bool JobScheduler::isLate(TimePoint now, const Job &job) const
+{
+    if (job.longRunning() || job.occurrences().empty())
+        return false;
+    const Job::ExpectedPath &path = estimate(now, job);
+    return now > waitingSince(job) + objectiveOf(path, queueOf(job)) - path.remaining;
+}
+
 std::map<std::string, JobScheduler::PoolQueue>
 JobScheduler::queuesByPool(TimePoint now, const WorkersByPool &workers)
 {
@@ -72,19 +92,16 @@
 
 WaitingJob JobScheduler::waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const
 {
-    const QueueSettings &queue = queueOf(job);
     const Job::ExpectedPath &path = estimate(now, job);
-    const auto allowedRuntime = std::chrono::duration_cast<Duration>(path.whole * queue.stretch);
-    const Duration objective = allowedRuntime + queue.latencyAllowance;
-    const TimePoint dueAt = job.occurrences().begin()->second.dueAt;
+    const Duration objective = objectiveOf(path, queueOf(job));
     WaitingJob waiting;
     waiting.job = &job;
-    waiting.priority = queue.priority;
+    waiting.priority = queueOf(job).priority;
     waiting.isInProfile = job.isInProfile.value_or(true);
     if (!waiting.isInProfile)
         waiting.weightedShare = weightedShareOf(job.submitted().organisation);
     waiting.isLongRunning = job.longRunning();
-    waiting.waitingSince = dueAt == TimePoint{} ? job.receivedAt : dueAt;
+    waiting.waitingSince = waitingSince(job);
     waiting.latestStart = waiting.waitingSince + objective - path.remaining;
     waiting.latestUsefulStart
         = waiting.waitingSince + objective * latestObjectives - path.remaining;
@@ -96,7 +113,7 @@
     return waiting;
 }
 
-const Job::ExpectedPath &JobScheduler::estimate(TimePoint now, Job &job) const
+const Job::ExpectedPath &JobScheduler::estimate(TimePoint now, const Job &job) const
 {
     Job::ExpectedPath &path = job.expectedPath;
     if (path.changes == job.changes && now < path.estimatedAt + estimateValidity)
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -37,7 +37,7 @@
 
 /// \a ready is the number of tasks that can start when there is room for them.
 void addStepLoad(PoolLoad &load, const StepSpecification &step, const Job::Step &state,
-                 unsigned ready, Duration expectedRuntime)
+                 unsigned ready, Duration expectedRuntime, bool isLate)
 {
     const auto multiply = [](const TaskSize &size, unsigned count) {
         return TaskSize{size.milliProcessors * count, size.megabytes * count,
@@ -63,8 +63,35 @@
     load.active = plus(load.active, multiply(size, state.active));
     load.waiting = plus(load.waiting, multiply(size, ready));
     const double seconds = toSeconds(expectedRuntime) * ready;
-    load.waitingMilliProcessorSeconds += static_cast<double>(size.milliProcessors) * seconds;
-    load.waitingMegabyteSeconds += static_cast<double>(size.megabytes) * seconds;
+    const double milliProcessorSeconds = static_cast<double>(size.milliProcessors) * seconds;
+    const double megabyteSeconds = static_cast<double>(size.megabytes) * seconds;
+    load.waitingMilliProcessorSeconds += milliProcessorSeconds;
+    load.waitingMegabyteSeconds += megabyteSeconds;
+    if (!isLate)
+        return;
+    load.lateActive = plus(load.lateActive, multiply(size, state.active));
+    load.lateMilliProcessorSeconds += milliProcessorSeconds;
+    load.lateMegabyteSeconds += megabyteSeconds;
+}
+
+/// Number of hosts for a load beside which \a rate arrives.
+unsigned hostsForLoad(const PoolLoad &load, const WorkArrival &rate, const TaskSize &hostSize)
+{
+    // Work that arrives at a steady rate of r processor seconds per second keeps r processors busy.
+    const auto totalDemand = [](std::int64_t longRunning, std::int64_t active, double arrivalDemand,
+                                double waitingWork) {
+        return static_cast<double>(longRunning)
+               + std::max(static_cast<double>(active), arrivalDemand)
+               + waitingWork / backlogHorizonSeconds;
+    };
+    const double milliProcessors
+        = totalDemand(load.longRunning.milliProcessors, load.active.milliProcessors,
+                      rate.milliProcessorSeconds, load.waitingMilliProcessorSeconds);
+    const double megabytes = totalDemand(load.longRunning.megabytes, load.active.megabytes,
+                                         rate.megabyteSeconds, load.waitingMegabyteSeconds);
+    const auto hosts
+        = static_cast<unsigned>(std::ceil(hostsFor(milliProcessors, megabytes, hostSize)));
+    return std::max(hosts, load.minimumHosts);
 }
 
 WorkArrival estimatedWorkOf(const JobScheduler &scheduler, const Job &job)
@@ -82,7 +109,8 @@
 
 } // namespace
 
-std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint since)
+std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint now,
+                                          TimePoint since)
 {
     std::map<std::string, PoolLoad> loads;
     OrganisationUsage usage = scheduler.organisationUsage();
@@ -90,6 +118,7 @@
         PoolLoad &load = loads[scheduler.poolOf(job)];
         // Hosts are of no use to tasks that wait for the quota of their organisation.
         const OrganisationSettings *quota = scheduler.quotaOf(job);
+        const bool isLate = scheduler.isLate(now, job);
         const bool isBlocked = quota != nullptr && scheduler.waitsForQuota(id);
         if (job.receivedAt > since && !job.longRunning() && !isBlocked)
             load.arrivals.push_back(estimatedWorkOf(scheduler, job));
@@ -100,7 +129,7 @@
                 const std::int64_t ready
                     = quota == nullptr ? state.ready : usage.take(*quota, step.size, state.ready);
                 addStepLoad(load, step, state, static_cast<unsigned>(ready),
-                            scheduler.expectedRuntime(job, step));
+                            scheduler.expectedRuntime(job, step), isLate);
             }
         }
     }
@@ -126,32 +155,33 @@
     return {now, sum.milliProcessorSeconds / seconds, sum.megabyteSeconds / seconds};
 }
 
+void PoolDemand::share(unsigned hosts)
+{
+    std::map<std::string, HostNeed> needs;
+    for (const auto &[pool, state] : m_pools)
+        needs[pool] = state.need;
+    for (const auto &[pool, share] : shareHosts(needs, hosts))
+        m_pools.at(pool).neededHosts = share;
+}
+
 void PoolDemand::observe(TimePoint now, const std::string &pool, const PoolLoad &load,
                          const TaskSize &hostSize)
 {
     State &state = m_pools[pool];
     state.arrivals.insert(state.arrivals.end(), load.arrivals.begin(), load.arrivals.end());
     const WorkArrival rate = arrivalRate(now, state.arrivals);
-    // Work that arrives at a steady rate of r processor seconds per second keeps r processors busy.
-    const auto totalDemand = [](std::int64_t longRunning, std::int64_t active, double arrivalDemand,
-                                double waitingWork) {
-        return static_cast<double>(longRunning)
-               + std::max(static_cast<double>(active), arrivalDemand)
-               + waitingWork / backlogHorizonSeconds;
-    };
-    const double milliProcessors
-        = totalDemand(load.longRunning.milliProcessors, load.active.milliProcessors,
-                      rate.milliProcessorSeconds, load.waitingMilliProcessorSeconds);
-    const double megabytes = totalDemand(load.longRunning.megabytes, load.active.megabytes,
-                                         rate.megabyteSeconds, load.waitingMegabyteSeconds);
-    const auto hostsByLoad
-        = static_cast<unsigned>(std::ceil(hostsFor(milliProcessors, megabytes, hostSize)));
-    state.neededHosts = std::max(hostsByLoad, load.minimumHosts);
+    PoolLoad inTime = load;
+    inTime.active = minus(load.active, load.lateActive);
+    inTime.waitingMilliProcessorSeconds -= load.lateMilliProcessorSeconds;
+    inTime.waitingMegabyteSeconds -= load.lateMegabyteSeconds;
+    state.need.total = hostsForLoad(load, rate, hostSize);
+    state.need.inTime = std::min(hostsForLoad(inTime, rate, hostSize), state.need.total);
+    state.neededHosts = state.need.total;
     state.minimumHostsInMaintenance = load.minimumHostsInMaintenance;
     state.waitingTasks = load.waitingTasks;
-    while (!state.recentMaxima.empty() && state.recentMaxima.back().second <= state.neededHosts)
+    while (!state.recentMaxima.empty() && state.recentMaxima.back().second <= state.need.total)
         state.recentMaxima.pop_back();
-    state.recentMaxima.emplace_back(now, state.neededHosts);
+    state.recentMaxima.emplace_back(now, state.need.total);
     while (state.recentMaxima.front().first < now - peakPeriod)
         state.recentMaxima.pop_front();
 }
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -167,6 +167,8 @@
                    const JobConfiguration &configuration);
     void observeDemand(TimePoint now, const JobScheduler &scheduler,
                        const JobConfiguration &configuration);
+    /// Reports the hosts that the pool needs, and the load that decided.
+    void reportDemand(const std::string &pool, const PoolLoad &load, unsigned present) const;
     /// Number of hosts by pool that are up, moving or in transition, without those reserved for a
     /// wave. A host whose move was just ordered counts for its target pool.
     std::map<std::string, unsigned> presentHosts() const;
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -118,7 +118,7 @@
     TimePoint receivedAt; ///< when this process first read the job
     /// Whether its organisation had not submitted more than its rate before; nothing until then.
     std::optional<bool> isInProfile;
-    ExpectedPath expectedPath; ///< the latest estimate, for the scheduler
+    mutable ExpectedPath expectedPath; ///< the latest estimate, for the scheduler
     bool started = false; ///< a worker confirmed a run, or a previous scheduler had placed one
 
 private:
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -163,6 +163,8 @@
     /// What waits in the queues, and what was started, for the admission of further jobs. Tasks
     /// that no worker of their pool could run even if it was empty are not counted.
     SchedulerDemand demand(TimePoint now) const;
+    /// Whether the job can't meet its objective any more.
+    bool isLate(TimePoint now, const Job &job) const;
     /// Organisation of the job when it has a quota, otherwise a null pointer.
     const OrganisationSettings *quotaOf(const Job &job) const;
     /// What the organisations used at the latest planning pass.
@@ -318,7 +320,7 @@
     /// What decides when the ready tasks of \a job start.
     WaitingJob waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const;
     /// Estimates the job again when it has changed, or when much more is known about runtimes.
-    const Job::ExpectedPath &estimate(TimePoint now, Job &job) const;
+    const Job::ExpectedPath &estimate(TimePoint now, const Job &job) const;
     /// Decides which of the jobs that came since the last pass are in profile.
     void assignProfiles();
     /// Largest share of the capacity of all workers that the organisation uses, over its weight.
--- a/Kernel/include/Kernel/Jobs/PoolDemand.h
+++ b/Kernel/include/Kernel/Jobs/PoolDemand.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/HostShares.h>
 #include <Kernel/Jobs/JobScheduler.h>
 #include <deque>
 #include <map>
@@ -27,6 +28,10 @@
     /// Work of the waiting tasks: their sizes times their expected runtimes.
     double waitingMilliProcessorSeconds = 0;
     double waitingMegabyteSeconds = 0;
+    /// Parts of the above that belong to jobs which are late.
+    TaskSize lateActive;
+    double lateMilliProcessorSeconds = 0;
+    double lateMegabyteSeconds = 0;
     unsigned waitingTasks = 0; ///< number of all tasks that are ready to start
     /// Number of hosts that the per-worker limits of long-running steps require.
     unsigned minimumHosts = 0;
@@ -37,7 +42,8 @@
 
 /// Computes the load of each pool from the jobs of the scheduler. Jobs received after \a since are
 /// listed as arrivals, except long-running ones.
-std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint since);
+std::map<std::string, PoolLoad> poolLoads(const JobScheduler &scheduler, TimePoint now,
+                                          TimePoint since);
 
 /// Estimates how many hosts each pool needs now and how many it needed at its recent peak.
 class PoolDemand
@@ -46,7 +52,10 @@
     /// Updates the estimate for \a pool. \a hostSize is the capacity of one of its hosts.
     void observe(TimePoint now, const std::string &pool, const PoolLoad &load,
                  const TaskSize &hostSize);
-    /// Number of hosts needed at the last observation; 0 for a pool that was never observed.
+    /// Divides \a hosts between the pools when they need more together.
+    void share(unsigned hosts);
+    /// Number of hosts needed at the last observation, or the pool's share of them; 0 for a pool
+    /// that was never observed.
     unsigned neededHosts(const std::string &pool) const;
     /// Number of tasks that were ready to start at the last observation.
     unsigned waitingTasks(const std::string &pool) const;
@@ -59,10 +68,11 @@
 private:
     struct State
     {
-        unsigned neededHosts = 0;
+        HostNeed need;
+        unsigned neededHosts = 0; ///< its share
         unsigned minimumHostsInMaintenance = 0;
         unsigned waitingTasks = 0;
-        /// Monotonic queue of the recent values of neededHosts: the values are in descending order,
+        /// Monotonic queue of the recent needs: the values are in descending order,
         /// so the first one is the peak.
         std::deque<std::pair<TimePoint, unsigned>> recentMaxima;
         std::deque<WorkArrival> arrivals; ///< latest jobs, for the arrival rate
--- /dev/null
+++ b/Tests/Kernel/Jobs/Overload/TestHostShares.cpp
@@ -0,0 +1,33 @@
+// Hosts for pools whose peaks overlap.
+
+#include <Kernel/Jobs/HostShares.h>
+#include <catch2/catch.hpp>
+
+using namespace Peridot::Jobs;
+
+TEST_CASE("Pools get what they need when there are enough hosts")
+{
+    const auto shares = shareHosts({{"a", {10, 30}}, {"b", {20, 20}}}, 50);
+    CHECK(shares.at("a") == 30);
+    CHECK(shares.at("b") == 20);
+}
+
+TEST_CASE("A pool with a backlog of late jobs leaves hosts to one whose jobs can be in time")
+{
+    // Guards against hosts that work on late jobs while jobs of another pool become late.
+    const auto shares = shareHosts({{"backlog", {40, 700}}, {"peak", {110, 110}}}, 300);
+    CHECK(shares.at("peak") == 110);
+    CHECK(shares.at("backlog") == 190);
+    SECTION("and the smaller need is met first when not even all of these can be met")
+    {
+        const auto scarce = shareHosts({{"large", {700, 700}}, {"small", {60, 90}}}, 300);
+        CHECK(scarce.at("small") == 60);
+        CHECK(scarce.at("large") == 240);
+    }
+    SECTION("and no pool is left without hosts")
+    {
+        const auto equal = shareHosts({{"a", {500, 500}}, {"b", {400, 400}}, {"c", {0, 0}}}, 301);
+        CHECK(equal.at("a") + equal.at("b") == 301);
+        CHECK(equal.at("b") == 150);
+    }
+}
--- a/Tests/Kernel/Jobs/TestQuotas.cpp
+++ b/Tests/Kernel/Jobs/TestQuotas.cpp
@@ -86,7 +86,7 @@
     }
     SECTION("no hosts are asked for what waits for the quota")
     {
-        const auto loads = poolLoads(fixture.scheduler, fixture.now);
+        const auto loads = poolLoads(fixture.scheduler, fixture.now, fixture.now);
         CHECK(loads.at("pool").waitingTasks == 0);
         CHECK(fixture.scheduler.demand(fixture.now).queues.at("queue").waitingTasks == 0);
     }
