Kernel/Jobs, platform: Reach the store through a peer while it refuses the scheduler

Cause: when the store refused the scheduling host and served the others, its lease ended and nobody scheduled for 2 to 2.5 s in the middle of a peak. Candidates announce the address.

--- a/Kernel/Jobs/LeadershipRows.cpp
+++ b/Kernel/Jobs/LeadershipRows.cpp
@@ -16,6 +16,8 @@
     object["processors"] = candidate.processors;
     object["started_ms"] = static_cast<Json::Int64>(toUnixMilliseconds(candidate.startedAt));
     object["stopping"] = candidate.stopping;
+    if (!candidate.relayAddress.empty())
+        object["relay"] = candidate.relayAddress;
     return writeJson(object);
 }
 
@@ -30,6 +32,8 @@
     candidate.processors = object["processors"].asDouble();
     candidate.startedAt = fromUnixMilliseconds(object["started_ms"].asInt64());
     candidate.stopping = object["stopping"].asBool();
+    if (object["relay"].isString())
+        candidate.relayAddress = object["relay"].asString();
     return candidate;
 }
 
--- a/Kernel/Jobs/SchedulerElection.cpp
+++ b/Kernel/Jobs/SchedulerElection.cpp
@@ -69,7 +69,8 @@
       m_takeoverPolicy(m_settings.processors, slowHostDelay),
       m_transfer(m_settings.instance, m_settings.processors, m_settings.transfer, transferHooks(),
                  m_settings.defects),
-      m_candidate{m_settings.instance, m_settings.processors, m_hooks.clock(), false}
+      m_candidate{m_settings.instance, m_settings.processors, m_hooks.clock(), false,
+                  m_settings.relayAddress}
 {
 }
 
@@ -226,6 +227,8 @@
                 return std::optional(parsed);
             },
             [](const Error &) { return std::optional<SchedulerCandidate>(); });
+    if (m_hooks.candidateChanged)
+        m_hooks.candidateChanged(host, candidate);
     m_transfer.candidateChanged(host, std::move(candidate));
 }
 
--- a/Kernel/include/Kernel/Jobs/LeadershipRows.h
+++ b/Kernel/include/Kernel/Jobs/LeadershipRows.h
@@ -16,6 +16,8 @@
     double processors = 1;
     TimePoint startedAt; ///< by the clock of the process
     bool stopping = false;
+    /// Address (host:port) at which the process passes calls on to the store; empty: it does not.
+    std::string relayAddress = {};
 
     bool operator==(const SchedulerCandidate &) const = default;
 };
--- a/Kernel/include/Kernel/Jobs/SchedulerElection.h
+++ b/Kernel/include/Kernel/Jobs/SchedulerElection.h
@@ -20,7 +20,8 @@
     std::string host;
     std::string instance; ///< name of this process, unique for each start: the host and a suffix
     double processors = 1; ///< see SchedulerCandidate
-    LeadershipTransferTiming transfer;
+    std::string relayAddress = {}; ///< see SchedulerCandidate
+    LeadershipTransferTiming transfer = {};
     LeadershipTransferDefects defects = {};
 };
 
@@ -41,6 +42,9 @@
         /// The lease may have been acquired or lost; see held().
         std::function<void()> leaseChanged;
         std::function<void(std::string_view kind, const std::string &detail)> observe;
+        /// A candidate has announced itself, or its row was removed. May be empty.
+        std::function<void(const std::string &host, const std::optional<SchedulerCandidate> &)>
+            candidateChanged = {};
     };
 
     SchedulerElection(SchedulerElectionSettings settings, Store &store, Hooks hooks);
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -29,7 +29,11 @@
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
       m_clock(processNow), m_admissionGate(std::hash<std::string>()(m_settings.instance)),
       m_frontend(context, *m_ports.callerStore, frontendHooks()),
-      m_election({m_settings.host, m_settings.instance, m_settings.processors, {}},
+      m_election({m_settings.host,
+                  m_settings.instance,
+                  m_settings.processors,
+                  m_settings.relayAddress,
+                  {}},
                  *m_ports.urgentStore, electionHooks()),
       m_electionTimer(context), m_observeTimer(context)
 {
@@ -190,6 +194,15 @@
     hooks.leaseChanged = [this] {
         updateSession();
     };
+    hooks.candidateChanged
+        = [this](const std::string &host, const std::optional<SchedulerCandidate> &candidate) {
+              if (m_ports.storeRoute == nullptr || host == m_settings.host)
+                  return;
+              const bool isUsable = candidate && !candidate->stopping;
+              m_ports.storeRoute->setPeer(host, isUsable ? std::optional<StorePeer>(StorePeer{
+                                                    candidate->relayAddress, candidate->processors})
+                                                         : std::nullopt);
+          };
     hooks.observe = [this](std::string_view kind, const std::string &detail) {
         m_metrics.countEvent(kind);
         logEvent(LogLevel::Info, kind, {{"detail", detail}});
@@ -284,6 +297,8 @@
         = follow(candidatePrefix, candidateFeedWait,
                  [this](const RowChange &change) { m_election.candidateRowChanged(change); });
     m_session->setConfiguration(m_configuration.load());
+    if (m_ports.storeRoute != nullptr)
+        m_ports.storeRoute->setRelaysAllowed(true);
     m_session->start();
     m_metrics.setScheduling(true);
 }
@@ -294,6 +309,8 @@
         return;
     logEvent(LogLevel::Info, "scheduler-session-ended", {{"reason", reason}});
     m_session.reset();
+    if (m_ports.storeRoute != nullptr)
+        m_ports.storeRoute->setRelaysAllowed(false);
     m_candidateFollower.reset();
     m_metrics.setScheduling(false);
 }
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -22,6 +22,7 @@
     /// Processor capacity of this host: the share of a core that is available, times the relative
     /// speed of a core.
     double processors = 1;
+    std::string relayAddress = {}; ///< see SchedulerCandidate
     SchedulerTiming timing;
     HostSessionTiming hostTiming;
     /// Calls are refused when changes of the configuration may have been missed for this long.
--- a/Services/Jobs/PlatformPorts.h
+++ b/Services/Jobs/PlatformPorts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Kernel/Jobs/HostOrders.h>
+#include <Kernel/Jobs/StoreRoute.h>
 #include <Kernel/Jobs/WorkerOrders.h>
 #include <LibBase/TaskQueue.h>
 #include <LibStore/ChangeFeed.h>
@@ -36,6 +37,9 @@
     /// scheduler, the rows of its election, and the configuration.
     Store *urgentStore = nullptr;
     ChangeFeed *urgentFeed = nullptr;
+    /// Route of the calls of \c store and \c urgentStore, which uses peers while this process
+    /// schedules. May be null.
+    StoreRoute *storeRoute = nullptr;
     /// Runs the replies of the store and of the workers, and the work of the scheduler.
     TaskQueue *tasks = nullptr;
     std::string operatorPrefix; ///< key prefix of the rows that administrators write
