--- a/Kernel/Jobs/StoreRoute.cpp
+++ b/Kernel/Jobs/StoreRoute.cpp
@@ -50,15 +50,15 @@
 
 std::vector<std::string> StoreRoute::fastestPeers() const
 {
-    std::vector<StorePeer> peers;
-    for (const auto &[host, peer] : m_peers)
-        peers.push_back(peer);
+    std::vector<StorePeer> peers(m_peers.size());
+    std::transform(m_peers.begin(), m_peers.end(), peers.begin(),
+                   [](const auto &entry) { return entry.second; });
     std::stable_sort(peers.begin(), peers.end(), [](const auto &left, const auto &right) {
         return left.processors > right.processors;
     });
-    std::vector<std::string> addresses;
-    for (const StorePeer &peer : peers)
-        addresses.push_back(peer.address);
+    std::vector<std::string> addresses(peers.size());
+    std::transform(peers.begin(), peers.end(), addresses.begin(),
+                   [](const StorePeer &peer) { return peer.address; });
     return addresses;
 }
 
