LibHttp: Limit what the clients of a process use together

Each HTTP server accepted its own number of connections with its own limit of body bytes, and further connections waited in the backlog. A few hundred clients that stop short of the end of a body took more memory than a small host has, and slow clients kept ordinary ones out.

InputBudget counts connections, unfinished requests, requests in handling and answers that are not taken, over all servers of a process. At a limit, the connection that has waited for its client the longest is closed, with a 503 where nothing was handed on; a request for which there is no room gets 503. Refused connections linger in limited number, and the socket buffers of servers with a budget are 32 KiB. Servers without a budget are unchanged.

--- a/Libraries/LibHttp/LingeringClose.cpp
+++ b/Libraries/LibHttp/LingeringClose.cpp
@@ -13,17 +13,33 @@
 
 } // namespace
 
-void LingeringClose::start(asio::ip::tcp::socket socket, std::string lastResponse)
+void LingeringClose::start(asio::ip::tcp::socket socket, std::string lastResponse,
+                           const std::shared_ptr<InputBudget> &budget)
 {
-    std::make_shared<LingeringClose>(std::move(socket), std::move(lastResponse))->send();
+    if (!budget || budget->beginLingering()) {
+        std::make_shared<LingeringClose>(std::move(socket), std::move(lastResponse), budget)
+            ->send();
+        return;
+    }
+    asio::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.send(asio::buffer(lastResponse), 0, ignored);
 }
 
-LingeringClose::LingeringClose(asio::ip::tcp::socket socket, std::string lastResponse)
+LingeringClose::LingeringClose(asio::ip::tcp::socket socket, std::string lastResponse,
+                               std::shared_ptr<InputBudget> budget)
     : m_socket(std::move(socket)), m_strand(m_socket.get_executor()),
-      m_timer(m_socket.get_executor()), m_lastResponse(std::move(lastResponse))
+      m_timer(m_socket.get_executor()), m_lastResponse(std::move(lastResponse)),
+      m_budget(std::move(budget))
 {
 }
 
+LingeringClose::~LingeringClose()
+{
+    if (m_budget)
+        m_budget->endLingering();
+}
+
 void LingeringClose::send()
 {
     m_timer.expires_after(lingerLimit);
--- a/Libraries/LibHttp/RefusalService.h
+++ b/Libraries/LibHttp/RefusalService.h
@@ -24,6 +24,9 @@
     void shutdown() override { }
 
     std::function<std::string(InputFault, const std::string &detail)> format;
+    /// Null: the server has no budget. Set before the server starts, like serverId.
+    std::shared_ptr<InputBudget> budget;
+    InputBudget::ServerId serverId = 0; ///< in the budget
 };
 
 /// What the connection that is being closed on this thread still owes its caller. RESTinio logs an
--- a/Libraries/LibHttp/RefusingSocket.h
+++ b/Libraries/LibHttp/RefusingSocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BudgetEntry.h"
 #include "LingeringClose.h"
 #include "RefusalService.h"
 #include "TlsHandshake.h"
@@ -40,7 +41,7 @@
                 if (error)
                     m_readFailed = true;
                 else
-                    m_unansweredBytes += length;
+                    countInput(length);
                 inner(error, length);
             });
         if (m_tls)
@@ -53,6 +54,7 @@
     void async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(*-identifier-naming)
     {
         m_unansweredBytes = 0;
+        m_hasWritten = true;
         if (m_tls)
             m_tls->async_write_some(buffers, std::forward<Handler>(handler));
         else
@@ -65,16 +67,31 @@
         // RESTinio reports a read timeout only in its trace log; a close in the middle of a
         // request that was not caused by the peer or by the parser is one.
         if (!errorLogged && m_unansweredBytes > 0 && !m_readFailed)
-            refusal = readTimeoutRefusal();
+            refusal = refusalOf(InputFault::ReadTimeout);
+        // A response on a connection that had one before would be taken for that of a request which
+        // is still on its way.
+        const bool closedByBudget = m_budgetEntry && m_budgetEntry->leave();
+        if (closedByBudget && (m_unansweredBytes > 0 || !m_hasWritten))
+            refusal = refusalOf(InputFault::ConnectionEnded);
         if (refusal.empty() || !is_open())
             return Base::shutdown(what, error);
         cancel(error);
         if (m_tls)
             encryptAndSend(std::exchange(refusal, {}));
-        LingeringClose::start(std::move(static_cast<Base &>(*this)), std::move(refusal));
+        LingeringClose::start(std::move(static_cast<Base &>(*this)), std::move(refusal),
+                              m_budgetEntry ? m_budgetEntry->budget() : nullptr);
         return error;
     }
 
+    /// Counts this connection in the budget of the server, if it has one, until shutdown().
+    void joinBudget(std::uint64_t connection)
+    {
+        const auto &service = refusalService();
+        if (service.budget)
+            m_budgetEntry = std::make_unique<BudgetEntry>(service.budget, service.serverId,
+                                                          connection, native_handle());
+    }
+
 private:
     /// The stream ends with this socket, so that the lingering close cannot send the refusal. One
     /// for which the send buffer has no room is dropped.
@@ -85,17 +102,31 @@
         m_tls->write_some(asio::buffer(refusal), error);
     }
 
-    std::string readTimeoutRefusal()
+    void countInput(std::size_t bytes)
+    {
+        m_unansweredBytes += bytes;
+        if (m_budgetEntry)
+            m_budgetEntry->inputReceived(bytes);
+    }
+
+    RefusalService &refusalService()
+    {
+        return asio::use_service<RefusalService>(
+            asio::query(get_executor(), asio::execution::context));
+    }
+
+    std::string refusalOf(InputFault fault)
     {
-        auto &context = asio::query(get_executor(), asio::execution::context);
-        const auto &service = asio::use_service<RefusalService>(context);
-        return service.format ? service.format(InputFault::ReadTimeout, {}) : std::string();
+        const auto &service = refusalService();
+        return service.format ? service.format(fault, {}) : std::string();
     }
 
     std::size_t m_unansweredBytes = 0;
     bool m_readFailed = false;
+    bool m_hasWritten = false;
     TlsContext m_tlsContext;
     std::unique_ptr<TlsStream> m_tls;
+    std::unique_ptr<BudgetEntry> m_budgetEntry; ///< null: no budget
 };
 
 /// Called by RESTinio, which finds it by the type of the socket, before it reads from a connection.
@@ -103,6 +134,7 @@
 void prepare_connection_and_start_read( // NOLINT(readability-identifier-naming)
     RefusingSocket &socket, Connection &connection, StartRead startRead, Fail fail)
 {
+    socket.joinBudget(connection.connection_id());
     auto &execution = asio::query(socket.get_executor(), asio::execution::context);
     auto &service = asio::use_service<TlsService>(execution);
     auto context = service.context();
--- a/Libraries/LibHttp/RestinioServer.cpp
+++ b/Libraries/LibHttp/RestinioServer.cpp
@@ -18,6 +18,12 @@
 constexpr std::chrono::seconds writeLimit{30};
 // A second pipelined request keeps a read pending, so that a caller that leaves is noticed.
 constexpr std::size_t pipelinedRequests = 2;
+// Connections beyond the limit of the budget for the time until those that it closed are gone.
+constexpr std::size_t closingConnections = 16;
+// With a budget. The operating system doubles it, and would otherwise let a buffer grow to some MB,
+// which count as memory of the host.
+constexpr int socketBufferBytes = 32 * 1024;
+constexpr std::size_t responseOverhead = 512; ///< bytes of the status line and the usual headers
 
 class ConnectionListener
 {
@@ -55,22 +61,41 @@
     using connection_state_listener_t = ConnectionListener;
 };
 
+/// What one request uses of the budget of its server.
+struct RequestBudget
+{
+    std::shared_ptr<InputBudget> budget; ///< null: the server has none
+    InputBudget::ServerId server = 0;
+    std::uint64_t connection = 0;
+    std::unique_ptr<InputBudget::RequestCharge> charge; ///< null: refused
+
+    bool refused() const { return budget && !charge; }
+    void answerQueued(std::size_t bytes) const
+    {
+        if (budget)
+            budget->answerQueued(server, connection, bytes);
+    }
+};
+
 class RestinioResponder : public HttpResponder
 {
 public:
     /// The connection of \a request belongs to \a server, which is kept as long.
     RestinioResponder(std::shared_ptr<const void> server, restinio::request_handle_t request,
-                      std::shared_ptr<ConnectionTable> table, std::uint64_t serial)
+                      std::shared_ptr<ConnectionTable> table, std::uint64_t serial,
+                      RequestBudget budget)
         : m_server(std::move(server)), m_request(std::move(request)), m_table(std::move(table)),
-          m_serial(serial)
+          m_serial(serial), m_budget(std::move(budget))
     {
         m_table->responsePending();
     }
 
     ~RestinioResponder() override
     {
-        if (!m_sent)
-            m_table->responseWritten();
+        if (m_sent)
+            return;
+        m_table->responseWritten();
+        m_budget.answerQueued(0);
     }
 
     void send(ResponseMessage response) override
@@ -78,6 +103,8 @@
         if (m_sent.exchange(true))
             return;
         m_table->requestFinished(m_request->connection_id(), m_serial);
+        const std::size_t bytes = response.body.size() + responseOverhead;
+        m_budget.answerQueued(bytes);
         const auto code = static_cast<std::uint16_t>(response.status);
         auto builder = m_request->create_response(restinio::http_status_line_t{
             restinio::http_status_code_t{code}, std::string(reasonPhrase(response.status))});
@@ -88,7 +115,12 @@
         else
             builder.connection_keep_alive();
         builder.set_body(std::move(response.body));
-        builder.done([table = m_table](const auto &) { table->responseWritten(); });
+        builder.done([table = m_table, budget = m_budget.budget, server = m_budget.server,
+                      connection = m_request->connection_id(), bytes](const auto &) {
+            table->responseWritten();
+            if (budget)
+                budget->answerWritten(server, connection, bytes);
+        });
         m_request.reset();
     }
 
@@ -98,6 +130,7 @@
     restinio::request_handle_t m_request;
     std::shared_ptr<ConnectionTable> m_table;
     std::uint64_t m_serial;
+    RequestBudget m_budget;
 };
 
 class ServerContext : public asio::io_context
@@ -115,7 +148,12 @@
     {
         if (!m_hooks.onInputFault)
             m_hooks.onInputFault = plainRefusal;
-        asio::use_service<RefusalService>(m_context).format = formatRefusal();
+        auto &refusals = asio::use_service<RefusalService>(m_context);
+        refusals.format = formatRefusal();
+        refusals.budget = m_settings.budget;
+        if (m_settings.budget)
+            refusals.serverId = m_serverId
+                = m_settings.budget->addServer(m_settings.maximumConnections);
         asio::use_service<TlsService>(m_context).handshakeLimit = m_settings.readTimeout;
     }
 
@@ -174,14 +212,6 @@
     }
 
 private:
-    static ResponseMessage plainRefusal(InputFault fault, const std::string &detail)
-    {
-        return {fault == InputFault::BodyTooLarge ? 413 : 400,
-                {{"Content-Type", "text/plain"}},
-                std::string(inputFaultNames.nameOf(fault)) + ' ' + detail + '\n',
-                true};
-    }
-
     std::function<std::string(InputFault, const std::string &)> formatRefusal()
     {
         return [this](InputFault fault, const std::string &detail) {
@@ -204,10 +234,15 @@
             .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
                 m_port = acceptor.local_endpoint().port();
             })
-            .socket_options_setter([](restinio::socket_options_t &options) {
+            .socket_options_setter([this](restinio::socket_options_t &options) {
                 options.set_option(asio::ip::tcp::no_delay{true});
+                if (!m_settings.budget)
+                    return;
+                options.set_option(asio::socket_base::receive_buffer_size{socketBufferBytes});
+                options.set_option(asio::socket_base::send_buffer_size{socketBufferBytes});
             })
-            .max_parallel_connections(m_settings.maximumConnections)
+            .max_parallel_connections(m_settings.maximumConnections
+                                      + (m_settings.budget ? closingConnections : 0))
             // RESTinio numbers connections with a plain counter. One accept at a time that also
             // creates the connection keeps two threads from changing it at once.
             .concurrent_accepts_count(1)
@@ -238,12 +273,28 @@
         return nullptr;
     }
 
+    RequestBudget beginRequest(const restinio::request_handle_t &request) const
+    {
+        if (!m_settings.budget)
+            return {};
+        const auto connection = request->connection_id();
+        return {m_settings.budget, m_serverId, connection,
+                InputBudget::beginRequest(m_settings.budget, m_serverId, connection,
+                                          request->body().size())};
+    }
+
     restinio::request_handling_status_t handle(const restinio::request_handle_t &request)
     {
         const std::uint64_t serial = m_nextSerial.fetch_add(1, std::memory_order_relaxed);
         m_table->requestStarted(request->connection_id(), serial);
-        auto responder
-            = std::make_shared<RestinioResponder>(shared_from_this(), request, m_table, serial);
+        RequestBudget budget = beginRequest(request);
+        const bool refused = budget.refused();
+        auto responder = std::make_shared<RestinioResponder>(shared_from_this(), request, m_table,
+                                                             serial, std::move(budget));
+        if (refused) {
+            responder->send(m_hooks.onInputFault(InputFault::TooManyRequests, {}));
+            return restinio::request_accepted();
+        }
         if (const std::string *name = invalidHeaderName(request)) {
             responder->send(m_hooks.onInputFault(InputFault::MalformedRequest,
                                                  "invalid header name \"" + *name + '"'));
@@ -268,6 +319,7 @@
     HttpServerSettings m_settings;
     HttpServerHooks m_hooks;
     std::shared_ptr<ConnectionTable> m_table;
+    InputBudget::ServerId m_serverId = 0; ///< in the budget
     ServerContext m_context;
     std::atomic<std::uint64_t> m_nextSerial{1};
     std::uint16_t m_port = 0;
@@ -298,6 +350,21 @@
 
 } // namespace
 
+ResponseMessage plainRefusal(InputFault fault, const std::string &detail)
+{
+    const bool overloaded
+        = fault == InputFault::ConnectionEnded || fault == InputFault::TooManyRequests;
+    ResponseMessage response{overloaded ? 503 : 400,
+                             {{"Content-Type", "text/plain"}},
+                             std::string(inputFaultNames.nameOf(fault)) + ' ' + detail + '\n',
+                             true};
+    if (fault == InputFault::BodyTooLarge)
+        response.status = 413;
+    if (overloaded)
+        response.headers.push_back({"Retry-After", "1"});
+    return response;
+}
+
 Result<std::unique_ptr<HttpServer>> HttpServer::start(const HttpServerSettings &settings,
                                                       HttpServerHooks hooks)
 {
--- a/Libraries/LibHttp/include/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -4,6 +4,7 @@
 #include <LibBase/Error.h>
 #include <LibBase/TlsSettings.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibHttp/InputBudget.h>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -24,6 +25,8 @@
     BodyTooLarge,
     ReadTimeout, ///< the sender was too slow
     UpgradeRequested,
+    ConnectionEnded, ///< closed by the budget, see InputBudget, before the request was whole
+    TooManyRequests, ///< the budget has no room for the request
 };
 
 constexpr auto inputFaultNames = makeEnumTable<InputFault>({
@@ -35,6 +38,8 @@
     {InputFault::BodyTooLarge, "body-too-large"},
     {InputFault::ReadTimeout, "read-timeout"},
     {InputFault::UpgradeRequested, "upgrade-requested"},
+    {InputFault::ConnectionEnded, "connection-ended"},
+    {InputFault::TooManyRequests, "too-many-requests"},
 });
 
 struct HttpServerSettings
@@ -42,11 +47,14 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< 0: chosen by the operating system
     std::size_t threads = 1;
-    std::size_t maximumConnections = 1000; ///< further ones wait in the listen backlog
+    /// Further ones wait in the listen backlog. With a budget, the connection that has waited for
+    /// its client the longest is closed instead.
+    std::size_t maximumConnections = 1000;
     std::size_t maximumHeaders = 100;
     std::size_t maximumBodyBytes = 1024UL * 1024;
     std::chrono::milliseconds readTimeout{10000}; ///< from the first wait to the whole request
     std::optional<TlsSettings> tls; ///< nothing: plain HTTP
+    std::shared_ptr<InputBudget> budget; ///< shared with other servers; null: no common limit
 };
 
 /// Sends the response to one request, once, from any thread. Later calls have no effect. The
@@ -64,10 +72,14 @@
     std::function<void(RequestMessage, std::shared_ptr<HttpResponder>)> onRequest;
     /// Called on a server thread when the connection closed before the response was sent.
     std::function<void(std::uint64_t serial)> onAbandoned;
-    /// Builds the response to refused input. Empty: a plain 400 or 413.
+    /// Builds the response to refused input. Empty: a plain 400, 413
+    /// or 503.
     std::function<ResponseMessage(InputFault, const std::string &detail)> onInputFault;
 };
 
+/// Response to refused input without a hook for it.
+ResponseMessage plainRefusal(InputFault fault, const std::string &detail);
+
 /// HTTP/1.1 server on its own threads. The header block is limited to headerBlockLimit bytes.
 class HttpServer
 {
--- a/Services/Entry/Refusal.cpp
+++ b/Services/Entry/Refusal.cpp
@@ -125,6 +125,11 @@
     case InputFault::UpgradeRequested:
         refusal.field = "Upgrade";
         break;
+    case InputFault::ConnectionEnded:
+    case InputFault::TooManyRequests:
+        // Only servers with a budget report these.
+        refusal.status = 503;
+        break;
     }
     return refusal;
 }
