--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -66,6 +66,22 @@
     return value;
 }
 
+bool hasMoreJsonValues(std::string_view text, std::size_t maximum)
+{
+    std::size_t values = 1;
+    bool inString = false;
+    for (std::size_t index = 0; index < text.size() && values <= maximum; ++index) {
+        const char character = text[index];
+        if (inString && character == '\\')
+            ++index;
+        else if (character == '"')
+            inString = !inString;
+        else if (!inString && (character == ',' || character == '[' || character == '{'))
+            ++values;
+    }
+    return values > maximum;
+}
+
 std::string writeJson(const Json::Value &value)
 {
     static thread_local const std::unique_ptr<Json::StreamWriter> writer(
--- a/Libraries/LibBase/include/LibBase/Json.h
+++ b/Libraries/LibBase/include/LibBase/Json.h
@@ -19,6 +19,10 @@
 /// Parses with a given \a reader, which must not be used by several threads at the same time.
 Result<Json::Value> parseJson(std::string_view text, Json::CharReader &reader);
 
+/// Whether \a text holds more than \a maximum members and elements. A short member takes some ten
+/// times its text when it is parsed, so that this is checked before input of others is parsed.
+bool hasMoreJsonValues(std::string_view text, std::size_t maximum);
+
 /// Writes \a value on one line without insignificant white space.
 std::string writeJson(const Json::Value &value);
 
--- a/Tests/platform/TestDecoding.cpp
+++ b/Tests/platform/TestDecoding.cpp
@@ -113,6 +113,21 @@
     const std::string longPayloadBody
         = R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})";
     CHECK(outcomeOf(makeRequest("POST", path, longPayloadBody)) == TooLarge);
+    // Guards against short members that take many times their bytes when they are parsed.
+    std::string manyMembers = R"({"steps":[{"count":1}])";
+    for (int index = 0; index < 20000; ++index)
+        manyMembers += ",\"" + std::to_string(index) + "\":0";
+    CHECK(outcomeOf(makeRequest("POST", path, manyMembers + '}')) == TooLarge);
+    std::string largestSteps = R"({"steps":[{"count":1})";
+    for (int step = 1; step < 100; ++step) {
+        largestSteps
+            += R"(,{"count":1,"cpu":1,"mem_mb":1,"gpus":0,"image":"i","gang":false,"after":[0)";
+        for (int dependency = 1; dependency < step; ++dependency)
+            largestSteps += ',' + std::to_string(dependency);
+        largestSteps += "]}";
+    }
+    largestSteps += R"(],"spec":")" + std::string(3999, ',') + "\"}";
+    CHECK(outcomeOf(makeRequest("POST", path, largestSteps)) == Accepted);
     const auto call = std::get<Jobs::JobCall>(decodeCall(makeRequest("GET", path), *configuration));
     CHECK(call.timeout == 1500ms);
     CHECK(call.id == "0123456789abcdef");
