Kernel/Jobs: Refuse first what organisations submit beyond their rates

An overloaded queue refused all callers alike, so that one organisation with 7 times its usual rate took the service from all others. The share that the queue can accept is now divided by organisation: submissions up to the weight of each organisation (jobs a second over all queues, a token bucket of one second) go first, what is left over goes to those beyond it in proportion to their weights, and only when the rates together are too much are all reduced. The row admission/limits gets the members others_permille and organisations, which are left out when all have the same share. A refused submission beyond the rate is told when those refused before it could be served at the accepted rate.

Deployments without weights get the same rows as before.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -52,22 +52,49 @@
     return tasks;
 }
 
-AdmissionLimit limitOf(double share, double wait)
+unsigned permilleOf(double share)
 {
-    const std::chrono::seconds wholeWait{static_cast<std::int64_t>(std::ceil(wait))};
-    AdmissionLimit limit;
-    limit.acceptedPermille
-        = std::max(1U, static_cast<unsigned>(std::lround(share * wholePermille)));
-    limit.retryAfter = std::clamp(wholeWait, std::chrono::seconds(1), longestRetryAfter);
+    return std::max(1U, static_cast<unsigned>(std::lround(share * wholePermille)));
+}
+
+std::chrono::seconds retryAfterOf(double wait)
+{
+    const double longest = toSeconds(longestRetryAfter);
+    const std::chrono::seconds whole{static_cast<std::int64_t>(std::ceil(std::min(wait, longest)))};
+    return std::max(whole, std::chrono::seconds(1));
+}
+
+AdmissionLimit limitOf(const QueueShares &shares, double wait, const OrganisationArrivals &arrivals)
+{
+    AdmissionLimit limit{permilleOf(shares.all), retryAfterOf(wait)};
+    if (shares.organisations.empty())
+        return limit;
+    limit.othersPermille = permilleOf(shares.others);
+    // A submission beyond the rate of its organisation comes after those that were refused before.
+    for (const auto &[name, share] : shares.organisations)
+        limit.organisations[name]
+            = {permilleOf(share), retryAfterOf(std::max(wait, arrivals.retryAfter(name, share)))};
     return limit;
 }
 
+QueueShares sharesOf(const AdmissionLimit &limit)
+{
+    const double all = limit.acceptedPermille / wholePermille;
+    QueueShares shares{all, limit.othersPermille.value_or(limit.acceptedPermille) / wholePermille};
+    for (const auto &[name, organisation] : limit.organisations)
+        shares.organisations[name] = organisation.acceptedPermille / wholePermille;
+    return shares;
+}
+
 } // namespace
 
 AdmissionControl::AdmissionControl(const AdmissionLimits &limits)
 {
-    for (const auto &[name, limit] : limits)
-        m_arrivals[name].shares.assign(updatesUntilInForce, limit.acceptedPermille / wholePermille);
+    for (const auto &[name, limit] : limits) {
+        m_arrivals[name].shares.assign(updatesUntilInForce, sharesOf(limit));
+        for (const auto &[organisation, share] : limit.organisations)
+            m_rates.exhaust(organisation);
+    }
 }
 
 const AdmissionLimits &AdmissionControl::update(TimePoint now, const SchedulerDemand &demand)
@@ -81,7 +108,8 @@
             queues[name].acceptedTasks = arrivals.acceptedTasks.value_or(0);
     }
     for (const auto &[name, queue] : queues)
-        addArrivals(elapsed, queue, m_arrivals[name]);
+        addArrivals(elapsed, demand, queue, m_arrivals[name]);
+    updateRates(elapsed, demand);
     if (demand.startsAreBlocked) {
         m_samples.clear();
         return m_limits;
@@ -90,24 +118,44 @@
         addSample(now, demand, pool);
     m_limits.clear();
     for (const auto &[name, queue] : queues)
-        limit(demand, name, queue);
+        limit(elapsed, demand, name, queue);
     std::erase_if(m_arrivals, [&](const auto &entry) {
         return !demand.queues.contains(entry.first) && !m_limits.contains(entry.first);
     });
     return m_limits;
 }
 
-void AdmissionControl::addArrivals(Duration elapsed, const QueueBacklog &backlog,
-                                   Arrivals &arrivals)
+void AdmissionControl::addArrivals(Duration elapsed, const SchedulerDemand &demand,
+                                   const QueueBacklog &backlog, Arrivals &arrivals)
 {
-    arrivals.shares.resize(std::max(arrivals.shares.size(), updatesUntilInForce), 1);
+    arrivals.shares.resize(std::max(arrivals.shares.size(), updatesUntilInForce));
+    arrivals.organisations.add(elapsed, backlog.organisations, arrivals.shares.front());
     const std::uint64_t before = arrivals.acceptedTasks.value_or(backlog.acceptedTasks);
     arrivals.acceptedTasks = backlog.acceptedTasks;
     if (elapsed <= Duration{0})
         return;
     const double accepted = static_cast<double>(backlog.acceptedTasks - before);
-    const double offered = accepted / toSeconds(elapsed) / arrivals.shares.front();
+    const double offered = accepted / toSeconds(elapsed) / arrivals.shares.front().all;
     arrivals.offeredRate += arrivalWeight * (offered - arrivals.offeredRate);
+    std::uint64_t acceptedJobs = 0;
+    for (const auto &[name, organisation] : backlog.organisations)
+        acceptedJobs += organisation.acceptedJobs;
+    if (demand.weights.empty() || acceptedJobs == 0)
+        return;
+    // Organisations with different shares: the share of the queue tells less than their parts.
+    const double tasksPerJob
+        = static_cast<double>(backlog.acceptedTasks) / static_cast<double>(acceptedJobs);
+    arrivals.offeredRate = arrivals.organisations.totalOffered() * tasksPerJob;
+}
+
+void AdmissionControl::updateRates(Duration elapsed, const SchedulerDemand &demand)
+{
+    std::map<std::string, double> offered;
+    for (const auto &[queue, arrivals] : m_arrivals) {
+        for (const auto &[name, rate] : arrivals.organisations.offered())
+            offered[name] += rate;
+    }
+    m_rates.update(elapsed, offered, demand.weights);
 }
 
 void AdmissionControl::addSample(TimePoint now, const SchedulerDemand &demand,
@@ -147,11 +195,23 @@
     return starts * correction / std::max(arrivals.offeredRate, smallestOfferedRate);
 }
 
-void AdmissionControl::limit(const SchedulerDemand &demand, const std::string &name,
-                             const QueueBacklog &queue)
+QueueShares AdmissionControl::divide(const SchedulerDemand &demand, const Arrivals &arrivals,
+                                     double share) const
+{
+    if (demand.weights.empty())
+        return {share, share};
+    std::map<std::string, OrganisationOffer> offers;
+    for (const auto &[name, rate] : arrivals.organisations.offered())
+        offers[name] = {rate, rate * m_rates.partWithinRate(name)};
+    return divideShare(share, offers);
+}
+
+void AdmissionControl::limit(Duration elapsed, const SchedulerDemand &demand,
+                             const std::string &name, const QueueBacklog &queue)
 {
     Arrivals &arrivals = m_arrivals[name];
-    const double latest = arrivals.shares.back();
+    const QueueShares previous = arrivals.shares.back();
+    const double latest = previous.all;
     const double target = toSeconds(targetOf(demand, queue));
     const auto before = static_cast<double>(tasksBefore(demand, queue));
     const std::optional<double> starts = startRate(queue.pool);
@@ -164,10 +224,14 @@
     const bool mayBegin = latest < 1 || wait >= firstLimitPart * target;
     const double largest = std::min(1.0, latest * largestIncrease);
     share = mayBegin ? std::clamp(share, smallestShare, largest) : 1;
-    arrivals.shares.pop_front();
-    arrivals.shares.push_back(share);
+    // Without a rate of starts, nothing tells that the shares in force are wrong.
+    const bool isKnown = before == 0 || starts;
+    QueueShares shares = isKnown ? divide(demand, arrivals, share) : previous;
+    arrivals.organisations.countRefusals(elapsed, shares);
     if (share < 1)
-        m_limits[name] = limitOf(share, wait);
+        m_limits[name] = limitOf(shares, wait, arrivals.organisations);
+    arrivals.shares.pop_front();
+    arrivals.shares.push_back(std::move(shares));
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -101,6 +101,7 @@
     }
     for (const StepSpecification &step : submitted.specification.steps)
         m_acceptedTasks[submitted.queue.name] += step.count;
+    ++m_acceptedJobs[submitted.queue.name][submitted.organisation];
     observe("job-added", {{id, 0, 0, 0}, 0}, {}, job.submitted().queue.name);
 }
 
--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -75,6 +75,16 @@
     return objectiveOf(job, queue) * latestObjectives - job.criticalPathEstimate();
 }
 
+std::map<std::string, double> weightsOf(const JobConfiguration &configuration)
+{
+    std::map<std::string, double> weights;
+    for (const OrganisationSettings &organisation : configuration.organisations) {
+        if (organisation.weight > 0)
+            weights[organisation.name] = organisation.weight;
+    }
+    return weights;
+}
+
 void addWaitingTasks(QueueBacklog &queue, std::uint64_t tasks, bool overdue)
 {
     queue.waitingTasks += tasks;
@@ -87,6 +97,7 @@
 {
     SchedulerDemand demand;
     demand.startedTasks = m_startedTasks;
+    demand.weights = weightsOf(*m_configuration);
     demand.startsAreBlocked = m_flushFailed || (m_flush && now > m_flushSentAt + lateTransaction);
     const auto pools = poolCapacities(m_workers);
     OrganisationUsage usage = m_usage;
@@ -110,7 +121,21 @@
         const auto count = static_cast<Duration::rep>(++jobs[settings.name]);
         queue.tolerableWait += (tolerableWait(job, settings) - queue.tolerableWait) / count;
     }
+    addAcceptedJobs(demand);
     return demand;
 }
 
+void JobScheduler::addAcceptedJobs(SchedulerDemand &demand) const
+{
+    if (demand.weights.empty())
+        return;
+    for (auto &[name, queue] : demand.queues) {
+        const auto jobs = m_acceptedJobs.find(name);
+        if (jobs == m_acceptedJobs.end())
+            continue;
+        for (const auto &[organisation, count] : jobs->second)
+            queue.organisations[organisation].acceptedJobs = count;
+    }
+}
+
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/AdmissionControl.h
+++ b/Kernel/include/Kernel/Jobs/AdmissionControl.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <Kernel/Jobs/AdmissionLimits.h>
+#include <Kernel/Jobs/OrganisationArrivals.h>
+#include <Kernel/Jobs/OrganisationShares.h>
 #include <LibBase/Time.h>
 #include <cstdint>
 #include <deque>
@@ -20,6 +22,7 @@
     /// Time for which an average job of the queue can wait before its result is of no use.
     Duration tolerableWait{0};
     std::uint64_t acceptedTasks = 0; ///< since the scheduler began, whether they wait or not
+    std::map<std::string, OrganisationBacklog> organisations = {}; ///< by name (empty: none)
 };
 
 /// The load of all pools at one time.
@@ -27,6 +30,8 @@
 {
     std::map<std::string, QueueBacklog> queues; ///< by name
     std::map<std::string, std::uint64_t> startedTasks; ///< by pool, since the scheduler began
+    /// Jobs per second of the organisations with a rate, by name. Empty: organisations don't count.
+    std::map<std::string, double> weights = {};
     /// The scheduling process is behind, so that it limits the rate of starts, and not the room.
     bool schedulerIsBehind = false;
     /// The store does not take the rows that come before starts. The rate of starts tells nothing.
@@ -38,7 +43,8 @@
 /// at once than accepted, kept waiting and done in vain: the pattern is load shedding by the
 /// expected time in the queue, not by its length. The share is the rate of starts divided by the
 /// rate at which jobs are handed in, corrected by how far the expected wait is from its target. So
-/// it needs no time to find its level, and refuses nothing while there is room.
+/// it needs no time to find its level, and refuses nothing while there is room. Where organisations
+/// have rates, those that submit more are refused first (divideShare()).
 class AdmissionControl
 {
 public:
@@ -59,21 +65,29 @@
     {
         std::optional<std::uint64_t> acceptedTasks; ///< at the latest update
         double offeredRate = 0; ///< tasks per second, accepted or not
-        std::deque<double> shares; ///< the latest ones; the first is in force
+        OrganisationArrivals organisations;
+        std::deque<QueueShares> shares; ///< the latest ones; the first is in force
     };
     /// Tasks that the pool starts per second; nothing while it is not known.
     std::optional<double> startRate(const std::string &pool) const;
     void addSample(TimePoint now, const SchedulerDemand &demand, const std::string &pool);
-    static void addArrivals(Duration elapsed, const QueueBacklog &backlog, Arrivals &arrivals);
+    static void addArrivals(Duration elapsed, const SchedulerDemand &demand,
+                            const QueueBacklog &backlog, Arrivals &arrivals);
+    /// Takes what the organisations submit to all queues together.
+    void updateRates(Duration elapsed, const SchedulerDemand &demand);
     /// Share for which as much is accepted as is started, more or less when \a wait differs from
     /// \a target (seconds). \a starts is the number of tasks per second.
     static double nextShare(const Arrivals &arrivals, double starts, double wait, double target);
     /// Adapts the share of the queue; an unknown rate of starts leaves it as it is.
-    void limit(const SchedulerDemand &demand, const std::string &name, const QueueBacklog &queue);
+    void limit(Duration elapsed, const SchedulerDemand &demand, const std::string &name,
+               const QueueBacklog &queue);
+    /// Divides the share of the queue among the organisations.
+    QueueShares divide(const SchedulerDemand &demand, const Arrivals &arrivals, double share) const;
 
     /// Samples of each pool since tasks began to wait there without a break.
     std::map<std::string, std::deque<Sample>> m_samples;
     std::map<std::string, Arrivals> m_arrivals; ///< by queue
+    OrganisationRates m_rates;
     std::optional<TimePoint> m_updatedAt;
     AdmissionLimits m_limits;
 };
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -379,6 +379,10 @@
                          const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
 
+    // JobSchedulerDemand.cpp
+    /// Adds the accepted jobs by organisation, where organisations have rates.
+    void addAcceptedJobs(SchedulerDemand &demand) const;
+
     // JobSchedulerQuota.cpp
     /// Adds up what the organisations use.
     void updateUsage(TimePoint now);
@@ -460,6 +464,8 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, std::uint64_t> m_startedTasks; ///< by pool, since the scheduler began
     std::map<std::string, std::uint64_t> m_acceptedTasks; ///< by queue, since the scheduler began
+    /// By queue and organisation (empty: none), since the scheduler began.
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_acceptedJobs;
     OrganisationProfiles m_profiles;
     std::vector<std::string> m_unprofiledJobs; ///< of organisations, added since the last pass
     TaskSize m_capacity; ///< of all listed workers
--- a/Services/Jobs/AdmissionGate.cpp
+++ b/Services/Jobs/AdmissionGate.cpp
@@ -31,16 +31,20 @@
     return now < m_receivedAt + limitsValidity ? m_limits : AdmissionLimits{};
 }
 
-std::optional<std::chrono::seconds> AdmissionGate::refuse(TimePoint now, const std::string &queue)
+std::optional<std::chrono::seconds> AdmissionGate::refuse(TimePoint now, const std::string &queue,
+                                                          const std::string &organisation)
 {
     const auto limit = m_limits.find(queue);
     if (limit == m_limits.end() || now >= m_receivedAt + limitsValidity)
         return std::nullopt;
     const auto initial = static_cast<unsigned>(m_random.below(wholePermille));
-    unsigned &credit = m_credits.try_emplace(queue, initial).first->second;
-    credit += limit->second.acceptedPermille;
+    const bool hasOwnLimit = limit->second.organisations.contains(organisation);
+    const auto key = std::pair(queue, hasOwnLimit ? organisation : std::string());
+    unsigned &credit = m_credits.try_emplace(key, initial).first->second;
+    const OrganisationLimit applied = limit->second.of(organisation);
+    credit += applied.acceptedPermille;
     if (credit < wholePermille)
-        return limit->second.retryAfter;
+        return applied.retryAfter;
     credit -= wholePermille;
     return std::nullopt;
 }
--- a/Services/Jobs/AdmissionGate.h
+++ b/Services/Jobs/AdmissionGate.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Peridot::Jobs {
 
@@ -20,9 +21,10 @@
 
     /// Takes the row of the limits. A malformed row removes all limits.
     void limitsChanged(TimePoint now, const Row &row);
-    /// Decides about a submission to \a queue: nothing when it is accepted, otherwise the time
-    /// after which it should be repeated.
-    std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue);
+    /// Decides about a submission of \a organisation (empty: none) to \a queue: nothing when it is
+    /// accepted, otherwise the time after which it should be repeated.
+    std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue,
+                                               const std::string &organisation);
     /// Limits in force at \a now.
     AdmissionLimits limits(TimePoint now) const;
 
@@ -30,9 +32,10 @@
     AdmissionLimits m_limits;
     TimePoint m_receivedAt;
     RandomSource m_random;
-    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue. It
-    /// begins at random, so that a small share holds for many processes with few submissions each.
-    std::map<std::string, unsigned> m_credits;
+    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue and by
+    /// organisation with a limit of its own (empty: the others). It begins at random, so that a
+    /// small share holds for many processes with few submissions each.
+    std::map<std::pair<std::string, std::string>, unsigned> m_credits;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -30,9 +30,12 @@
         std::function<std::shared_ptr<const JobConfiguration>()> configuration;
         /// Called for each answer with the time since the call arrived, for metrics. May be empty.
         std::function<void(const JobCall &, CallOutcome, Duration)> onAnswered = {};
-        /// Decides about a submission to the queue: nothing when it is accepted, otherwise the time
-        /// after which the caller should repeat it. May be empty: all are accepted.
-        std::function<std::optional<std::chrono::seconds>(const std::string &queue)> refuse = {};
+        /// Decides about a submission of an organisation (empty: none) to the queue: nothing when
+        /// it is accepted, otherwise the time after which the caller should repeat it. May be
+        /// empty: all are accepted.
+        std::function<std::optional<std::chrono::seconds>(const std::string &queue,
+                                                          const std::string &organisation)>
+            refuse = {};
     };
 
     JobFrontend(asio::io_context &context, Store &store, Hooks hooks);
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -165,8 +165,8 @@
     hooks.configuration = [this] {
         return configuration();
     };
-    hooks.refuse = [this](const std::string &queue) {
-        return m_admissionGate.refuse(m_clock(), queue);
+    hooks.refuse = [this](const std::string &queue, const std::string &organisation) {
+        return m_admissionGate.refuse(m_clock(), queue, organisation);
     };
     hooks.onAnswered = [this](const JobCall &call, CallOutcome outcome, Duration duration) {
         m_metrics.recordAnswer(call, outcome, duration);
--- a/Tests/Kernel/Jobs/TestAdmissionControl.cpp
+++ b/Tests/Kernel/Jobs/TestAdmissionControl.cpp
@@ -154,4 +154,37 @@
     CHECK(parse(R"({"checks": {"accepted_permille": 1001, "retry_after_s": 1}})")
               .contains("unreadable"));
     CHECK(parse("[]").contains("unreadable"));
+
+    SECTION("also the limits of organisations")
+    {
+        AdmissionLimit limit{500, 1s};
+        limit.othersPermille = 1000;
+        limit.organisations["large"] = {140, 6s};
+        const AdmissionLimits divided{{"checks", limit}};
+        CHECK(parse(encodeAdmissionLimits(divided)) == divided);
+        CHECK(limit.of("large") == OrganisationLimit{140, 6s});
+        CHECK(limit.of("another") == OrganisationLimit{1000, 1s});
+    }
+    SECTION("while processes of an earlier version run beside this one")
+    {
+        // Guards against rows that an earlier version takes for malformed, or cannot have written.
+        CHECK(encodeAdmissionLimits({{"checks", {20, 7s}}})
+              == R"({"checks":{"accepted_permille":20,"retry_after_s":7}})");
+        const AdmissionLimits earlier
+            = parse(R"({"checks": {"accepted_permille": 250, "retry_after_s": 3}})");
+        CHECK(earlier.at("checks").of("large") == OrganisationLimit{250, 3s});
+        CHECK(parse(R"({"checks": {"accepted_permille": 20, "retry_after_s": 7, "new": 1}})")
+                  .contains("checks"));
+    }
+    SECTION("but not malformed ones")
+    {
+        const auto withMember = [&](const std::string &member) {
+            return parse(R"({"checks": {"accepted_permille": 1, "retry_after_s": 1, )" + member
+                         + "}}")
+                .contains("unreadable");
+        };
+        CHECK(withMember(R"("others_permille": 1001)"));
+        CHECK(withMember(R"("organisations": [])"));
+        CHECK(withMember(R"("organisations": {"a": {"accepted_permille": 1}})"));
+    }
 }
--- a/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
+++ b/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
@@ -41,7 +41,7 @@
     const auto accepted = [&](const std::string &queue, TimePoint at) {
         unsigned count = 0;
         for (unsigned number = 0; number < 100; ++number)
-            count += gate.refuse(at, queue) ? 0 : 1;
+            count += gate.refuse(at, queue, {}) ? 0 : 1;
         return count;
     };
 
@@ -50,6 +50,22 @@
         CHECK(accepted("checks", now) == 25);
         CHECK(accepted("reports", now) == 100);
     }
+    SECTION("an organisation beyond its rate gets a share of its own")
+    {
+        AdmissionLimit limit{500, 1s};
+        limit.othersPermille = 1000;
+        limit.organisations["large"] = {100, 6s};
+        gate.limitsChanged(
+            now, {std::string(admissionKey), 2, encodeAdmissionLimits({{"checks", limit}})});
+        unsigned refused = 0;
+        for (unsigned number = 0; number < 100; ++number) {
+            const auto retryAfter = gate.refuse(now, "checks", "large");
+            refused += retryAfter ? 1 : 0;
+            CHECK(retryAfter.value_or(6s) == 6s);
+        }
+        CHECK(refused == 90);
+        CHECK(accepted("checks", now) == 100);
+    }
     SECTION("a small share holds over many processes with few submissions each")
     {
         // Guards against queues that accept nothing at all while a small share is allowed
