Kernel/Jobs, Services/Jobs: Join what the processes are offered

What an organisation submits could only be estimated from the accepted jobs and the share in force. While limits are in force and organisations have rates, each process that accepts jobs now writes cumulative counts of offered and refused submissions by queue and organisation (row offered/HOST, at most once a second, in a partition of its own). The scheduling process follows the rows four times a second at most and takes differences between two reports of one life of a process; parts older than 3 s count nothing. Accepted jobs that the reports don't contain are divided by the share in force, as before, so that missing reports don't count as missing submissions. Malformed rows are counted, logged once for each host and ignored.

Retry-After of an organisation beyond its rate is what was refused since then, divided by the rate at which its submissions are accepted.

RowFollower can pause after an answer with changes. A test fixture took the counts of a queue without their organisations; the successor in it now counts the jobs that wait, as the real one does.

Test loads of TestOrganisationAdmission pass with the reports of all 44 processes, of half of them and of none.

--- a/Kernel/Jobs/AdmissionControl.cpp
+++ b/Kernel/Jobs/AdmissionControl.cpp
@@ -73,7 +73,7 @@
     // A submission beyond the rate of its organisation comes after those that were refused before.
     for (const auto &[name, share] : shares.organisations)
         limit.organisations[name]
-            = {permilleOf(share), retryAfterOf(std::max(wait, arrivals.retryAfter(name, share)))};
+            = {permilleOf(share), retryAfterOf(std::max(wait, arrivals.retryAfter(name)))};
     return limit;
 }
 
--- a/Kernel/Jobs/JobTypes.cpp
+++ b/Kernel/Jobs/JobTypes.cpp
@@ -86,6 +86,12 @@
     return found == organisations.end() ? nullptr : &*found;
 }
 
+bool JobConfiguration::hasWeights() const
+{
+    return std::any_of(organisations.begin(), organisations.end(),
+                       [](const auto &organisation) { return organisation.weight > 0; });
+}
+
 const OrganisationSettings *JobConfiguration::organisationOfKey(std::string_view key) const
 {
     const auto found
--- a/Kernel/Jobs/OrganisationArrivals.cpp
+++ b/Kernel/Jobs/OrganisationArrivals.cpp
@@ -1,13 +1,16 @@
 #include <Kernel/Jobs/OrganisationArrivals.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Peridot::Jobs {
 
 namespace {
 
-// Weight of the latest update in the estimates.
+// Weight of the latest update in the estimates. The first ones count alike, so that the estimates
+// of a successor don't begin too low.
 constexpr double arrivalWeight = 0.3;
+constexpr unsigned equalSamples = 3;
 // Reports are up to some seconds older than the accepted jobs. They count as complete unless more
 // than this part of the accepted jobs is missing in them.
 constexpr double missingPart = 0.2;
@@ -24,14 +27,15 @@
 void OrganisationArrivals::update(Rates &rates, double seconds, std::uint64_t acceptedJobs,
                                   double share)
 {
-    const std::uint64_t before = rates.acceptedJobs.value_or(acceptedJobs);
-    rates.acceptedJobs = acceptedJobs;
-    if (seconds <= 0)
+    const auto before = std::exchange(rates.acceptedJobs, acceptedJobs);
+    if (seconds <= 0 || !before)
         return;
-    const double accepted = static_cast<double>(acceptedJobs - before) / seconds;
-    rates.accepted += arrivalWeight * (accepted - rates.accepted);
-    rates.estimated
-        += arrivalWeight * (accepted / std::max(share, smallestShare) - rates.estimated);
+    rates.samples = std::min(rates.samples + 1, equalSamples + 1);
+    const double weight = rates.samples > equalSamples ? arrivalWeight : 1.0 / rates.samples;
+    const double accepted = static_cast<double>(acceptedJobs - *before) / seconds;
+    const double estimated = accepted / std::max(share, smallestShare);
+    rates.accepted += weight * (accepted - rates.accepted);
+    rates.estimated += weight * (estimated - rates.estimated);
 }
 
 void OrganisationArrivals::add(Duration elapsed,
@@ -87,13 +91,13 @@
     }
 }
 
-double OrganisationArrivals::retryAfter(const std::string &organisation, double share) const
+double OrganisationArrivals::retryAfter(const std::string &organisation) const
 {
     const auto found = m_rates.find(organisation);
     if (found == m_rates.end())
         return 0;
     const Rates &rates = found->second;
-    return rates.refusedJobs / std::max(rates.offered * share, smallestAcceptedRate);
+    return rates.refusedJobs / std::max(rates.accepted, smallestAcceptedRate);
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -194,6 +194,8 @@
     const QueueSettings *queue(std::string_view name) const;
     const PoolSettings *pool(std::string_view name) const;
     const OrganisationSettings *organisation(std::string_view name) const;
+    /// Whether an organisation has a rate.
+    bool hasWeights() const;
     /// Organisation that holds \a key, or a null pointer.
     const OrganisationSettings *organisationOfKey(std::string_view key) const;
 };
--- a/Kernel/include/Kernel/Jobs/OrganisationArrivals.h
+++ b/Kernel/include/Kernel/Jobs/OrganisationArrivals.h
@@ -32,8 +32,8 @@
     double totalOffered() const;
 
     /// Time in seconds in which the submissions that were refused since the organisation is beyond
-    /// its rate could be served, at the rate at which they are accepted.
-    double retryAfter(const std::string &organisation, double share) const;
+    /// its rate could be served, at the rate at which its submissions are accepted.
+    double retryAfter(const std::string &organisation) const;
     /// Counts the refusals of the organisations with a share of their own, and forgets those of
     /// the others.
     void countRefusals(Duration elapsed, const QueueShares &inForce);
@@ -42,6 +42,7 @@
     struct Rates
     {
         std::optional<std::uint64_t> acceptedJobs; ///< at the latest update
+        unsigned samples = 0; ///< up to the number after which the weights are constant
         double accepted = 0; ///< jobs per second
         double estimated = 0; ///< submissions per second, from the accepted jobs
         double offered = 0; ///< submissions per second, with the reports
--- a/Libraries/LibStore/RowFollower.cpp
+++ b/Libraries/LibStore/RowFollower.cpp
@@ -88,8 +88,11 @@
     }
     if (m_hooks.onCurrent)
         m_hooks.onCurrent(requestedAt);
-    if (!alive.expired())
-        followChanges();
+    if (alive.expired())
+        return;
+    if (result.changes.empty() || m_settings.pauseAfterChanges.count() == 0)
+        return followChanges();
+    m_timer.runAfter(m_settings.pauseAfterChanges, [this] { followChanges(); });
 }
 
 void RowFollower::retry(std::function<void()> step)
--- a/Libraries/LibStore/include/LibStore/RowFollower.h
+++ b/Libraries/LibStore/include/LibStore/RowFollower.h
@@ -16,6 +16,8 @@
     std::string prefix;
     std::chrono::milliseconds wait{1000}; ///< maximum wait of one call of the feed
     std::chrono::milliseconds retryPause{100}; ///< after a failed call
+    /// Between an answer with changes and the next call, so that one call reports many changes.
+    std::chrono::milliseconds pauseAfterChanges{0};
     std::size_t scanPage = 500; ///< rows of one call of a scan
 };
 
--- a/Services/Jobs/AdmissionGate.cpp
+++ b/Services/Jobs/AdmissionGate.cpp
@@ -31,8 +31,23 @@
     return now < m_receivedAt + limitsValidity ? m_limits : AdmissionLimits{};
 }
 
+bool AdmissionGate::isLimiting(TimePoint now) const
+{
+    return now < m_receivedAt + limitsValidity && !m_limits.empty();
+}
+
 std::optional<std::chrono::seconds> AdmissionGate::refuse(TimePoint now, const std::string &queue,
                                                           const std::string &organisation)
+{
+    const auto retryAfter = applyLimit(now, queue, organisation);
+    OfferedCount &count = m_counts[queue][organisation];
+    ++count.offered;
+    count.refused += retryAfter ? 1 : 0;
+    return retryAfter;
+}
+
+std::optional<std::chrono::seconds>
+AdmissionGate::applyLimit(TimePoint now, const std::string &queue, const std::string &organisation)
 {
     const auto limit = m_limits.find(queue);
     if (limit == m_limits.end() || now >= m_receivedAt + limitsValidity)
--- a/Services/Jobs/AdmissionGate.h
+++ b/Services/Jobs/AdmissionGate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Kernel/Jobs/AdmissionLimits.h>
+#include <Kernel/Jobs/OfferedReport.h>
 #include <LibBase/Random.h>
 #include <LibBase/Time.h>
 #include <LibStore/Transaction.h>
@@ -25,11 +26,19 @@
     /// accepted, otherwise the time after which it should be repeated.
     std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue,
                                                const std::string &organisation);
+    /// What was submitted since the process started.
+    const OfferedCounts &counts() const { return m_counts; }
+    /// Whether limits are in force at \a now.
+    bool isLimiting(TimePoint now) const;
     /// Limits in force at \a now.
     AdmissionLimits limits(TimePoint now) const;
 
 private:
+    std::optional<std::chrono::seconds> applyLimit(TimePoint now, const std::string &queue,
+                                                   const std::string &organisation);
+
     AdmissionLimits m_limits;
+    OfferedCounts m_counts;
     TimePoint m_receivedAt;
     RandomSource m_random;
     /// Sum of the accepted shares of the submissions since the latest accepted one, by queue and by
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -28,6 +28,8 @@
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
       m_clock(processNow), m_admissionGate(std::hash<std::string>()(m_settings.instance)),
+      m_offeredReporter(context, *m_ports.callerStore, m_settings.host, m_settings.instance,
+                        reporterHooks()),
       m_frontend(context, *m_ports.callerStore, frontendHooks()),
       m_election({m_settings.host, m_settings.instance, m_settings.processors, {}},
                  *m_ports.urgentStore, electionHooks()),
@@ -40,6 +42,7 @@
     followConfiguration();
     followTransfers();
     followAdmissionLimits();
+    m_offeredReporter.start();
     runElection();
     observeLease();
 }
@@ -174,6 +177,20 @@
     return hooks;
 }
 
+OfferedReporter::Hooks JobService::reporterHooks()
+{
+    OfferedReporter::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.isNeeded = [this] {
+        const auto known = m_configuration.load();
+        return known && known->hasWeights() && m_admissionGate.isLimiting(m_clock());
+    };
+    hooks.counts = [this]() -> const OfferedCounts & {
+        return m_admissionGate.counts();
+    };
+    return hooks;
+}
+
 SchedulerElection::Hooks JobService::electionHooks()
 {
     SchedulerElection::Hooks hooks;
--- a/Services/Jobs/JobService.h
+++ b/Services/Jobs/JobService.h
@@ -3,6 +3,7 @@
 #include "AdmissionGate.h"
 #include "JobFrontend.h"
 #include "JobMetrics.h"
+#include "OfferedReporter.h"
 #include "PlatformPorts.h"
 #include "SchedulerSession.h"
 #include <Kernel/Jobs/SchedulerElection.h>
@@ -72,6 +73,7 @@
     void followTransfers();
     void followAdmissionLimits();
     JobFrontend::Hooks frontendHooks();
+    OfferedReporter::Hooks reporterHooks();
     /// Advances the election, periodically.
     void runElection();
     void observeLease();
@@ -92,6 +94,7 @@
     std::function<TimePoint()> m_clock;
     JobMetrics m_metrics;
     AdmissionGate m_admissionGate;
+    OfferedReporter m_offeredReporter;
     JobFrontend m_frontend;
     std::atomic<std::shared_ptr<const JobConfiguration>> m_configuration;
     Version m_configurationVersion = absentVersion; ///< of the row of m_configuration
--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -356,6 +356,12 @@
         return;
     SchedulerDemand demand = m_scheduler->demand(now);
     demand.schedulerIsBehind = now < m_behindUntil;
+    if (demand.weights.empty())
+        m_offered.reset();
+    else if (!m_offered)
+        m_offered = std::make_unique<OfferedFollower>(m_context, m_ports, m_metrics, m_hooks.clock);
+    if (m_offered)
+        m_offered->load().addTo(demand, now);
     m_admission->update(now, demand);
 }
 
--- a/Services/Jobs/SchedulerSession.h
+++ b/Services/Jobs/SchedulerSession.h
@@ -4,6 +4,7 @@
 #include "HostSession.h"
 #include "JobMetrics.h"
 #include "JobRowReplica.h"
+#include "OfferedFollower.h"
 #include "PlatformPorts.h"
 #include "SchedulerLoadReport.h"
 #include "StoreClock.h"
@@ -134,6 +135,7 @@
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<HostSession> m_hostSession;
     std::unique_ptr<AdmissionPublisher> m_admission;
+    std::unique_ptr<OfferedFollower> m_offered; ///< null: no organisation has a rate
     std::vector<WorkerDescription> m_scannedWorkers; ///< of the current scan of registrations
     std::vector<WorkerDescription> m_listedWorkers; ///< of the last complete scan
     TimePoint m_workersListedAt;
--- a/Tests/Kernel/Jobs/TestOrganisationAdmission.cpp
+++ b/Tests/Kernel/Jobs/TestOrganisationAdmission.cpp
@@ -1,8 +1,10 @@
 // One organisation that submits far more than its rate, beside ordinary ones, on a full pool.
 
 #include <Kernel/Jobs/AdmissionControl.h>
+#include <Kernel/Jobs/OfferedLoad.h>
 #include <LibBase/Random.h>
 #include <catch2/catch.hpp>
+#include <vector>
 
 using namespace Peridot;
 using namespace Peridot::Jobs;
@@ -16,6 +18,7 @@
 constexpr double ordinaryRate = 4;
 constexpr double largeRate = 35;
 constexpr std::uint64_t tasksPerJob = 8;
+constexpr unsigned processes = 44;
 
 /// Jobs that an organisation submitted, and those that were accepted.
 struct Counts
@@ -60,7 +63,7 @@
             now += step;
             // Processes follow a limit a while after it was set.
             inForce = limits;
-            limits = control.update(now, demand);
+            limits = control.update(now, withReports());
         }
         return counts;
     }
@@ -82,10 +85,25 @@
     AdmissionLimits inForce;
     AdmissionLimits limits;
     AdmissionControl control;
+    OfferedLoad load;
+    unsigned reportingProcesses = processes;
 
 private:
     static constexpr std::chrono::milliseconds step{250};
 
+    /// A quarter of the processes reports at each step, while limits are in force.
+    SchedulerDemand withReports()
+    {
+        ++m_steps;
+        for (unsigned number = m_steps % 4; !inForce.empty() && number < reportingProcesses;
+             number += 4)
+            load.report(now, std::to_string(number),
+                        {"life", std::int64_t{m_steps} * step.count(), m_counts[number]});
+        SchedulerDemand joined = demand;
+        if (!joined.weights.empty())
+            load.addTo(joined, now);
+        return joined;
+    }
     bool accepts(const std::string &organisation)
     {
         const auto limit = inForce.find("steady");
@@ -97,7 +115,11 @@
         double time = m_random.exponential(1 / rate);
         for (; time < toSeconds(step); time += m_random.exponential(1 / rate)) {
             counts[organisation].offered += 1;
-            if (!accepts(organisation))
+            const bool accepted = accepts(organisation);
+            OfferedCount &count = m_counts[m_random.below(processes)]["steady"][organisation];
+            ++count.offered;
+            count.refused += accepted ? 0 : 1;
+            if (!accepted)
                 continue;
             counts[organisation].accepted += 1;
             queue().waitingTasks += tasksPerJob;
@@ -107,14 +129,33 @@
     }
 
     RandomSource m_random{20261204};
+    std::vector<OfferedCounts> m_counts{processes};
+    unsigned m_steps = 0;
 };
 
+/// Demand of the queue with the rates that \a load knows.
+QueueBacklog joined(const OfferedLoad &load, TimePoint now)
+{
+    SchedulerDemand demand;
+    demand.queues["steady"];
+    load.addTo(demand, now);
+    return demand.queues["steady"];
+}
+
+OfferedReport reportOf(const std::string &instance, std::int64_t milliseconds,
+                       std::uint64_t offered, std::uint64_t refused)
+{
+    return {instance, milliseconds, {{"steady", {{large, {offered, refused}}}}}};
+}
+
 } // namespace
 
 TEST_CASE("Submissions beyond the rate of their organisation are refused first")
 {
     // Guards against one organisation at 7 times its rate that takes the service from the others.
     SharedPool pool;
+    pool.reportingProcesses = GENERATE(44U, 22U, 0U);
+    CAPTURE(pool.reportingProcesses);
     pool.run(10s, ordinaryRate, 90);
     CHECK(pool.limits.empty());
 
@@ -137,6 +178,10 @@
     {
         pool.run(6s, largeRate, 60);
         const auto counts = pool.run(20s, largeRate, 60);
+        const AdmissionLimit &limit = pool.limits.at("steady");
+        CHECK(limit.of("ordinary-1").retryAfter == limit.retryAfter);
+        // 30 submissions a second have been refused for some seconds, at 5 jobs a second.
+        CHECK(limit.of(large).retryAfter == 30s);
         const double others = SharedPool::ordinary(counts).acceptedPart();
         CHECK(others >= 0.6);
         CHECK(others <= 0.85);
@@ -153,10 +198,13 @@
     SECTION("a successor continues with the limits in force")
     {
         // Guards against seconds in which all are refused alike, or nobody, after each takeover.
-        pool.run(10s, largeRate, 90);
+        pool.run(15s, largeRate, 90);
+        REQUIRE(pool.limits.at("steady").organisations.contains(large));
         pool.control = AdmissionControl(pool.limits);
+        pool.load = {};
+        // It counts the jobs that wait.
         pool.queue().acceptedTasks = pool.queue().waitingTasks;
-        pool.queue().organisations.clear();
+        pool.queue().organisations = {{large, {pool.queue().waitingTasks / tasksPerJob}}};
         pool.demand.startedTasks["pool"] = 0;
         const auto counts = pool.run(10s, largeRate, 90);
         CHECK(SharedPool::ordinary(counts).acceptedPart() >= 0.98);
@@ -174,6 +222,114 @@
     CHECK(pool.limits.at("steady").organisations.empty());
 }
 
+TEST_CASE("The reports of the processes show what is submitted to all of them")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    OfferedLoad load;
+    load.report(now, "a", reportOf("a-1", 5000, 100, 10));
+    load.report(now, "b", reportOf("b-1", 90000, 40, 0));
+    CHECK(joined(load, now).organisations.empty());
+    load.report(now + 1s, "a", reportOf("a-1", 6000, 120, 25));
+    load.report(now + 1s, "b", reportOf("b-1", 92000, 60, 0));
+    const OrganisationBacklog both = joined(load, now + 1s).organisations[large];
+    CHECK(both.reportedOffered == Approx(30));
+    CHECK(both.reportedAccepted == Approx(15));
+
+    SECTION("old reports count nothing")
+    {
+        // Guards against a host that is lost or frozen and counts for ever.
+        load.report(now + 3s, "b", reportOf("b-1", 94000, 80, 0));
+        CHECK(joined(load, now + 5s).organisations[large].reportedOffered == Approx(10));
+        CHECK(joined(load, now + 10s).organisations.empty());
+    }
+    SECTION("a process that restarts begins anew")
+    {
+        load.report(now + 2s, "a", reportOf("a-2", 100, 1000, 0));
+        CHECK(joined(load, now + 2s).organisations[large].reportedOffered == Approx(10));
+        load.report(now + 3s, "a", reportOf("a-2", 1100, 1007, 0));
+        CHECK(joined(load, now + 3s).organisations[large].reportedOffered == Approx(17));
+    }
+    SECTION("so does one that has not reported for long")
+    {
+        load.report(now + 60s, "a", reportOf("a-1", 66000, 5000, 25));
+        CHECK(joined(load, now + 60s).organisations.empty());
+    }
+    SECTION("a report that comes twice, or late, changes nothing")
+    {
+        load.report(now + 2s, "a", reportOf("a-1", 6000, 120, 25));
+        load.report(now + 2s, "a", reportOf("a-1", 5500, 110, 20));
+        CHECK(joined(load, now + 2s).organisations[large].reportedOffered == Approx(30));
+    }
+    SECTION("a host that was removed counts nothing")
+    {
+        load.remove("a");
+        CHECK(joined(load, now + 1s).organisations[large].reportedOffered == Approx(10));
+    }
+}
+
+TEST_CASE("Reports count before the estimate from the accepted jobs")
+{
+    const QueueShares inForce{0.5, 0.5};
+    OrganisationArrivals arrivals;
+    const auto add = [&](double reportedOffered, double reportedAccepted) {
+        for (std::uint64_t second = 0; second < 40; ++second)
+            arrivals.add(1s, {{large, {20 * second, reportedOffered, reportedAccepted}}}, inForce);
+        return arrivals.totalOffered();
+    };
+
+    SECTION("all processes report")
+    {
+        // Guards against limits that follow a wrong share, as processes that heard nothing apply
+        // none.
+        CHECK(add(25, 20) == Approx(25));
+    }
+    SECTION("what processes without a report accept is estimated")
+    {
+        CHECK(add(20, 10) == Approx(40).epsilon(0.01));
+    }
+    SECTION("refused submissions are told when they could be served")
+    {
+        // Guards against a Retry-After that is the wait of the queue only: all submissions beyond
+        // the rate of an organisation come back at once, and are refused again.
+        const QueueShares limited{0.6, 1, {{large, 1.0 / 7}}};
+        for (std::uint64_t second = 0; second < 40; ++second)
+            arrivals.add(1s, {{large, {5 * second}}}, limited);
+        CHECK(arrivals.retryAfter(large) == 0);
+        for (int update = 0; update < 8; ++update)
+            arrivals.countRefusals(250ms, limited);
+        // 60 refused submissions at 5 jobs a second.
+        CHECK(arrivals.retryAfter(large) == Approx(12).epsilon(0.01));
+        arrivals.countRefusals(250ms, inForce);
+        CHECK(arrivals.retryAfter(large) == 0);
+    }
+    SECTION("nobody reports")
+    {
+        CHECK(add(0, 0) == Approx(40).epsilon(0.01));
+    }
+}
+
+TEST_CASE("The row of a report is read as it was written")
+{
+    const auto parse = [](const std::string &text) {
+        return valueOrElse([&] { return parseOfferedReport(text); },
+                           [](const Error &) {
+                               return OfferedReport{"unreadable", 0, {}};
+                           });
+    };
+    OfferedReport report = reportOf("a-1", 5000, 100, 10);
+    report.counts["steady"][""] = {7, 0};
+    CHECK(parse(encodeOfferedReport(report)) == report);
+    for (
+        const char *text :
+        {"[]", "{}", R"({"instance": "a", "at_ms": 1, "queues": []})",
+         R"({"instance": "a", "at_ms": 1, "queues": {"q": 1}})",
+         R"({"instance": "a", "at_ms": 1, "queues": {"q": {"o": {"offered": -1, "refused": 0}}}})",
+         R"({"instance": "a", "at_ms": 1, "queues": {"q": {"o": {"offered": 1, "refused": 2}}}})"}) {
+        CAPTURE(text);
+        CHECK(parse(text).instance == "unreadable");
+    }
+}
+
 TEST_CASE("What is accepted is divided by the rates")
 {
     const std::map<std::string, OrganisationOffer> offers{
--- a/Tests/platform/TestStorePartitions.cpp
+++ b/Tests/platform/TestStorePartitions.cpp
@@ -1,4 +1,5 @@
 #include <Kernel/Jobs/JobRows.h>
+#include <Kernel/Jobs/OfferedReport.h>
 #include <Kernel/Jobs/SchedulerElection.h>
 #include <MergedRead.h>
 #include <StorePartitions.h>
@@ -33,10 +34,13 @@
     // Guards against one queue of transactions for everything: while the store was slow, the
     // renewals of the scheduler lease waited behind submissions, and the lease was lost.
     const std::string id = "a123456789abcdef";
-    const std::set<std::string> partitions{
-        partition(Jobs::schedulerLeaseKey), partition(Jobs::progressKey(id)),
-        partition(Jobs::jobKey(id)), partition("host-order/m-1"), partition("op/config")};
-    CHECK(partitions.size() == 5);
+    const std::set<std::string> partitions{partition(Jobs::schedulerLeaseKey),
+                                           partition(Jobs::progressKey(id)),
+                                           partition(Jobs::jobKey(id)),
+                                           partition("host-order/m-1"),
+                                           partition("op/config"),
+                                           partition(Jobs::offeredKey("host"))};
+    CHECK(partitions.size() == 6);
 
     SECTION("the rows of one transaction are in one partition")
     {
