--- a/Services/Jobs/AdmissionGate.h
+++ b/Services/Jobs/AdmissionGate.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <Kernel/Jobs/AdmissionLimits.h>
+#include <Kernel/Jobs/OfferedReport.h>
 #include <LibBase/Random.h>
 #include <LibBase/Time.h>
 #include <LibStore/Transaction.h>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Peridot::Jobs {
 
@@ -20,19 +22,29 @@
 
     /// Takes the row of the limits. A malformed row removes all limits.
     void limitsChanged(TimePoint now, const Row &row);
-    /// Decides about a submission to \a queue: nothing when it is accepted, otherwise the time
-    /// after which it should be repeated.
-    std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue);
+    /// Decides about a submission of \a organisation (empty: none) to \a queue: nothing when it is
+    /// accepted, otherwise the time after which it should be repeated.
+    std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue,
+                                               const std::string &organisation);
+    /// What was submitted since the process started.
+    const OfferedCounts &counts() const { return m_counts; }
+    /// Whether limits are in force at \a now.
+    bool isLimiting(TimePoint now) const;
     /// Limits in force at \a now.
     AdmissionLimits limits(TimePoint now) const;
 
 private:
+    std::optional<std::chrono::seconds> applyLimit(TimePoint now, const std::string &queue,
+                                                   const std::string &organisation);
+
     AdmissionLimits m_limits;
+    OfferedCounts m_counts;
     TimePoint m_receivedAt;
     RandomSource m_random;
-    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue. It
-    /// begins at random, so that a small share holds for many processes with few submissions each.
-    std::map<std::string, unsigned> m_credits;
+    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue and by
+    /// organisation with a limit of its own (empty: the others). It begins at random, so that a
+    /// small share holds for many processes with few submissions each.
+    std::map<std::pair<std::string, std::string>, unsigned> m_credits;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -28,6 +28,8 @@
 JobService::JobService(asio::io_context &context, JobServiceSettings settings, PlatformPorts ports)
     : m_context(context), m_settings(std::move(settings)), m_ports(std::move(ports)),
       m_clock(processNow), m_admissionGate(std::hash<std::string>()(m_settings.instance)),
+      m_offeredReporter(context, *m_ports.callerStore, m_settings.host, m_settings.instance,
+                        reporterHooks()),
       m_frontend(context, *m_ports.callerStore, frontendHooks()),
       m_election({m_settings.host,
                   m_settings.instance,
@@ -44,6 +46,7 @@
     followConfiguration();
     followTransfers();
     followAdmissionLimits();
+    m_offeredReporter.start();
     runElection();
     observeLease();
 }
@@ -169,8 +172,8 @@
     hooks.configuration = [this] {
         return configuration();
     };
-    hooks.refuse = [this](const std::string &queue) {
-        return m_admissionGate.refuse(m_clock(), queue);
+    hooks.refuse = [this](const std::string &queue, const std::string &organisation) {
+        return m_admissionGate.refuse(m_clock(), queue, organisation);
     };
     hooks.onAnswered = [this](const JobCall &call, CallOutcome outcome, Duration duration) {
         m_metrics.recordAnswer(call, outcome, duration);
@@ -178,6 +181,20 @@
     return hooks;
 }
 
+OfferedReporter::Hooks JobService::reporterHooks()
+{
+    OfferedReporter::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.isNeeded = [this] {
+        const auto known = m_configuration.load();
+        return known && known->hasWeights() && m_admissionGate.isLimiting(m_clock());
+    };
+    hooks.counts = [this]() -> const OfferedCounts & {
+        return m_admissionGate.counts();
+    };
+    return hooks;
+}
+
 SchedulerElection::Hooks JobService::electionHooks()
 {
     SchedulerElection::Hooks hooks;
