Services/Jobs: Pause at least 5 ms between planning passes

The pause was three times as long as the pass before it, with a maximum only. So planning took a quarter of the processor time of a host under every load, however short a pass was: a pass over 350 workers costs the same for one event as for all events of 5 ms. What a pass places waits for the store anyway.

--- a/Services/Jobs/SchedulerSession.cpp
+++ b/Services/Jobs/SchedulerSession.cpp
@@ -1,5 +1,6 @@
 #include "SchedulerSession.h"
 
+#include "PlanPause.h"
 #include <LibBase/Log.h>
 #include <asio/post.hpp>
 #include <utility>
@@ -15,11 +16,6 @@
 constexpr std::chrono::milliseconds workerReadInterval{500};
 // The counts that callers get may be up to two seconds old.
 constexpr std::chrono::milliseconds countWriteInterval{1000};
-// The pause after a planning pass is this multiple of the pass's duration, so that planning takes
-// at most a quarter of the processor time, as long as the pause does not reach the maximum. One
-// pass handles all events of a pause.
-constexpr int planPauseFactor = 3;
-constexpr std::chrono::milliseconds maximumPlanPause{20};
 // The pause between polls of a worker is this multiple of the delay of background work.
 constexpr int pollPauseFactor = 4;
 // A scheduler whose background work has been late by this much counts as behind for a while.
@@ -270,7 +266,7 @@
     m_loadReport.passFinished(end - begin);
     if (!complete)
         return schedulePlan();
-    m_nextPlanAt = end + std::min<Duration>((end - begin) * planPauseFactor, maximumPlanPause);
+    m_nextPlanAt = end + planPauseAfter(end - begin);
 }
 
 void SchedulerSession::commitTransaction()
--- a/Utilities/Measure/SchedulingMeasurement.cpp
+++ b/Utilities/Measure/SchedulingMeasurement.cpp
@@ -3,6 +3,7 @@
 
 #include <Kernel/Jobs/JobScheduler.h>
 #include <LibBase/Random.h>
+#include <Services/Jobs/PlanPause.h>
 #include <fmt/core.h>
 #include <unistd.h>
 #include <utility>
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds commitDelay{12};
 constexpr std::chrono::milliseconds tickPeriod{50};
 constexpr std::chrono::milliseconds planPause{2}; ///< events within it share one planning pass
+constexpr double coreShare = 0.25; ///< of a small host
 constexpr std::chrono::seconds simulated{20};
 constexpr std::int64_t hostProcessors = 32;
 constexpr unsigned tasksPerStep = 8;
@@ -32,6 +34,8 @@
     double jobsPerSecond = 0;
     unsigned loadedPools = pools; ///< number of pools that get jobs
     double sizeSpread = 0; ///< of the sizes of tasks, as a part of their mean
+    bool smallHost
+        = false; ///< the pause after a planning pass is that of the job service with coreShare
 };
 
 /// A scheduler with workers that carry out every order, on a fake clock.
@@ -76,6 +80,7 @@
     std::unique_ptr<JobScheduler> m_scheduler;
     JobConfiguration m_configuration;
     bool m_drivePlanned = false;
+    TimePoint m_nextDriveAt;
     std::uint64_t m_jobCount = 0;
     std::uint64_t m_started = 0;
     std::uint64_t m_handled = 0;
@@ -165,13 +170,18 @@
 {
     if (std::exchange(m_drivePlanned, true))
         return;
-    at(m_now + planPause, [this] { drive(); });
+    at(m_scenario.smallHost ? std::max(m_now, m_nextDriveAt) : m_now + planPause,
+       [this] { drive(); });
 }
 
 void SchedulingModel::drive()
 {
     m_drivePlanned = false;
+    const auto begin = std::chrono::steady_clock::now();
     m_scheduler->plan(m_now);
+    const auto used = std::chrono::steady_clock::now() - begin;
+    const auto pass = std::chrono::duration_cast<Duration>(used / coreShare);
+    m_nextDriveAt = m_now + pass + planPauseAfter(pass);
     if (!m_scheduler->takeTransaction(m_now))
         return;
     at(m_now + commitDelay, [this] {
@@ -254,11 +264,21 @@
     int run(const std::vector<std::string> &arguments) override;
 };
 
-int SchedulingMeasurement::run(const std::vector<std::string> &)
+int SchedulingMeasurement::run(const std::vector<std::string> &arguments)
 {
     const std::string self = std::to_string(getpid());
-    const std::vector<Scenario> scenarios{
-        {50, 20}, {350, 60}, {3000, 60}, {350, 60, pools, 0.6}, {350, 300, 1, 0.6}};
+    std::vector<Scenario> scenarios{
+        {50, 20},
+        {350, 60},
+        {3000, 60},
+        {350, 60, pools, 0.6},
+        {350, 300, 1, 0.6},
+        {350, 300, pools, 0.6},
+        {350, 300, pools, 0.6, true},
+        {350, 300, 1, 0.6, true},
+    };
+    if (!arguments.empty()) // one of them, for a profiler
+        scenarios = {scenarios.at(std::stoul(arguments.front()))};
     for (const Scenario &scenario : scenarios) {
         SchedulingModel model(scenario);
         const double before = processorSeconds(self);
@@ -266,10 +286,12 @@
         const double used = processorSeconds(self) - before;
         const auto started = static_cast<double>(std::max<std::uint64_t>(1, model.startedTasks()));
         fmt::print("measure=scheduling workers={} jobs_per_s={} loaded_pools={} size_spread={} "
-                   "started_tasks={} finished_jobs={} events={} cores={:.4f} us_per_task={:.1f}\n",
+                   "small_host={} started_tasks={} finished_jobs={} events={} cores={:.4f} "
+                   "us_per_task={:.1f}\n",
                    scenario.workers, scenario.jobsPerSecond, scenario.loadedPools,
-                   scenario.sizeSpread, model.startedTasks(), model.finishedJobs(), model.events(),
-                   used / toSeconds(simulated), 1e6 * used / started);
+                   scenario.sizeSpread, scenario.smallHost, model.startedTasks(),
+                   model.finishedJobs(), model.events(), used / toSeconds(simulated),
+                   1e6 * used / started);
     }
     return 0;
 }
