Kernel/Jobs: Sort and pass over waiting jobs at less cost

Cause: under overload, nearly all of a planning pass goes into the jobs that wait. Entries of 150 bytes were sorted twice by six members, the settings of the queue of a job were searched three times, and each job that does not fit was looked up with all its steps. Change: the sort moves ranks of 32 bytes and compares one number first. A job knows the smallest size of its tasks, so that one that is too large for what is left is passed over without a look at its steps. The comparisons are the same, so that the order and the digest of the recorded schedule do not change.

--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Jobs/Job.h>
 
+#include "SchedulerLimits.h"
 #include <algorithm>
 #include <utility>
 
@@ -48,10 +49,26 @@
 Job::Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now)
     : receivedAt(now), m_submitted(std::move(submitted)), m_criticalPathEstimate(criticalPath())
 {
+    summariseSteps();
     if (progress)
         restore(*progress);
 }
 
+void Job::summariseSteps()
+{
+    const auto &steps = m_submitted.specification.steps;
+    if (!steps.empty())
+        m_smallestTask = reservedSize(steps.front());
+    for (const StepSpecification &step : steps) {
+        m_longRunning |= step.longRunning;
+        m_requiresLabel |= !step.requiredLabel.empty();
+        const TaskSize size = reservedSize(step);
+        m_smallestTask = {std::min(m_smallestTask.milliProcessors, size.milliProcessors),
+                          std::min(m_smallestTask.megabytes, size.megabytes),
+                          std::min(m_smallestTask.accelerators, size.accelerators)};
+    }
+}
+
 void Job::restore(const JobProgress &progress)
 {
     m_phase = progress.phase;
@@ -87,13 +104,6 @@
         m_nextOccurrence = std::max(m_nextOccurrence, *m_lastFinished + 1);
 }
 
-bool Job::longRunning() const
-{
-    const auto &steps = m_submitted.specification.steps;
-    return std::any_of(steps.begin(), steps.end(),
-                       [](const auto &step) { return step.longRunning; });
-}
-
 unsigned Job::occurrenceCount() const
 {
     return std::max(1U, m_submitted.specification.occurrences);
--- a/Kernel/Jobs/JobSchedulerOrder.cpp
+++ b/Kernel/Jobs/JobSchedulerOrder.cpp
@@ -73,8 +73,9 @@
     for (auto &[id, job] : m_jobs) {
         if (!job.hasReadyTasks() || m_refusedJobs.contains(id))
             continue;
-        PoolQueue &queue = queues[poolOf(job)];
-        queue.jobs.push_back(waitingJob(now, job, queue.capacity));
+        const QueueSettings &settings = queueOf(job);
+        PoolQueue &queue = queues[settings.pool];
+        queue.jobs.push_back(waitingJob(now, job, settings, queue.capacity));
     }
     std::erase_if(queues, [](const auto &entry) { return entry.second.jobs.empty(); });
     for (auto &[pool, queue] : queues) {
@@ -90,13 +91,16 @@
     return queues;
 }
 
-WaitingJob JobScheduler::waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const
+WaitingJob JobScheduler::waitingJob(TimePoint now, Job &job, const QueueSettings &settings,
+                                    const TaskSize &poolCapacity) const
 {
     const Job::ExpectedPath &path = estimate(now, job);
-    const Duration objective = objectiveOf(path, queueOf(job));
+    const Duration objective = objectiveOf(path, settings);
     WaitingJob waiting;
     waiting.job = &job;
-    waiting.priority = queueOf(job).priority;
+    if (!job.requiresLabel())
+        waiting.smallestTask = job.smallestTask();
+    waiting.priority = settings.priority;
     waiting.isInProfile = job.isInProfile.value_or(true);
     if (!waiting.isInProfile)
         waiting.weightedShare = weightedShareOf(job.submitted().organisation);
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -47,8 +47,14 @@
 bool JobScheduler::placePool(TimePoint now, PoolQueue &queue, const std::vector<Worker *> &workers)
 {
     std::map<std::string, UnplaceableSizes> unplaceable;
+    const UnplaceableSizes &ofAnyWorker = unplaceable[{}];
     sortForStart(now, queue.busyTime, queue.jobs);
     for (const WaitingJob &entry : queue.jobs) {
+        // With thousands of waiting jobs, most of them are too large for what is left. They are
+        // passed over without a look at their steps.
+        if (entry.smallestTask && ofAnyWorker.contain(*entry.smallestTask)
+            && !m_hooks.defects.ignoreCapacity)
+            continue;
         for (auto &[number, occurrence] : entry.job->occurrences()) {
             for (unsigned step = 0; step < occurrence.steps.size(); ++step)
                 placeStep(now, *entry.job, number, step, workers, unplaceable);
--- a/Kernel/Jobs/StartOrder.cpp
+++ b/Kernel/Jobs/StartOrder.cpp
@@ -1,6 +1,7 @@
 #include <Kernel/Jobs/StartOrder.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <queue>
 #include <tuple>
 #include <utility>
@@ -21,63 +22,64 @@
     Late,
 };
 
-/// Place of a job in the order. Lower values go first.
+// Places of the parts of Rank::group.
+constexpr unsigned priorityShift = 8;
+constexpr unsigned uselessShift = 48;
+constexpr std::uint64_t outOfProfileBit = 1U << 4;
+constexpr std::uint64_t startClassMask = outOfProfileBit - 1;
+
+/// Place of a job in the order. Lower values go first. Thousands of them are sorted in each
+/// planning pass, so that what decides first is one number.
 struct Rank
 {
-    bool isUseless = false;
-    unsigned priority = 0;
-    bool isOutOfProfile = false;
-    StartClass startClass = StartClass::InTime;
+    /// Whether the result is useless, the priority, whether the organisation is out of profile, and
+    /// the StartClass, the first in the highest bits.
+    std::uint64_t group = 0;
     double weightedShare = 0; ///< only of jobs out of profile
     Duration::rep position = 0; ///< within the class
+    std::uint32_t index = 0; ///< of the job in the given order
 
-    auto tie() const
+    StartClass startClass() const { return static_cast<StartClass>(group & startClassMask); }
+    void setStartClass(StartClass startClass)
     {
-        return std::tie(isUseless, priority, isOutOfProfile, startClass, weightedShare, position);
+        group = (group & ~startClassMask) | static_cast<std::uint64_t>(startClass);
     }
     /// Whether the jobs compete for the same room, before that of lower groups.
     bool isSameGroup(const Rank &other) const
     {
-        return std::tie(isUseless, priority, isOutOfProfile)
-               == std::tie(other.isUseless, other.priority, other.isOutOfProfile);
+        return (group & ~startClassMask) == (other.group & ~startClassMask);
+    }
+    bool operator<(const Rank &other) const
+    {
+        if (group != other.group)
+            return group < other.group;
+        return std::tie(weightedShare, position) < std::tie(other.weightedShare, other.position);
     }
-};
-
-struct RankedJob
-{
-    Rank rank;
-    WaitingJob job;
 };
 
 Rank rankOf(TimePoint now, const WaitingJob &job)
 {
     Rank rank;
-    rank.priority = job.priority;
-    rank.isOutOfProfile = !job.isInProfile;
-    rank.weightedShare = job.isInProfile ? 0 : job.weightedShare;
-    rank.position = job.latestStart.time_since_epoch().count();
-    if (job.isLongRunning) {
-        rank.startClass = StartClass::First;
-        return rank;
+    rank.group = static_cast<std::uint64_t>(job.priority) << priorityShift;
+    if (!job.isInProfile) {
+        rank.group |= outOfProfileBit;
+        rank.weightedShare = job.weightedShare;
     }
-    if (now <= job.latestStart)
+    rank.position = job.latestStart.time_since_epoch().count();
+    rank.setStartClass(job.isLongRunning ? StartClass::First : StartClass::InTime);
+    if (job.isLongRunning || now <= job.latestStart)
         return rank;
-    rank.startClass = StartClass::Late;
+    rank.setStartClass(StartClass::Late);
     rank.position = job.waitingSince.time_since_epoch().count();
     if (now <= job.latestUsefulStart)
         return rank;
     if (now < job.latestUsefulStart + longestUselessWait)
-        rank.isUseless = true;
+        rank.group |= std::uint64_t{1} << uselessShift;
     else
-        rank.startClass = StartClass::First;
+        rank.setStartClass(StartClass::First);
     return rank;
 }
 
-bool isBefore(const RankedJob &left, const RankedJob &right)
-{
-    return left.rank.tie() < right.rank.tie();
-}
-
 /// Plans jobs one after the other, as if each took the whole pool for its time, and puts back those
 /// whose work would make others late.
 class PoolPlan
@@ -88,24 +90,24 @@
     /// The jobs planned so far are not put back for those that follow.
     void beginGroup() { m_group = {}; }
 
-    void add(TimePoint now, RankedJob &job)
+    void add(TimePoint now, const WaitingJob &job, Rank &rank)
     {
         const Duration before = m_planned;
-        m_planned += job.job.poolTime;
-        if (job.rank.startClass != StartClass::InTime)
+        m_planned += job.poolTime;
+        if (rank.startClass() != StartClass::InTime)
             return;
-        m_group.emplace(job.job.poolTime, &job);
-        if (now + before <= job.job.latestStart)
+        m_group.emplace(job.poolTime, &rank);
+        if (now + before <= job.latestStart)
             return;
         auto [time, largest] = m_group.top();
         m_group.pop();
         m_planned -= time;
-        largest->rank.startClass = StartClass::PutBack;
-        largest->rank.position = time.count();
+        largest->setStartClass(StartClass::PutBack);
+        largest->position = time.count();
     }
 
 private:
-    using Entry = std::pair<Duration, RankedJob *>;
+    using Entry = std::pair<Duration, Rank *>;
     struct IsSmaller
     {
         bool operator()(const Entry &left, const Entry &right) const
@@ -122,22 +124,27 @@
 
 void sortForStart(TimePoint now, Duration busyTime, std::vector<WaitingJob> &jobs)
 {
-    std::vector<RankedJob> ranked;
-    ranked.reserve(jobs.size());
-    for (const WaitingJob &job : jobs)
-        ranked.push_back({rankOf(now, job), job});
-    std::sort(ranked.begin(), ranked.end(), isBefore);
+    std::vector<Rank> ranks;
+    ranks.reserve(jobs.size());
+    for (const WaitingJob &job : jobs) {
+        ranks.push_back(rankOf(now, job));
+        ranks.back().index = static_cast<std::uint32_t>(ranks.size() - 1);
+    }
+    std::sort(ranks.begin(), ranks.end());
     PoolPlan plan(busyTime);
     const Rank *group = nullptr;
-    for (RankedJob &job : ranked) {
-        if (group == nullptr || !group->isSameGroup(job.rank))
+    for (Rank &rank : ranks) {
+        if (group == nullptr || !group->isSameGroup(rank))
             plan.beginGroup();
-        group = &job.rank;
-        plan.add(now, job);
+        group = &rank;
+        plan.add(now, jobs[rank.index], rank);
     }
-    std::sort(ranked.begin(), ranked.end(), isBefore);
-    std::transform(ranked.begin(), ranked.end(), jobs.begin(),
-                   [](const RankedJob &entry) { return entry.job; });
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<WaitingJob> sorted;
+    sorted.reserve(jobs.size());
+    for (const Rank &rank : ranks)
+        sorted.push_back(jobs[rank.index]);
+    jobs = std::move(sorted);
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -68,7 +68,12 @@
         return m_submitted.specification.steps[index];
     }
     JobPhase phase() const { return m_phase; }
-    bool longRunning() const;
+    /// Whether any step is long-running.
+    bool longRunning() const { return m_longRunning; }
+    /// Every task of the job reserves at least this much.
+    const TaskSize &smallestTask() const { return m_smallestTask; }
+    /// Whether any step requires a label of its workers.
+    bool requiresLabel() const { return m_requiresLabel; }
     std::map<unsigned, Occurrence> &occurrences() { return m_occurrences; }
     const std::map<unsigned, Occurrence> &occurrences() const { return m_occurrences; }
 
@@ -135,9 +140,14 @@
     TimePoint dueTime(unsigned occurrence) const;
     unsigned occurrenceCount() const;
     Duration criticalPath() const;
+    void summariseSteps();
 
     SubmittedJob m_submitted;
     Duration m_criticalPathEstimate;
+    // Of the steps, which never change. They are needed for each waiting job in each planning pass.
+    bool m_longRunning = false;
+    bool m_requiresLabel = false;
+    TaskSize m_smallestTask;
     JobPhase m_phase = JobPhase::Queued;
     std::map<unsigned, Occurrence> m_occurrences; ///< started and unfinished, by number
     std::optional<unsigned> m_lastFinished; ///< highest number of a finished occurrence
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -318,7 +318,8 @@
     /// Jobs with ready tasks, by pool.
     std::map<std::string, PoolQueue> queuesByPool(TimePoint now, const WorkersByPool &workers);
     /// What decides when the ready tasks of \a job start.
-    WaitingJob waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const;
+    WaitingJob waitingJob(TimePoint now, Job &job, const QueueSettings &settings,
+                          const TaskSize &poolCapacity) const;
     /// Estimates the job again when it has changed, or when much more is known about runtimes.
     const Job::ExpectedPath &estimate(TimePoint now, const Job &job) const;
     /// Decides which of the jobs that came since the last pass are in profile.
--- a/Kernel/include/Kernel/Jobs/StartOrder.h
+++ b/Kernel/include/Kernel/Jobs/StartOrder.h
@@ -2,6 +2,7 @@
 
 #include <Kernel/Jobs/Job.h>
 #include <LibBase/Time.h>
+#include <optional>
 #include <vector>
 
 namespace Peridot::Jobs {
@@ -10,6 +11,8 @@
 struct WaitingJob
 {
     Job *job = nullptr;
+    /// Each of its tasks needs at least this much. Only known when it requires no label.
+    std::optional<TaskSize> smallestTask = {};
     unsigned priority = 0; ///< 0 is the highest
     bool isInProfile = true; ///< its organisation has not submitted more than its rate
     /// What its organisation uses of the fleet, divided by the weight of the organisation. Decides
