Kernel/Jobs: See a steep rise of the arrivals after 0.2 s

The arrival rate of a pool is an average over 0.7 s, so that a peak was answered in small steps: 0.2 s after a rise to 100 hosts, less than a third of it showed. The rate is now also taken over 0.2 s, less 1.5 standard deviations of the number of arrivals, and the larger of the two counts. Pools with under 14 arrivals in 0.7 s are served as before.

--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -16,6 +16,12 @@
 constexpr std::chrono::milliseconds shortestRateWindow{700};
 constexpr std::chrono::milliseconds longestRateWindow{2500};
 constexpr std::size_t minimumArrivals = 6;
+// A rise of the rate shows over this window already, when it is larger than chance explains.
+constexpr std::chrono::milliseconds riseWindow{200};
+// With fewer arrivals over the shortest window, only a longer time tells a rise from chance.
+constexpr std::size_t minimumArrivalsForRise = 14;
+// Standard deviations of the number of arrivals by which a rise must exceed the mean.
+constexpr double riseDeviations = 1.5;
 // Tasks of different sizes cannot be packed onto hosts without leaving some capacity unused.
 constexpr double usableFraction = 0.9;
 // Period of recentPeakHosts(). A pool returns a host to the spare pool only after it has not needed
@@ -94,6 +100,24 @@
     return std::max(hosts, load.minimumHosts);
 }
 
+WorkArrival scaled(const WorkArrival &work, double factor)
+{
+    return {work.arrivedAt, work.milliProcessorSeconds * factor, work.megabyteSeconds * factor};
+}
+
+/// Sum of the arrivals after \a time.
+WorkArrival sumSince(const std::deque<WorkArrival> &arrivals, TimePoint time)
+{
+    WorkArrival sum;
+    for (const WorkArrival &work : arrivals) {
+        if (work.arrivedAt <= time)
+            continue;
+        sum.milliProcessorSeconds += work.milliProcessorSeconds;
+        sum.megabyteSeconds += work.megabyteSeconds;
+    }
+    return sum;
+}
+
 WorkArrival estimatedWorkOf(const JobScheduler &scheduler, const Job &job)
 {
     WorkArrival work;
@@ -145,14 +169,19 @@
         arrivals.pop_front();
     if (arrivals.size() < minimumArrivals)
         return {};
-    WorkArrival sum;
-    for (const WorkArrival &work : arrivals) {
-        sum.milliProcessorSeconds += work.milliProcessorSeconds;
-        sum.megabyteSeconds += work.megabyteSeconds;
-    }
     const double seconds
         = std::max(toSeconds(now - arrivals.front().arrivedAt), toSeconds(shortestRateWindow));
-    return {now, sum.milliProcessorSeconds / seconds, sum.megabyteSeconds / seconds};
+    const WorkArrival rate = scaled(sumSince(arrivals, TimePoint::min()), 1 / seconds);
+    if (arrivals.size() < minimumArrivalsForRise)
+        return rate;
+    const TimePoint recent = now - riseWindow;
+    const auto count = std::count_if(arrivals.begin(), arrivals.end(),
+                                     [&](const auto &work) { return work.arrivedAt > recent; });
+    const double certain
+        = 1 - riseDeviations / std::sqrt(std::max(static_cast<double>(count), 1.0));
+    const WorkArrival least
+        = scaled(sumSince(arrivals, recent), std::max(certain, 0.0) / toSeconds(riseWindow));
+    return least.milliProcessorSeconds > rate.milliProcessorSeconds ? least : rate;
 }
 
 void PoolDemand::share(unsigned hosts)
