--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -16,6 +16,12 @@
 constexpr std::chrono::milliseconds shortestRateWindow{700};
 constexpr std::chrono::milliseconds longestRateWindow{2500};
 constexpr std::size_t minimumArrivals = 6;
+// A rise of the rate shows over this window already, when it is larger than chance explains.
+constexpr std::chrono::milliseconds riseWindow{200};
+// With fewer arrivals over the shortest window, only a longer time tells a rise from chance.
+constexpr std::size_t minimumArrivalsForRise = 14;
+// Standard deviations of the number of arrivals by which a rise must exceed the mean.
+constexpr double riseDeviations = 1.5;
 // Tasks of different sizes cannot be packed onto hosts without leaving some capacity unused.
 constexpr double usableFraction = 0.9;
 // Period of recentPeakHosts(). A pool returns a host to the spare pool only after it has not needed
@@ -94,6 +100,24 @@
     return std::max(hosts, load.minimumHosts);
 }
 
+WorkArrival scaled(const WorkArrival &work, double factor)
+{
+    return {work.arrivedAt, work.milliProcessorSeconds * factor, work.megabyteSeconds * factor};
+}
+
+/// Sum of the arrivals after \a time.
+WorkArrival sumSince(const std::deque<WorkArrival> &arrivals, TimePoint time)
+{
+    WorkArrival sum;
+    for (const WorkArrival &work : arrivals) {
+        if (work.arrivedAt <= time)
+            continue;
+        sum.milliProcessorSeconds += work.milliProcessorSeconds;
+        sum.megabyteSeconds += work.megabyteSeconds;
+    }
+    return sum;
+}
+
 WorkArrival estimatedWorkOf(const JobScheduler &scheduler, const Job &job)
 {
     WorkArrival work;
@@ -145,14 +169,26 @@
         arrivals.pop_front();
     if (arrivals.size() < minimumArrivals)
         return {};
-    WorkArrival sum;
-    for (const WorkArrival &work : arrivals) {
-        sum.milliProcessorSeconds += work.milliProcessorSeconds;
-        sum.megabyteSeconds += work.megabyteSeconds;
-    }
     const double seconds
         = std::max(toSeconds(now - arrivals.front().arrivedAt), toSeconds(shortestRateWindow));
-    return {now, sum.milliProcessorSeconds / seconds, sum.megabyteSeconds / seconds};
+    const WorkArrival rate = scaled(sumSince(arrivals, TimePoint::min()), 1 / seconds);
+    if (arrivals.size() < minimumArrivalsForRise)
+        return rate;
+    const TimePoint recent = now - riseWindow;
+    const auto count = std::count_if(arrivals.begin(), arrivals.end(),
+                                     [&](const auto &work) { return work.arrivedAt > recent; });
+    const double certain
+        = 1 - riseDeviations / std::sqrt(std::max(static_cast<double>(count), 1.0));
+    const WorkArrival least
+        = scaled(sumSince(arrivals, recent), std::max(certain, 0.0) / toSeconds(riseWindow));
+    return least.milliProcessorSeconds > rate.milliProcessorSeconds ? least : rate;
+}
+
+void PoolDemand::expect(const std::string &pool, unsigned hosts)
+{
+    State &state = m_pools[pool];
+    state.need.expected = hosts;
+    state.expectedHosts = hosts;
 }
 
 void PoolDemand::share(unsigned hosts)
@@ -160,8 +196,11 @@
     std::map<std::string, HostNeed> needs;
     for (const auto &[pool, state] : m_pools)
         needs[pool] = state.need;
-    for (const auto &[pool, share] : shareHosts(needs, hosts))
-        m_pools.at(pool).neededHosts = share;
+    for (const auto &[pool, share] : shareHosts(needs, hosts)) {
+        State &state = m_pools.at(pool);
+        state.neededHosts = std::min(share, state.need.total);
+        state.expectedHosts = std::min(state.need.expected, share);
+    }
 }
 
 void PoolDemand::observe(TimePoint now, const std::string &pool, const PoolLoad &load,
@@ -177,6 +216,7 @@
     state.need.total = hostsForLoad(load, rate, hostSize);
     state.need.inTime = std::min(hostsForLoad(inTime, rate, hostSize), state.need.total);
     state.neededHosts = state.need.total;
+    state.arrivingHosts = hostsFor(rate.milliProcessorSeconds, rate.megabyteSeconds, hostSize);
     state.minimumHostsInMaintenance = load.minimumHostsInMaintenance;
     state.waitingTasks = load.waitingTasks;
     while (!state.recentMaxima.empty() && state.recentMaxima.back().second <= state.need.total)
@@ -192,6 +232,18 @@
     return found == m_pools.end() ? 0 : found->second.neededHosts;
 }
 
+unsigned PoolDemand::expectedHosts(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.expectedHosts;
+}
+
+double PoolDemand::arrivingHosts(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.arrivingHosts;
+}
+
 unsigned PoolDemand::waitingTasks(const std::string &pool) const
 {
     const auto found = m_pools.find(pool);
