Services/Jobs: Check the owner of a job whichever queue is called

Cause: the owner was not checked when the queue of the call is public. Rows are found by the id of the job alone, so that a call without a key, at any public queue, showed and cancelled jobs that an organisation had submitted to a queue with keys. Change: the owner is always checked where keys are required, except for jobs of public queues: the job row has the queue, and the progress row of such a job names no organisation. A call to a queue that was removed after its arrival is answered as unknown instead of going on without a check.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -41,7 +41,11 @@
     for (const auto &id : jobsToStore(now)) {
         Job &job = m_jobs.at(id);
         const std::string key = progressKey(id);
-        if (!builder.add({{key, job.rowVersion}}, {{key, encodeJobProgress(job.progress(now))}}))
+        JobProgress progress = job.progress(now);
+        // Whoever may call a public queue may see its jobs.
+        if (queueOf(job).isPublic)
+            progress.organisation.clear();
+        if (!builder.add({{key, job.rowVersion}}, {{key, encodeJobProgress(progress)}}))
             break;
         flush.jobs.push_back(id);
         job.writtenChanges = job.changes;
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -106,6 +106,10 @@
     // The queue of the call may have been removed since the call was decoded.
     const JobCall &call = pending->call;
     const QueueSettings *queue = configuration->route(call.hostName, call.path);
+    if (queue == nullptr && configuration->requiresKeys) {
+        answer(pending, {.outcome = CallOutcome::UnknownQueue});
+        return false;
+    }
     const auto caller = queue == nullptr ? std::optional<Caller>(Caller{})
                                          : authorize(*configuration, *queue, call.key);
     if (!caller) {
@@ -113,14 +117,13 @@
         return false;
     }
     pending->caller = *caller;
-    const bool isPublic = queue != nullptr && queue->isPublic;
-    pending->isBoundToOrganisation = configuration->requiresKeys && !isPublic;
+    pending->configuration = configuration;
     return true;
 }
 
 bool JobFrontend::checkOwner(const PendingCallPointer &pending, const std::string &organisation)
 {
-    if (!pending->isBoundToOrganisation || mayAccess(pending->caller, organisation))
+    if (!pending->configuration->requiresKeys || mayAccess(pending->caller, organisation))
         return true;
     answer(pending, {.outcome = CallOutcome::WrongOrganisation});
     return false;
@@ -133,13 +136,16 @@
 
 bool JobFrontend::checkOwnerOfRow(const PendingCallPointer &pending, const Row &job)
 {
-    if (!pending->isBoundToOrganisation)
+    if (!pending->configuration->requiresKeys)
         return true;
     const auto submitted = parseRow(job, parseSubmittedJob);
-    if (submitted)
-        return checkOwner(pending, submitted->organisation);
-    fail(pending);
-    return false;
+    if (!submitted) {
+        fail(pending);
+        return false;
+    }
+    const QueueSettings *queue = pending->configuration->queue(submitted->queue.name);
+    const bool isPublic = queue != nullptr && queue->isPublic;
+    return isPublic || checkOwner(pending, submitted->organisation);
 }
 
 void JobFrontend::startTimeout(const PendingCallPointer &pending)
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -51,7 +51,7 @@
     bool authenticate(const PendingCallPointer &pending);
     /// Whether the caller may see or cancel a job of \a organisation. Answers the call otherwise.
     bool checkOwner(const PendingCallPointer &pending, const std::string &organisation);
-    /// The same for the job of a job row.
+    /// The same for the job of a job row. The jobs of public queues are open to everybody.
     bool checkOwnerOfRow(const PendingCallPointer &pending, const Row &job);
     /// Progress of a job; nothing, and a log line, when the row is malformed.
     static std::optional<JobProgress> parseProgressRow(const Row &row);
--- a/Services/Jobs/PendingCall.h
+++ b/Services/Jobs/PendingCall.h
@@ -12,8 +12,7 @@
     Callback callback;
     TimePoint arrivedAt;
     Caller caller;
-    /// The call may concern only jobs of the caller's organisation, or of none.
-    bool isBoundToOrganisation = false;
+    std::shared_ptr<const JobConfiguration> configuration; ///< by which the caller was found
     bool writeMayBeApplied = false; ///< a write is unanswered, or its outcome is unknown
     bool answered = false;
     unsigned retries = 0;
--- a/Tests/Kernel/Jobs/SchedulerFixture.h
+++ b/Tests/Kernel/Jobs/SchedulerFixture.h
@@ -71,7 +71,9 @@
     void planAndCommit()
     {
         scheduler.plan(now);
-        while (scheduler.takeTransaction(now)) {
+        while (const auto transaction = scheduler.takeTransaction(now)) {
+            for (const RowWrite &write : transaction->writes)
+                rows[write.key] = write.value;
             CommitResult result;
             result.status = CommitStatus::Committed;
             result.revision = ++revision;
@@ -110,6 +112,8 @@
     std::vector<StopOrder> stops;
     std::vector<ThrottleOrder> throttles;
     std::vector<PollOrder> polls;
+    std::map<std::string, std::optional<std::string>> rows; ///< latest values by key
+    std::map<std::string, unsigned> events; ///< numbers by kind
     JobScheduler scheduler;
 
 private:
@@ -128,6 +132,9 @@
         hooks.orders.poll = [this](const PollOrder &order) {
             polls.push_back(order);
         };
+        hooks.observe = [this](const SchedulerEvent &event) {
+            ++events[std::string(event.kind)];
+        };
         hooks.fenced = [] {
         };
         return hooks;
--- a/Tests/Kernel/Jobs/TestQuotas.cpp
+++ b/Tests/Kernel/Jobs/TestQuotas.cpp
@@ -141,3 +141,27 @@
         CHECK(fixture.runsOf("next") == 3);
     }
 }
+
+TEST_CASE("The progress row of a job names its organisation unless all callers may see it")
+{
+    QuotaFixture fixture;
+    const auto organisationIn = [&] {
+        fixture.planAndCommit();
+        const auto progress
+            = valueOrElse([&] { return parseJobProgress(*fixture.rows.at(progressKey("job"))); },
+                          [](const Error &) { return JobProgress{}; });
+        return progress.organisation;
+    };
+    SECTION("of a queue that needs keys")
+    {
+        fixture.submit("job", "north", SchedulerFixture::stepOf(1));
+        CHECK(organisationIn() == "north");
+    }
+    SECTION("of a public queue")
+    {
+        fixture.queue.isPublic = true;
+        fixture.setQuota({3000, 0, 0});
+        fixture.submit("job", "north", SchedulerFixture::stepOf(1));
+        CHECK(organisationIn().empty());
+    }
+}
--- a/Tests/Services/Jobs/TestOrganisations.cpp
+++ b/Tests/Services/Jobs/TestOrganisations.cpp
@@ -108,6 +108,15 @@
         CHECK(fixture.call(CallKind::Query, "key-n") == CallOutcome::Found);
         CHECK(fixture.call(CallKind::Query, "key-s") == CallOutcome::WrongOrganisation);
     }
+    SECTION("also through a public queue, which leads to the rows of all jobs")
+    {
+        // Guards against a caller without a key that cancels jobs of others by their ids.
+        CHECK(fixture.call(CallKind::Query, "", "open") == CallOutcome::WrongOrganisation);
+        CHECK(fixture.call(CallKind::Cancel, "key-s", "open") == CallOutcome::WrongOrganisation);
+        CHECK(fixture.store.row(cancellationKey(id)).version == absentVersion);
+        fixture.writeProgress("north");
+        CHECK(fixture.call(CallKind::Query, "", "open") == CallOutcome::WrongOrganisation);
+    }
     SECTION("and is served as before where the configuration has no organisations")
     {
         fixture.configuration.requiresKeys = false;
@@ -132,6 +141,23 @@
     }
 }
 
+TEST_CASE("Whoever may call a public queue may see its jobs, also those submitted with a key")
+{
+    OrganisationsFixture fixture;
+    REQUIRE(fixture.call(CallKind::Submit, "key-n", "open") == CallOutcome::Accepted);
+    CHECK(fixture.call(CallKind::Query, "", "open") == CallOutcome::Found);
+    CHECK(fixture.call(CallKind::Query, "key-s", "open") == CallOutcome::Found);
+    CHECK(fixture.call(CallKind::Cancel, "", "open") == CallOutcome::Cancelled);
+}
+
+TEST_CASE("A call to a queue that was removed after its arrival is answered as such")
+{
+    // Guards against a call that goes on without a check of its key.
+    OrganisationsFixture fixture;
+    for (const CallKind kind : {CallKind::Query, CallKind::Cancel, CallKind::Count})
+        CHECK(fixture.call(kind, "key-n", "gone") == CallOutcome::UnknownQueue);
+}
+
 TEST_CASE("A key that is removed while the submission waits for a retry is not used any more")
 {
     // Guards against a job that is written by the configuration at the arrival of the call.
