platform, Services/Jobs: Serve deployments whose list of organisations is empty

All of their calls got 401. Change: an empty list requires no keys, unless the process has seen a configuration that does; then nobody is left who may call. A malformed list, or one without a valid entry, admits nobody as before. Left: a process that starts after the last organisation was removed can't tell the two cases apart.

--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -1,5 +1,6 @@
 #include "JobService.h"
 
+#include <Kernel/Jobs/Authorization.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibMembership/ProcessClock.h>
@@ -114,9 +115,10 @@
 {
     if (row.version <= m_configurationVersion)
         return;
-    const auto configuration = m_ports.decodeConfiguration(row);
-    if (!configuration)
+    const auto decoded = m_ports.decodeConfiguration(row);
+    if (!decoded)
         return;
+    const auto configuration = succeedingConfiguration(m_configuration.load(), decoded);
     m_configuration = configuration;
     m_configurationVersion = row.version;
     m_metrics.setConfiguration(configuration->version, configuration->refusedEntries);
