Kernel/Jobs: Leave each pool that needs hosts one of them

Cause: a pool whose jobs are all late got no host as long as the others asked for all, so that its jobs waited for ever. A pool that had left the configuration kept its share. Change: one host of each need goes first; only pools of the latest observation share.

--- a/Kernel/Jobs/HostShares.cpp
+++ b/Kernel/Jobs/HostShares.cpp
@@ -30,8 +30,10 @@
     std::vector<std::pair<unsigned, std::string>> inTime;
     std::vector<std::pair<unsigned, std::string>> late;
     for (const auto &[pool, need] : needs) {
-        inTime.emplace_back(need.inTime, pool);
-        late.emplace_back(need.total - need.inTime, pool);
+        // One host keeps a pool whose jobs are all late from waiting for ever.
+        const unsigned first = std::max(need.inTime, std::min(1U, need.total));
+        inTime.emplace_back(first, pool);
+        late.emplace_back(need.total - first, pool);
     }
     std::map<std::string, unsigned> shares;
     share(std::move(inTime), hosts, shares);
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -157,9 +157,14 @@
 
 void PoolDemand::share(unsigned hosts)
 {
-    std::map<std::string, HostNeed> needs;
+    TimePoint latest;
     for (const auto &[pool, state] : m_pools)
-        needs[pool] = state.need;
+        latest = std::max(latest, state.observedAt);
+    std::map<std::string, HostNeed> needs;
+    for (const auto &[pool, state] : m_pools) {
+        if (state.observedAt == latest) // the others have left the configuration
+            needs[pool] = state.need;
+    }
     for (const auto &[pool, share] : shareHosts(needs, hosts))
         m_pools.at(pool).neededHosts = share;
 }
@@ -168,6 +173,7 @@
                          const TaskSize &hostSize)
 {
     State &state = m_pools[pool];
+    state.observedAt = now;
     state.arrivals.insert(state.arrivals.end(), load.arrivals.begin(), load.arrivals.end());
     const WorkArrival rate = arrivalRate(now, state.arrivals);
     PoolLoad inTime = load;
--- a/Kernel/include/Kernel/Jobs/PoolDemand.h
+++ b/Kernel/include/Kernel/Jobs/PoolDemand.h
@@ -68,6 +68,7 @@
 private:
     struct State
     {
+        TimePoint observedAt;
         HostNeed need;
         unsigned neededHosts = 0; ///< its share
         unsigned minimumHostsInMaintenance = 0;
