Kernel/Jobs: Sort waiting jobs by small keys

What was put back was left out of the plan for lower priorities too, although it starts before them. Put-back work counts in the plan of the next group. Equal jobs stay in order, which had depended on the library. The new test fails without the change to the plan.

--- a/Kernel/Jobs/StartOrder.cpp
+++ b/Kernel/Jobs/StartOrder.cpp
@@ -1,8 +1,9 @@
 #include <Kernel/Jobs/StartOrder.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <functional>
 #include <queue>
-#include <tuple>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -21,63 +22,57 @@
     Late,
 };
 
-/// Place of a job in the order. Lower values go first.
+/// Place of a job in the order. Lower values go first. Kept small, because a pass may sort many
+/// thousands.
 struct Rank
 {
-    bool isUseless = false;
-    unsigned priority = 0;
-    bool isOutOfProfile = false;
+    /// Jobs of one group compete for the same room, before that of higher groups: whether the
+    /// result is of no use, the priority, and whether the job is out of profile.
+    std::uint64_t group = 0;
     StartClass startClass = StartClass::InTime;
+    std::uint32_t index = 0; ///< of the job
     double weightedShare = 0; ///< only of jobs out of profile
     Duration::rep position = 0; ///< within the class
-
-    auto tie() const
-    {
-        return std::tie(isUseless, priority, isOutOfProfile, startClass, weightedShare, position);
-    }
-    /// Whether the jobs compete for the same room, before that of lower groups.
-    bool isSameGroup(const Rank &other) const
-    {
-        return std::tie(isUseless, priority, isOutOfProfile)
-               == std::tie(other.isUseless, other.priority, other.isOutOfProfile);
-    }
 };
 
-struct RankedJob
+bool operator<(const Rank &left, const Rank &right)
 {
-    Rank rank;
-    WaitingJob job;
-};
+    if (left.group != right.group)
+        return left.group < right.group;
+    if (left.startClass != right.startClass)
+        return left.startClass < right.startClass;
+    if (left.weightedShare != right.weightedShare)
+        return left.weightedShare < right.weightedShare;
+    if (left.position != right.position)
+        return left.position < right.position;
+    return left.index < right.index;
+}
+
+std::uint64_t groupOf(bool isUseless, const WaitingJob &job)
+{
+    constexpr unsigned priorityBits = 32;
+    const std::uint64_t useless = isUseless ? 1 : 0;
+    const std::uint64_t outOfProfile = job.isInProfile ? 0 : 1;
+    return (((useless << priorityBits) | job.priority) << 1) | outOfProfile;
+}
 
 Rank rankOf(TimePoint now, const WaitingJob &job)
 {
+    const bool isLate = !job.isLongRunning && now > job.latestStart;
+    const bool isOfNoUse = isLate && now > job.latestUsefulStart;
+    const bool hasWaitedLongest = isOfNoUse && now >= job.latestUsefulStart + longestUselessWait;
     Rank rank;
-    rank.priority = job.priority;
-    rank.isOutOfProfile = !job.isInProfile;
+    rank.group = groupOf(isOfNoUse && !hasWaitedLongest, job);
     rank.weightedShare = job.isInProfile ? 0 : job.weightedShare;
-    rank.position = job.latestStart.time_since_epoch().count();
-    if (job.isLongRunning) {
-        rank.startClass = StartClass::First;
-        return rank;
-    }
-    if (now <= job.latestStart)
-        return rank;
-    rank.startClass = StartClass::Late;
-    rank.position = job.waitingSince.time_since_epoch().count();
-    if (now <= job.latestUsefulStart)
-        return rank;
-    if (now < job.latestUsefulStart + longestUselessWait)
-        rank.isUseless = true;
-    else
+    const TimePoint position = isLate ? job.waitingSince : job.latestStart;
+    rank.position = position.time_since_epoch().count();
+    if (job.isLongRunning || hasWaitedLongest)
         rank.startClass = StartClass::First;
+    else if (isLate)
+        rank.startClass = StartClass::Late;
     return rank;
 }
 
-bool isBefore(const RankedJob &left, const RankedJob &right)
-{
-    return left.rank.tie() < right.rank.tie();
-}
-
 /// Plans jobs one after the other, as if each took the whole pool for its time, and puts back those
 /// whose work would make others late.
 class PoolPlan
@@ -85,27 +80,32 @@
 public:
     explicit PoolPlan(Duration busyTime) : m_planned(busyTime) { }
 
-    /// The jobs planned so far are not put back for those that follow.
-    void beginGroup() { m_group = {}; }
+    /// The jobs planned so far are not put back for those that follow, and all start before them.
+    void beginGroup()
+    {
+        m_group = {};
+        m_planned += std::exchange(m_putBack, Duration{0});
+    }
 
-    void add(TimePoint now, RankedJob &job)
+    void add(TimePoint now, const WaitingJob &job, Rank &rank)
     {
         const Duration before = m_planned;
-        m_planned += job.job.poolTime;
-        if (job.rank.startClass != StartClass::InTime)
+        m_planned += job.poolTime;
+        if (rank.startClass != StartClass::InTime)
             return;
-        m_group.emplace(job.job.poolTime, &job);
-        if (now + before <= job.job.latestStart)
+        m_group.emplace(job.poolTime, &rank);
+        if (now + before <= job.latestStart)
             return;
         auto [time, largest] = m_group.top();
         m_group.pop();
         m_planned -= time;
-        largest->rank.startClass = StartClass::PutBack;
-        largest->rank.position = time.count();
+        m_putBack += time;
+        largest->startClass = StartClass::PutBack;
+        largest->position = time.count();
     }
 
 private:
-    using Entry = std::pair<Duration, RankedJob *>;
+    using Entry = std::pair<Duration, Rank *>;
     struct IsSmaller
     {
         bool operator()(const Entry &left, const Entry &right) const
@@ -115,29 +115,45 @@
     };
 
     Duration m_planned;
+    Duration m_putBack{0}; ///< of the current group
     std::priority_queue<Entry, std::vector<Entry>, IsSmaller> m_group;
 };
 
+/// Moves the jobs that were put back to their place; the others are sorted already.
+void movePutBack(std::vector<Rank> &ranks)
+{
+    const auto isPutBack = [](const Rank &rank) {
+        return rank.startClass == StartClass::PutBack;
+    };
+    const auto putBack = std::stable_partition(ranks.begin(), ranks.end(), std::not_fn(isPutBack));
+    std::sort(putBack, ranks.end());
+    std::inplace_merge(ranks.begin(), putBack, ranks.end());
+}
+
 } // namespace
 
 void sortForStart(TimePoint now, Duration busyTime, std::vector<WaitingJob> &jobs)
 {
-    std::vector<RankedJob> ranked;
-    ranked.reserve(jobs.size());
-    for (const WaitingJob &job : jobs)
-        ranked.push_back({rankOf(now, job), job});
-    std::sort(ranked.begin(), ranked.end(), isBefore);
+    std::vector<Rank> ranks;
+    ranks.reserve(jobs.size());
+    for (const WaitingJob &job : jobs) {
+        ranks.push_back(rankOf(now, job));
+        ranks.back().index = static_cast<std::uint32_t>(ranks.size() - 1);
+    }
+    std::sort(ranks.begin(), ranks.end());
     PoolPlan plan(busyTime);
-    const Rank *group = nullptr;
-    for (RankedJob &job : ranked) {
-        if (group == nullptr || !group->isSameGroup(job.rank))
+    std::uint64_t group = 0;
+    for (Rank &rank : ranks) {
+        if (rank.group != std::exchange(group, rank.group))
             plan.beginGroup();
-        group = &job.rank;
-        plan.add(now, job);
+        plan.add(now, jobs[rank.index], rank);
     }
-    std::sort(ranked.begin(), ranked.end(), isBefore);
-    std::transform(ranked.begin(), ranked.end(), jobs.begin(),
-                   [](const RankedJob &entry) { return entry.job; });
+    movePutBack(ranks);
+    std::vector<WaitingJob> sorted;
+    sorted.reserve(jobs.size());
+    for (const Rank &rank : ranks)
+        sorted.push_back(jobs[rank.index]);
+    jobs = std::move(sorted);
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/StartOrder.h
+++ b/Kernel/include/Kernel/Jobs/StartOrder.h
@@ -37,7 +37,8 @@
 ///   the fewest late ones (Moore and Hodgson, 1968);
 /// - jobs that were put back, the smallest first;
 /// - jobs that are late, in the order of their arrival.
-/// A job that has waited for very long goes first, so that each of them ends.
+/// A job that has waited for very long goes first among those of its priority and profile, so that
+/// each of them ends. Equal jobs stay in the given order.
 void sortForStart(TimePoint now, Duration busyTime, std::vector<WaitingJob> &jobs);
 
 } // namespace Peridot::Jobs
--- a/Tests/Kernel/Jobs/Overload/TestStartOrder.cpp
+++ b/Tests/Kernel/Jobs/Overload/TestStartOrder.cpp
@@ -165,3 +165,24 @@
         CHECK(jobs.front().priority == 1);
     }
 }
+
+TEST_CASE("Jobs of lower priority are planned after those that were put back")
+{
+    // Guards against jobs that count as in time although work of a higher priority starts first.
+    const TimePoint now{std::chrono::hours(1)};
+    const auto job = [&](unsigned priority, Duration poolTime, Duration slack) {
+        WaitingJob waiting;
+        waiting.priority = priority;
+        waiting.waitingSince = now;
+        waiting.poolTime = poolTime;
+        waiting.latestStart = now + slack;
+        waiting.latestUsefulStart = now + 10s;
+        return waiting;
+    };
+    std::vector<WaitingJob> jobs
+        = {job(0, 1s, 200ms), job(0, 1s, 300ms), job(1, 500ms, 1200ms), job(1, 100ms, 1800ms)};
+    sortForStart(now, 0s, jobs);
+    // Neither of the last two can be in time, so that the smaller one goes first.
+    CHECK(jobs[2].poolTime == 100ms);
+    CHECK(jobs[3].poolTime == 500ms);
+}
