--- a/Kernel/Jobs/Job.cpp
+++ b/Kernel/Jobs/Job.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Jobs/Job.h>
 
+#include "SchedulerLimits.h"
 #include <algorithm>
 #include <utility>
 
@@ -34,6 +35,26 @@
     return bytes;
 }
 
+bool hasLongRunningStep(const JobSpecification &specification)
+{
+    return std::any_of(specification.steps.begin(), specification.steps.end(),
+                       [](const auto &step) { return step.longRunning; });
+}
+
+TaskSize smallestTaskOf(const JobSpecification &specification)
+{
+    if (specification.steps.empty())
+        return {};
+    TaskSize smallest = reservedSize(specification.steps.front());
+    for (const StepSpecification &step : specification.steps) {
+        const TaskSize size = reservedSize(step);
+        smallest = {std::min(smallest.milliProcessors, size.milliProcessors),
+                    std::min(smallest.megabytes, size.megabytes),
+                    std::min(smallest.accelerators, size.accelerators)};
+    }
+    return smallest;
+}
+
 TaskProgress progressOf(const Job::Task &task)
 {
     if (task.phase != TaskPhase::Done)
@@ -46,7 +67,9 @@
 } // namespace
 
 Job::Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now)
-    : receivedAt(now), m_submitted(std::move(submitted)), m_criticalPathEstimate(criticalPath())
+    : receivedAt(now), m_submitted(std::move(submitted)), m_criticalPathEstimate(criticalPath()),
+      m_longRunning(hasLongRunningStep(m_submitted.specification)),
+      m_smallestTask(smallestTaskOf(m_submitted.specification))
 {
     if (progress)
         restore(*progress);
@@ -87,13 +110,6 @@
         m_nextOccurrence = std::max(m_nextOccurrence, *m_lastFinished + 1);
 }
 
-bool Job::longRunning() const
-{
-    const auto &steps = m_submitted.specification.steps;
-    return std::any_of(steps.begin(), steps.end(),
-                       [](const auto &step) { return step.longRunning; });
-}
-
 unsigned Job::occurrenceCount() const
 {
     return std::max(1U, m_submitted.specification.occurrences);
--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -18,12 +18,15 @@
 void JobScheduler::setConfiguration(std::shared_ptr<const JobConfiguration> configuration)
 {
     m_configuration = std::move(configuration);
+    ++m_configurationNumber;
+    updateOrganisations();
 }
 
 Worker &JobScheduler::findOrAddWorker(const WorkerDescription &description)
 {
     const auto [entry, isNew] = m_workers.try_emplace(description.id, description);
     if (isNew) {
+        entry->second.runs.countIn(m_usage);
         // A previous scheduler that has not learned of its successor may still extend leases.
         entry->second.assumeLeasesUntil(m_startedAt + m_timing.expiredLeaseGrace
                                         + m_timing.workerLease * maximumLeasePercent / 100);
@@ -218,11 +221,25 @@
                                      : found->second.predict(step.estimatedRuntime);
 }
 
+const Job::CurrentSettings &JobScheduler::settingsOf(const Job &job) const
+{
+    Job::CurrentSettings &settings = job.currentSettings;
+    if (settings.configuration == m_configurationNumber)
+        return settings;
+    settings.configuration = m_configurationNumber;
+    settings.queue = m_configuration->queue(job.submitted().queue.name);
+    settings.organisation.reset();
+    const auto *organisation = m_configuration->organisation(job.submitted().organisation);
+    if (organisation != nullptr)
+        settings.organisation
+            = static_cast<std::size_t>(organisation - m_configuration->organisations.data());
+    return settings;
+}
+
 const QueueSettings &JobScheduler::queueOf(const Job &job) const
 {
-    const QueueSettings &submitted = job.submitted().queue;
-    const auto *current = m_configuration->queue(submitted.name);
-    return current == nullptr ? submitted : *current;
+    const QueueSettings *current = settingsOf(job).queue;
+    return current == nullptr ? job.submitted().queue : *current;
 }
 
 WorkerRun JobScheduler::newRun(const Job &job, const StepSpecification &step, TimePoint now)
@@ -231,6 +248,7 @@
     run.reserved = reservedSize(step);
     run.organisation = job.submitted().organisation;
     run.charged = step.size;
+    run.longRunning = step.longRunning;
     run.bestEffort = step.bestEffort;
     run.latencyTarget = step.latencyTarget;
     run.progressChangedAt = now;
--- a/Kernel/Jobs/JobSchedulerOrder.cpp
+++ b/Kernel/Jobs/JobSchedulerOrder.cpp
@@ -3,6 +3,7 @@
 #include "SchedulerLimits.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
+#include <unordered_map>
 
 namespace Peridot::Jobs {
 
@@ -30,6 +31,13 @@
                      shareOf(static_cast<double>(size.accelerators), capacity.accelerators)});
 }
 
+TaskSize largest(const TaskSize &left, const TaskSize &right)
+{
+    return {std::max(left.milliProcessors, right.milliProcessors),
+            std::max(left.megabytes, right.megabytes),
+            std::max(left.accelerators, right.accelerators)};
+}
+
 /// Whole microseconds, so that the order does not depend on how a machine rounds fractions.
 Duration fromSeconds(double seconds)
 {
@@ -37,9 +45,9 @@
         std::chrono::duration<double>(seconds));
 }
 
-Duration objectiveOf(const Job::ExpectedPath &path, const QueueSettings &queue)
+Duration objectiveOf(Duration criticalPath, const QueueSettings &queue)
 {
-    return std::chrono::duration_cast<Duration>(path.whole * queue.stretch)
+    return std::chrono::duration_cast<Duration>(criticalPath * queue.stretch)
            + queue.latencyAllowance;
 }
 
@@ -56,61 +64,95 @@
     if (job.longRunning() || job.occurrences().empty())
         return false;
     const Job::ExpectedPath &path = estimate(now, job);
-    return now > waitingSince(job) + objectiveOf(path, queueOf(job)) - path.remaining;
+    return now > waitingSince(job) + path.objective - path.remaining;
+}
+
+bool JobScheduler::hasWaitingJobs() const
+{
+    return std::any_of(m_jobs.begin(), m_jobs.end(),
+                       [](const auto &entry) { return entry.second.hasReadyTasks(); });
 }
 
 std::map<std::string, JobScheduler::PoolQueue>
 JobScheduler::queuesByPool(TimePoint now, const WorkersByPool &workers)
 {
     std::map<std::string, PoolQueue> queues;
-    std::map<std::string, TaskSize> reserved;
-    for (const auto &[pool, members] : workers) {
-        for (const Worker *worker : members) {
-            queues[pool].capacity = plus(queues[pool].capacity, worker->description.capacity);
-            reserved[pool] = plus(reserved[pool], worker->runs.reserved());
-        }
-    }
+    for (const auto &[pool, members] : workers)
+        queues.emplace(pool, emptyQueue(members));
+    std::unordered_map<const QueueSettings *, PoolQueue *> queueOfSettings;
     for (auto &[id, job] : m_jobs) {
         if (!job.hasReadyTasks() || m_refusedJobs.contains(id))
             continue;
-        PoolQueue &queue = queues[poolOf(job)];
-        queue.jobs.push_back(waitingJob(now, job, queue.capacity));
-    }
-    std::erase_if(queues, [](const auto &entry) { return entry.second.jobs.empty(); });
-    for (auto &[pool, queue] : queues) {
-        Duration runtimes{0};
-        for (const WaitingJob &waiting : queue.jobs)
-            runtimes += waiting.job->expectedPath.whole
-                        / static_cast<Duration::rep>(
-                            waiting.job->submitted().specification.steps.size());
-        const double mean = toSeconds(runtimes) / static_cast<double>(queue.jobs.size());
-        queue.busyTime
-            = fromSeconds(mean * remainingPart * shareOf(reserved[pool], queue.capacity));
+        const QueueSettings &settings = queueOf(job);
+        const auto [known, isNew] = queueOfSettings.try_emplace(&settings, nullptr);
+        if (isNew) {
+            const auto found = queues.find(settings.pool);
+            known->second = found == queues.end() ? nullptr : &found->second;
+        }
+        PoolQueue *queue = known->second;
+        if (queue == nullptr)
+            continue; // the pool has no workers
+        // Tickets of the placement advice are requested ahead of the room.
+        queue->hasRoom |= settings.adviceValidity.count() > 0
+                          || fitsInto(job.smallestTask(), queue->largestRoom);
+        WaitingJob &waiting = queue->jobs.emplace_back();
+        waiting.job = &job;
+        waiting.priority = settings.priority;
     }
+    std::erase_if(queues, [this](const auto &entry) {
+        const bool mayStart = entry.second.hasRoom || m_hooks.defects.ignoreCapacity;
+        return entry.second.jobs.empty() || !mayStart;
+    });
+    if (!queues.empty())
+        updateWeightedShares();
+    for (auto &[pool, queue] : queues)
+        describeJobs(now, queue);
     return queues;
 }
 
-WaitingJob JobScheduler::waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const
+JobScheduler::PoolQueue JobScheduler::emptyQueue(const std::vector<Worker *> &workers)
+{
+    PoolQueue queue;
+    for (const Worker *worker : workers) {
+        // Long-running tasks don't make room for others.
+        const TaskSize lasting = worker->runs.reservedByLongRunning();
+        queue.capacity = plus(queue.capacity, minus(worker->description.capacity, lasting));
+        queue.reserved = plus(queue.reserved, minus(worker->runs.reserved(), lasting));
+        queue.largestRoom = largest(queue.largestRoom, worker->freeCapacity());
+    }
+    return queue;
+}
+
+void JobScheduler::describeJobs(TimePoint now, PoolQueue &queue) const
 {
+    Duration runtimes{0};
+    for (WaitingJob &waiting : queue.jobs) {
+        describe(now, waiting, queue.capacity);
+        const std::size_t steps = waiting.job->submitted().specification.steps.size();
+        runtimes += waiting.job->expectedPath.whole / static_cast<Duration::rep>(steps);
+    }
+    const double mean = toSeconds(runtimes) / static_cast<double>(queue.jobs.size());
+    queue.busyTime = fromSeconds(mean * remainingPart * shareOf(queue.reserved, queue.capacity));
+}
+
+void JobScheduler::describe(TimePoint now, WaitingJob &waiting, const TaskSize &poolCapacity) const
+{
+    const Job &job = *waiting.job;
     const Job::ExpectedPath &path = estimate(now, job);
-    const Duration objective = objectiveOf(path, queueOf(job));
-    WaitingJob waiting;
-    waiting.job = &job;
-    waiting.priority = queueOf(job).priority;
     waiting.isInProfile = job.isInProfile.value_or(true);
-    if (!waiting.isInProfile)
-        waiting.weightedShare = weightedShareOf(job.submitted().organisation);
+    const auto organisation = settingsOf(job).organisation;
+    if (!waiting.isInProfile && organisation)
+        waiting.weightedShare = m_organisations[*organisation].weightedShare;
     waiting.isLongRunning = job.longRunning();
     waiting.waitingSince = waitingSince(job);
-    waiting.latestStart = waiting.waitingSince + objective - path.remaining;
+    waiting.latestStart = waiting.waitingSince + path.objective - path.remaining;
     waiting.latestUsefulStart
-        = waiting.waitingSince + objective * latestObjectives - path.remaining;
+        = waiting.waitingSince + path.objective * latestObjectives - path.remaining;
     if (!waiting.isLongRunning)
         waiting.poolTime = fromSeconds(
             std::max(shareOf(path.waitingMilliProcessorSeconds, poolCapacity.milliProcessors),
                      shareOf(path.waitingMegabyteSeconds, poolCapacity.megabytes))
             / usableFraction);
-    return waiting;
 }
 
 const Job::ExpectedPath &JobScheduler::estimate(TimePoint now, const Job &job) const
@@ -146,6 +188,7 @@
             += static_cast<double>(size.milliProcessors) * taskSeconds;
         path.waitingMegabyteSeconds += static_cast<double>(size.megabytes) * taskSeconds;
     }
+    path.objective = objectiveOf(path.whole, queueOf(job));
     return path;
 }
 
@@ -166,17 +209,25 @@
         return submittedAt(*left) < submittedAt(*right);
     });
     for (Job *job : jobs) {
-        const auto *organisation = m_configuration->organisation(job->submitted().organisation);
-        if (organisation != nullptr)
-            job->isInProfile = m_profiles.admit(submittedAt(*job), *organisation);
+        const auto organisation = settingsOf(*job).organisation;
+        if (organisation)
+            job->isInProfile
+                = m_profiles.admit(submittedAt(*job), *m_organisations[*organisation].settings);
     }
 }
 
-double JobScheduler::weightedShareOf(const std::string &organisation) const
+void JobScheduler::updateWeightedShares()
 {
-    const auto *settings = m_configuration->organisation(organisation);
-    const double weight = settings == nullptr || settings->weight <= 0 ? 1 : settings->weight;
-    return shareOf(m_usage.inUse(organisation), m_capacity) / weight;
+    if (m_organisations.empty())
+        return;
+    TaskSize capacity;
+    for (const auto &[id, worker] : m_workers)
+        capacity = plus(capacity, worker.description.capacity);
+    for (Organisation &organisation : m_organisations) {
+        const double weight = organisation.settings->weight;
+        organisation.weightedShare
+            = shareOf(m_usage.inUse(organisation.name), capacity) / (weight > 0 ? weight : 1);
+    }
 }
 
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -4,24 +4,19 @@
 #include "UnplaceableSizes.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
-#include <utility>
 
 namespace Peridot::Jobs {
 
 bool JobScheduler::placeTasks(TimePoint now)
 {
     m_placements = 0;
-    const auto quotaWaits = std::exchange(m_quotaWaits, {});
-    m_jobsWaitingForQuota.clear();
-    updateUsage(now);
     assignProfiles();
+    if (!hasWaitingJobs())
+        return true;
+    updateForeignUsage(now);
     const auto workers = candidatesByPool(now);
     auto queues = queuesByPool(now, workers);
-    if (queues.empty())
-        return true;
-    const bool complete = placePools(now, queues, workers);
-    reportQuotaWaits(quotaWaits);
-    return complete;
+    return queues.empty() || placePools(now, queues, workers);
 }
 
 bool JobScheduler::placePools(TimePoint now, std::map<std::string, PoolQueue> &queues,
@@ -50,8 +45,10 @@
     sortForStart(now, queue.busyTime, queue.jobs);
     for (const WaitingJob &entry : queue.jobs) {
         for (auto &[number, occurrence] : entry.job->occurrences()) {
-            for (unsigned step = 0; step < occurrence.steps.size(); ++step)
-                placeStep(now, *entry.job, number, step, workers, unplaceable);
+            for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].ready > 0)
+                    placeStep(now, *entry.job, number, step, workers, unplaceable);
+            }
         }
         if (m_placements >= maximumPlacementsPerPass)
             return false;
@@ -142,14 +139,12 @@
                              std::map<std::string, UnplaceableSizes> &unplaceable)
 {
     Job::Step &state = job.occurrences().at(occurrence).steps[step];
-    if (state.ready == 0)
-        return;
     const StepSpecification &specification = job.step(step);
     UnplaceableSizes &sizes = unplaceable[specification.requiredLabel];
     const TaskSize size = reservedSize(specification);
     if (sizes.contain(size) && !m_hooks.defects.ignoreCapacity)
         return;
-    const std::int64_t allowed = tasksWithinQuota(job, specification, state.ready);
+    const std::int64_t allowed = tasksWithinQuota(now, job, specification, state);
     if (allowed == 0)
         return;
     const TaskName first{job.id(), occurrence, step, 0};
@@ -256,7 +251,6 @@
             continue;
         }
         worker.runs.remove({name, run});
-        m_usage.remove(job.submitted().organisation, job.step(step).size);
         job.makeReady(name);
     }
     return isComplete;
@@ -322,7 +316,6 @@
     job.activate(name, run, worker.description.id, now);
     const RunName runName{name, run};
     worker.runs.add(runName, newRun(job, job.step(name.step), now));
-    m_usage.add(job.submitted().organisation, job.step(name.step).size);
     m_recording.emplace_back(worker.description.id, runName);
     markDirty(job);
     ++m_placements;
--- a/Kernel/Jobs/JobTypes.cpp
+++ b/Kernel/Jobs/JobTypes.cpp
@@ -18,6 +18,11 @@
             left.accelerators - right.accelerators};
 }
 
+TaskSize multiplied(const TaskSize &size, std::int64_t count)
+{
+    return {size.milliProcessors * count, size.megabytes * count, size.accelerators * count};
+}
+
 bool fitsInto(const TaskSize &size, const TaskSize &capacity)
 {
     return size.milliProcessors <= capacity.milliProcessors && size.megabytes <= capacity.megabytes
--- a/Kernel/Jobs/OrganisationUsage.cpp
+++ b/Kernel/Jobs/OrganisationUsage.cpp
@@ -24,11 +24,6 @@
     return roomFor(used.accelerators, size.accelerators, count, quota.accelerators);
 }
 
-TaskSize multiplied(const TaskSize &size, std::int64_t count)
-{
-    return {size.milliProcessors * count, size.megabytes * count, size.accelerators * count};
-}
-
 } // namespace
 
 bool hasQuota(const OrganisationSettings &organisation)
@@ -63,6 +58,12 @@
         add(organisation, size);
 }
 
+void OrganisationUsage::remove(const OrganisationUsage &other)
+{
+    for (const auto &[organisation, size] : other.m_inUse)
+        remove(organisation, size);
+}
+
 void OrganisationUsage::remove(const std::string &organisation, const TaskSize &size)
 {
     const auto found = m_inUse.find(organisation);
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -118,8 +118,7 @@
         PoolLoad &load = loads[scheduler.poolOf(job)];
         // Hosts are of no use to tasks that wait for the quota of their organisation.
         const OrganisationSettings *quota = scheduler.quotaOf(job);
-        const bool isLate = scheduler.isLate(now, job);
-        const bool isBlocked = quota != nullptr && scheduler.waitsForQuota(id);
+        const bool isBlocked = quota != nullptr && JobScheduler::waitsForQuota(job);
         if (job.receivedAt > since && !job.longRunning() && !isBlocked)
             load.arrivals.push_back(estimatedWorkOf(scheduler, job));
         for (const auto &[number, occurrence] : job.occurrences()) {
@@ -128,8 +127,11 @@
                 const Job::Step &state = occurrence.steps[index];
                 const std::int64_t ready
                     = quota == nullptr ? state.ready : usage.take(*quota, step.size, state.ready);
-                addStepLoad(load, step, state, static_cast<unsigned>(ready),
-                            scheduler.expectedRuntime(job, step), isLate);
+                // Most steps have nothing to estimate, which takes logarithms.
+                if (ready > 0 || state.active > 0 || step.longRunning)
+                    addStepLoad(load, step, state, static_cast<unsigned>(ready),
+                                ready > 0 ? scheduler.expectedRuntime(job, step) : Duration{0},
+                                scheduler.isLate(now, job));
             }
         }
     }
--- a/Kernel/Jobs/WorkerRuns.cpp
+++ b/Kernel/Jobs/WorkerRuns.cpp
@@ -9,7 +9,10 @@
     if (!m_runs.emplace(name, run).second)
         return;
     m_reserved = plus(m_reserved, run.reserved);
-    m_usage.add(run.organisation, run.charged);
+    if (run.longRunning)
+        m_reservedByLongRunning = plus(m_reservedByLongRunning, run.reserved);
+    if (m_usage != nullptr)
+        m_usage->add(run.organisation, run.charged);
 }
 
 std::optional<WorkerRun> WorkerRuns::take(const RunName &name)
@@ -17,15 +20,23 @@
     const auto node = m_runs.extract(name);
     if (!node)
         return std::nullopt;
-    m_reserved = minus(m_reserved, node.mapped().reserved);
-    m_usage.remove(node.mapped().organisation, node.mapped().charged);
+    removed(node.mapped());
     return node.mapped();
 }
 
+void WorkerRuns::removed(const WorkerRun &run)
+{
+    m_reserved = minus(m_reserved, run.reserved);
+    if (run.longRunning)
+        m_reservedByLongRunning = minus(m_reservedByLongRunning, run.reserved);
+    if (m_usage != nullptr)
+        m_usage->remove(run.organisation, run.charged);
+}
+
 WorkerRuns::Map WorkerRuns::takeAll()
 {
-    m_reserved = {};
-    m_usage = {};
+    for (const auto &[name, run] : m_runs)
+        removed(run);
     return std::exchange(m_runs, {});
 }
 
--- a/Kernel/include/Kernel/Jobs/Job.h
+++ b/Kernel/include/Kernel/Jobs/Job.h
@@ -33,6 +33,7 @@
         unsigned ready = 0;
         unsigned active = 0;
         unsigned done = 0;
+        unsigned waitingForQuota = 0; ///< of the ready tasks, when it was last looked at
         /// Workers on which runs have failed. Empty once a run has succeeded.
         std::set<std::string> failingWorkers;
         bool succeeded = false; ///< a run is done or, of a long-running task, in service
@@ -49,6 +50,7 @@
     {
         TimePoint estimatedAt;
         std::uint64_t changes = 0; ///< of the job when it was estimated
+        Duration objective{0}; ///< latency objective, by the settings of the queue
         Duration whole{0}; ///< runtime of the critical path
         Duration remaining{0}; ///< the same of the tasks that are not done
         /// Processor time of the tasks that have not started, in thousandths of a core times
@@ -57,6 +59,15 @@
         double waitingMegabyteSeconds = 0;
     };
 
+    /// What the configuration says about the job.
+    struct CurrentSettings
+    {
+        std::uint64_t configuration
+            = 0; ///< number of the configuration that was looked at; 0: none
+        const QueueSettings *queue = nullptr; ///< null: the queue is gone
+        std::optional<std::size_t> organisation; ///< index in the list; nothing: none, or gone
+    };
+
     /// Restores the job from \a progress, or creates a new job when there is none. \a now replaces
     /// the times that are not stored in the rows.
     Job(SubmittedJob submitted, const std::optional<JobProgress> &progress, TimePoint now);
@@ -68,7 +79,10 @@
         return m_submitted.specification.steps[index];
     }
     JobPhase phase() const { return m_phase; }
-    bool longRunning() const;
+    /// Whether a step runs until the job is cancelled.
+    bool longRunning() const { return m_longRunning; }
+    /// Smallest amount of each resource that a task of the job reserves.
+    const TaskSize &smallestTask() const { return m_smallestTask; }
     std::map<unsigned, Occurrence> &occurrences() { return m_occurrences; }
     const std::map<unsigned, Occurrence> &occurrences() const { return m_occurrences; }
 
@@ -118,6 +132,7 @@
     TimePoint receivedAt; ///< when this process first read the job
     /// Whether its organisation had not submitted more than its rate before; nothing until then.
     std::optional<bool> isInProfile;
+    mutable CurrentSettings currentSettings; ///< for the scheduler
     mutable ExpectedPath expectedPath; ///< the latest estimate, for the scheduler
     bool started = false; ///< a worker confirmed a run, or a previous scheduler had placed one
 
@@ -138,6 +153,8 @@
 
     SubmittedJob m_submitted;
     Duration m_criticalPathEstimate;
+    bool m_longRunning;
+    TaskSize m_smallestTask;
     JobPhase m_phase = JobPhase::Queued;
     std::map<unsigned, Occurrence> m_occurrences; ///< started and unfinished, by number
     std::optional<unsigned> m_lastFinished; ///< highest number of a finished occurrence
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -167,15 +167,12 @@
     bool isLate(TimePoint now, const Job &job) const;
     /// Organisation of the job when it has a quota, otherwise a null pointer.
     const OrganisationSettings *quotaOf(const Job &job) const;
-    /// What the organisations used at the latest planning pass.
+    /// What the organisations use.
     const OrganisationUsage &organisationUsage() const { return m_usage; }
-    /// Tasks that waited for the quota of their organisation at the latest planning pass.
-    const std::map<std::string, std::uint64_t> &tasksWaitingForQuota() const
-    {
-        return m_quotaWaits;
-    }
+    /// Number of tasks that wait for the quota of their organisation, by organisation.
+    std::map<std::string, std::uint64_t> tasksWaitingForQuota() const;
     /// Whether tasks of the job wait for the quota of its organisation.
-    bool waitsForQuota(const std::string &job) const { return m_jobsWaitingForQuota.contains(job); }
+    static bool waitsForQuota(const Job &job);
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
@@ -206,9 +203,20 @@
     struct PoolQueue
     {
         TaskSize capacity; ///< for tasks that end by themselves
+        TaskSize reserved; ///< by such tasks
+        TaskSize largestRoom; ///< on one worker, by resource
+        bool hasRoom = false; ///< one of the tasks may fit
         Duration busyTime{0}; ///< until half of what runs has ended
         std::vector<WaitingJob> jobs;
     };
+    struct Organisation
+    {
+        std::string name;
+        const OrganisationSettings *settings = nullptr;
+        /// Largest share of the capacity of all workers that it uses, over its weight.
+        double weightedShare = 0;
+        TimePoint waitedAt; ///< when tasks last had to wait for its quota
+    };
     /// Capacity that the evacuations of one pass have reserved, by worker.
     using EvacuationReservations = std::map<std::string, TaskSize>;
 
@@ -230,6 +238,8 @@
     Job *jobOf(const TaskName &name);
     /// Whether \a run is the active run of its task, and placed on \a worker.
     bool isCurrentRun(const RunName &run, const std::string &worker);
+    /// Looks the queue and the organisation of the job up when the configuration has changed.
+    const Job::CurrentSettings &settingsOf(const Job &job) const;
     /// Current settings of the queue of the job; those at its submission when the queue is gone.
     const QueueSettings &queueOf(const Job &job) const;
     void observe(std::string_view kind, const RunName &run, const std::string &worker,
@@ -315,16 +325,19 @@
     void probePlaced(TimePoint now, Worker &worker) const;
 
     // JobSchedulerOrder.cpp
-    /// Jobs with ready tasks, by pool.
+    bool hasWaitingJobs() const;
+    /// Jobs with ready tasks, by pool. Leaves out the pools where none of them has room.
     std::map<std::string, PoolQueue> queuesByPool(TimePoint now, const WorkersByPool &workers);
-    /// What decides when the ready tasks of \a job start.
-    WaitingJob waitingJob(TimePoint now, Job &job, const TaskSize &poolCapacity) const;
+    /// Queue of the pool of \a workers, without jobs.
+    static PoolQueue emptyQueue(const std::vector<Worker *> &workers);
+    /// Adds what decides when the ready tasks of the jobs start.
+    void describeJobs(TimePoint now, PoolQueue &queue) const;
+    void describe(TimePoint now, WaitingJob &waiting, const TaskSize &poolCapacity) const;
     /// Estimates the job again when it has changed, or when much more is known about runtimes.
     const Job::ExpectedPath &estimate(TimePoint now, const Job &job) const;
     /// Decides which of the jobs that came since the last pass are in profile.
     void assignProfiles();
-    /// Largest share of the capacity of all workers that the organisation uses, over its weight.
-    double weightedShareOf(const std::string &organisation) const;
+    void updateWeightedShares();
 
     // JobSchedulerPlacement.cpp
     /// Returns false when the limit of a pass left steps that were not looked at.
@@ -380,17 +393,20 @@
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
 
     // JobSchedulerQuota.cpp
-    /// Adds up what the organisations use.
-    void updateUsage(TimePoint now);
-    /// Adds the runs that an earlier scheduler may have left of jobs that it has ended.
-    void addRunsOfEndedJobs(TimePoint now);
+    /// Takes the organisations of the configuration.
+    void updateOrganisations();
+    /// Counts the runs that an earlier scheduler has left, or may have left, and that no row names.
+    void updateForeignUsage(TimePoint now);
+    void addForeignRun(const RunName &run);
+    void addTasksOfEndedJobs();
     /// Remembers the steps of a job that an earlier scheduler has ended.
     void noteEndedJob(const SubmittedJob &job, const JobProgress &progress);
-    /// Number of tasks of the step, at most \a count, that the quota of its organisation allows.
-    /// Notes that the others wait for it.
-    std::int64_t tasksWithinQuota(const Job &job, const StepSpecification &step, unsigned count);
-    /// Reports the organisations whose tasks have begun to wait for their quota.
-    void reportQuotaWaits(const std::map<std::string, std::uint64_t> &before) const;
+    /// Number of ready tasks of the step that the quota of its organisation allows. Notes that the
+    /// others wait for it.
+    std::int64_t tasksWithinQuota(TimePoint now, const Job &job, const StepSpecification &step,
+                                  Job::Step &state);
+    /// Reports that tasks have begun to wait for the quota of the organisation.
+    void noteQuotaWait(TimePoint now, Organisation &organisation, unsigned tasks);
 
     // JobSchedulerEvacuation.cpp
     /// Whether tasks run on the worker that are not long-running.
@@ -453,6 +469,7 @@
     SchedulerHooks m_hooks;
     TimePoint m_startedAt;
     std::shared_ptr<const JobConfiguration> m_configuration;
+    std::uint64_t m_configurationNumber = 1; ///< rises with each configuration
     std::unique_ptr<PlacementPolicy> m_placement;
     std::map<std::string, RuntimeModel> m_runtimes; ///< by queue
     std::map<TaskName, StepAdvice> m_advice; ///< by the first task of the step
@@ -462,10 +479,9 @@
     std::map<std::string, std::uint64_t> m_acceptedTasks; ///< by queue, since the scheduler began
     OrganisationProfiles m_profiles;
     std::vector<std::string> m_unprofiledJobs; ///< of organisations, added since the last pass
-    TaskSize m_capacity; ///< of all listed workers
-    OrganisationUsage m_usage; ///< of the current or latest planning pass
-    std::map<std::string, std::uint64_t> m_quotaWaits; ///< waiting tasks, by organisation
-    std::set<std::string> m_jobsWaitingForQuota;
+    std::vector<Organisation> m_organisations; ///< in the order of the configuration
+    OrganisationUsage m_usage; ///< of the runs of all workers, and m_foreignUsage
+    OrganisationUsage m_foreignUsage; ///< of the latest planning pass
     std::map<std::string, EndedJob> m_endedJobs; ///< by id
     ChangedJobs m_dirty;
     std::set<std::string> m_suspects; ///< jobs of a refused transaction
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -23,6 +23,7 @@
 
 TaskSize plus(const TaskSize &left, const TaskSize &right);
 TaskSize minus(const TaskSize &left, const TaskSize &right);
+TaskSize multiplied(const TaskSize &size, std::int64_t count);
 bool fitsInto(const TaskSize &size, const TaskSize &capacity);
 
 /// A group of identical tasks in a job. They start when all tasks of the steps in \c after are
--- a/Kernel/include/Kernel/Jobs/OrganisationUsage.h
+++ b/Kernel/include/Kernel/Jobs/OrganisationUsage.h
@@ -24,6 +24,8 @@
     void add(const std::string &organisation, const TaskSize &size);
     void add(const OrganisationUsage &other);
     void remove(const std::string &organisation, const TaskSize &size);
+    void remove(const OrganisationUsage &other);
+    bool empty() const { return m_inUse.empty(); }
     TaskSize inUse(const std::string &organisation) const;
 
     /// Number of tasks of \a size, at most \a count, that keep the organisation within its quota.
--- a/Kernel/include/Kernel/Jobs/WorkerRun.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRun.h
@@ -27,6 +27,7 @@
     TaskSize reserved; ///< of the worker's capacity
     std::string organisation; ///< against whose quota the run counts; empty: none
     TaskSize charged; ///< to the quota
+    bool longRunning = false; ///< its task runs until its job is cancelled
     bool orderInFlight = false;
     /// An earlier start order was not answered and may still take effect.
     bool earlierOrderUnanswered = false;
--- a/Kernel/include/Kernel/Jobs/WorkerRuns.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRuns.h
@@ -25,8 +25,10 @@
     bool empty() const { return m_runs.empty(); }
     std::size_t size() const { return m_runs.size(); }
     const TaskSize &reserved() const { return m_reserved; }
-    /// What the runs use of the quotas of their organisations.
-    const OrganisationUsage &usage() const { return m_usage; }
+    const TaskSize &reservedByLongRunning() const { return m_reservedByLongRunning; }
+    /// Counts the runs that are added from now on in \a usage, which must exist as long as this
+    /// object, until they are removed.
+    void countIn(OrganisationUsage &usage) { m_usage = &usage; }
 
     Map::iterator begin() { return m_runs.begin(); }
     Map::iterator end() { return m_runs.end(); }
@@ -36,9 +38,12 @@
     Map::const_iterator firstOf(const std::string &job) const;
 
 private:
+    void removed(const WorkerRun &run);
+
     Map m_runs;
     TaskSize m_reserved;
-    OrganisationUsage m_usage;
+    TaskSize m_reservedByLongRunning;
+    OrganisationUsage *m_usage = nullptr;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -319,7 +319,7 @@
         entry["phase"] = std::string(jobPhaseNames.nameOf(job.phase()));
         if (!job.submitted().organisation.empty())
             entry["organisation"] = job.submitted().organisation;
-        if (scheduler->waitsForQuota(id))
+        if (JobScheduler::waitsForQuota(job))
             entry["waits_for"] = "organisation-quota";
         state["jobs"][id] = std::move(entry);
     }
--- a/Tests/Kernel/Jobs/TestJobSchedules.cpp
+++ b/Tests/Kernel/Jobs/TestJobSchedules.cpp
@@ -118,7 +118,7 @@
                              {0.05, 0.03, 0.05, 0.1, 0.1, true, false, true, true, true});
     simulation.run(15s, 40s);
     CHECK(firstViolation(simulation).empty());
-    CHECK(simulation.digest() == 0xbc078e8fef2e2cd1);
+    CHECK(simulation.digest() == 0x6bd3affea9f1d97b);
 }
 
 TEST_CASE("The simulation detects each injected defect of the scheduler")
--- a/Tests/Kernel/Jobs/TestQuotas.cpp
+++ b/Tests/Kernel/Jobs/TestQuotas.cpp
@@ -73,7 +73,7 @@
     SECTION("while jobs of others behind it start")
     {
         CHECK(fixture.runsOf("other") == 4);
-        CHECK(fixture.scheduler.waitsForQuota("first"));
+        CHECK(JobScheduler::waitsForQuota(fixture.scheduler.jobs().at("first")));
         CHECK(fixture.scheduler.tasksWaitingForQuota().at("north") == 2);
     }
     SECTION("what is stopping still counts")
@@ -102,6 +102,22 @@
     }
 }
 
+TEST_CASE("A wait for a quota is reported once, although the workers are full meanwhile")
+{
+    // Guards against a log line whenever the workers become full or have room again.
+    QuotaFixture fixture;
+    StepSpecification step = SchedulerFixture::stepOf(5);
+    step.estimatedRuntime = 2s;
+    fixture.submit("waiting", "north", step);
+    fixture.startAll();
+    fixture.submit("urgent", "south", SchedulerFixture::stepOf(9));
+    fixture.startAll();
+    fixture.scheduler.cancelJob(fixture.now, "urgent");
+    fixture.startAll();
+    CHECK(fixture.events["quota-reached"] == 1);
+    CHECK(fixture.scheduler.tasksWaitingForQuota().at("north") == 2);
+}
+
 TEST_CASE("A gang starts as a whole or waits for the quota")
 {
     QuotaFixture fixture;
@@ -131,6 +147,19 @@
     fixture.submit("next", "north", SchedulerFixture::stepOf(3));
     fixture.startAll();
     CHECK(fixture.runsOf("next") == 0);
+    SECTION("also before it has the list of the workers")
+    {
+        SchedulerFixture successor;
+        successor.scheduler.addJob(fixture.now,
+                                   fixture.jobOf("ended", "north", SchedulerFixture::stepOf(3)),
+                                   cancelled, 1);
+        JobConfiguration configuration;
+        configuration.organisations = {{"north", {}, 0, 0, {3000, 0, 0}}};
+        successor.scheduler.setConfiguration(std::make_shared<JobConfiguration>(configuration));
+        successor.submit("any");
+        successor.scheduler.plan(fixture.now);
+        CHECK(successor.scheduler.organisationUsage().inUse("north").milliProcessors == 3000);
+    }
     SECTION("until all workers have listed their runs")
     {
         fixture.answerPoll("silent", 1000, {{{{"ended", 0, 0, 0}, 1}, {}, 0, std::nullopt}});
@@ -142,6 +171,18 @@
     }
 }
 
+TEST_CASE("A run that no row names counts while a worker lists it")
+{
+    // Guards against members of a gang that are being stopped when the scheduler is replaced: the
+    // row shows the whole gang as done.
+    QuotaFixture fixture;
+    fixture.submit("first", "north", SchedulerFixture::stepOf(1));
+    fixture.answerPoll("a", 1000, {{{{"first", 0, 0, 0}, 7}, {}, 0, std::nullopt}});
+    fixture.submit("second", "north", SchedulerFixture::stepOf(3));
+    fixture.startAll();
+    CHECK(fixture.runsOf("first") + fixture.runsOf("second") == 2);
+}
+
 TEST_CASE("The progress row of a job names its organisation unless all callers may see it")
 {
     QuotaFixture fixture;
@@ -165,3 +206,22 @@
         CHECK(organisationIn().empty());
     }
 }
+
+TEST_CASE("Long-running tasks leave the rest of a pool to the order of starts")
+{
+    // Guards against an order for the whole pool although most of it never becomes free.
+    QuotaFixture fixture;
+    StepSpecification lasting = SchedulerFixture::stepOf(7);
+    lasting.longRunning = true;
+    fixture.submit("lasting", "south", lasting);
+    fixture.startAll();
+    StepSpecification large = SchedulerFixture::stepOf(3);
+    large.estimatedRuntime = 2s;
+    StepSpecification small = SchedulerFixture::stepOf(1);
+    small.estimatedRuntime = 2500ms;
+    fixture.submit("large", "south", large);
+    fixture.submit("small", "south", small);
+    fixture.startAll();
+    CHECK(fixture.runsOf("small") == 1);
+    CHECK(fixture.runsOf("large") == 0);
+}
