--- a/Meta/peridot.sh
+++ b/Meta/peridot.sh
@@ -22,7 +22,7 @@
   sanitize KIND [CTEST-ARGUMENT...]
                     build and run tests under: address,undefined | thread
   measure NAME      print key=value lines: flood | overhead | rollout | placement | config | store |
-                    retries | request-slopes | fleet-slopes | scheduling
+                    retries | request-slopes | fleet-slopes | scheduling | start-order
 USAGE
 }
 
