--- a/Kernel/Jobs/HostShares.cpp
+++ b/Kernel/Jobs/HostShares.cpp
@@ -31,9 +31,11 @@
     std::vector<std::pair<unsigned, std::string>> expected;
     std::vector<std::pair<unsigned, std::string>> late;
     for (const auto &[pool, need] : needs) {
-        inTime.emplace_back(need.inTime, pool);
-        const unsigned withExpected = std::max(need.expected, need.inTime);
-        expected.emplace_back(withExpected - need.inTime, pool);
+        // One host keeps a pool whose jobs are all late from waiting for ever.
+        const unsigned first = std::max(need.inTime, std::min(1U, need.total));
+        inTime.emplace_back(first, pool);
+        const unsigned withExpected = std::max(need.expected, first);
+        expected.emplace_back(withExpected - first, pool);
         late.emplace_back(std::max(need.total, withExpected) - withExpected, pool);
     }
     std::map<std::string, unsigned> shares;
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -142,8 +142,7 @@
         PoolLoad &load = loads[scheduler.poolOf(job)];
         // Hosts are of no use to tasks that wait for the quota of their organisation.
         const OrganisationSettings *quota = scheduler.quotaOf(job);
-        const bool isLate = scheduler.isLate(now, job);
-        const bool isBlocked = quota != nullptr && scheduler.waitsForQuota(id);
+        const bool isBlocked = quota != nullptr && JobScheduler::waitsForQuota(job);
         if (job.receivedAt > since && !job.longRunning() && !isBlocked)
             load.arrivals.push_back(estimatedWorkOf(scheduler, job));
         for (const auto &[number, occurrence] : job.occurrences()) {
@@ -152,8 +151,11 @@
                 const Job::Step &state = occurrence.steps[index];
                 const std::int64_t ready
                     = quota == nullptr ? state.ready : usage.take(*quota, step.size, state.ready);
-                addStepLoad(load, step, state, static_cast<unsigned>(ready),
-                            scheduler.expectedRuntime(job, step), isLate);
+                // Most steps have nothing to estimate, which takes logarithms.
+                if (ready > 0 || state.active > 0 || step.longRunning)
+                    addStepLoad(load, step, state, static_cast<unsigned>(ready),
+                                ready > 0 ? scheduler.expectedRuntime(job, step) : Duration{0},
+                                scheduler.isLate(now, job));
             }
         }
     }
@@ -193,9 +195,14 @@
 
 void PoolDemand::share(unsigned hosts)
 {
-    std::map<std::string, HostNeed> needs;
+    TimePoint latest;
     for (const auto &[pool, state] : m_pools)
-        needs[pool] = state.need;
+        latest = std::max(latest, state.observedAt);
+    std::map<std::string, HostNeed> needs;
+    for (const auto &[pool, state] : m_pools) {
+        if (state.observedAt == latest) // the others have left the configuration
+            needs[pool] = state.need;
+    }
     for (const auto &[pool, share] : shareHosts(needs, hosts)) {
         State &state = m_pools.at(pool);
         state.neededHosts = std::min(share, state.need.total);
@@ -207,6 +214,7 @@
                          const TaskSize &hostSize)
 {
     State &state = m_pools[pool];
+    state.observedAt = now;
     state.arrivals.insert(state.arrivals.end(), load.arrivals.begin(), load.arrivals.end());
     const WorkArrival rate = arrivalRate(now, state.arrivals);
     PoolLoad inTime = load;
--- a/Kernel/Jobs/StartOrder.cpp
+++ b/Kernel/Jobs/StartOrder.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <queue>
-#include <tuple>
 #include <utility>
 
 namespace Peridot::Jobs {
@@ -22,61 +22,54 @@
     Late,
 };
 
-// Places of the parts of Rank::group.
-constexpr unsigned priorityShift = 8;
-constexpr unsigned uselessShift = 48;
-constexpr std::uint64_t outOfProfileBit = 1U << 4;
-constexpr std::uint64_t startClassMask = outOfProfileBit - 1;
-
-/// Place of a job in the order. Lower values go first. Thousands of them are sorted in each
-/// planning pass, so that what decides first is one number.
+/// Place of a job in the order. Lower values go first. Kept small, because a pass may sort many
+/// thousands.
 struct Rank
 {
-    /// Whether the result is useless, the priority, whether the organisation is out of profile, and
-    /// the StartClass, the first in the highest bits.
+    /// Jobs of one group compete for the same room, before that of higher groups: whether the
+    /// result is of no use, the priority, and whether the job is out of profile.
     std::uint64_t group = 0;
+    StartClass startClass = StartClass::InTime;
+    std::uint32_t index = 0; ///< of the job
     double weightedShare = 0; ///< only of jobs out of profile
     Duration::rep position = 0; ///< within the class
-    std::uint32_t index = 0; ///< of the job in the given order
-
-    StartClass startClass() const { return static_cast<StartClass>(group & startClassMask); }
-    void setStartClass(StartClass startClass)
-    {
-        group = (group & ~startClassMask) | static_cast<std::uint64_t>(startClass);
-    }
-    /// Whether the jobs compete for the same room, before that of lower groups.
-    bool isSameGroup(const Rank &other) const
-    {
-        return (group & ~startClassMask) == (other.group & ~startClassMask);
-    }
-    bool operator<(const Rank &other) const
-    {
-        if (group != other.group)
-            return group < other.group;
-        return std::tie(weightedShare, position) < std::tie(other.weightedShare, other.position);
-    }
 };
 
+bool operator<(const Rank &left, const Rank &right)
+{
+    if (left.group != right.group)
+        return left.group < right.group;
+    if (left.startClass != right.startClass)
+        return left.startClass < right.startClass;
+    if (left.weightedShare != right.weightedShare)
+        return left.weightedShare < right.weightedShare;
+    if (left.position != right.position)
+        return left.position < right.position;
+    return left.index < right.index;
+}
+
+std::uint64_t groupOf(bool isUseless, const WaitingJob &job)
+{
+    constexpr unsigned priorityBits = 32;
+    const std::uint64_t useless = isUseless ? 1 : 0;
+    const std::uint64_t outOfProfile = job.isInProfile ? 0 : 1;
+    return (((useless << priorityBits) | job.priority) << 1) | outOfProfile;
+}
+
 Rank rankOf(TimePoint now, const WaitingJob &job)
 {
+    const bool isLate = !job.isLongRunning && now > job.latestStart;
+    const bool isOfNoUse = isLate && now > job.latestUsefulStart;
+    const bool hasWaitedLongest = isOfNoUse && now >= job.latestUsefulStart + longestUselessWait;
     Rank rank;
-    rank.group = static_cast<std::uint64_t>(job.priority) << priorityShift;
-    if (!job.isInProfile) {
-        rank.group |= outOfProfileBit;
-        rank.weightedShare = job.weightedShare;
-    }
-    rank.position = job.latestStart.time_since_epoch().count();
-    rank.setStartClass(job.isLongRunning ? StartClass::First : StartClass::InTime);
-    if (job.isLongRunning || now <= job.latestStart)
-        return rank;
-    rank.setStartClass(StartClass::Late);
-    rank.position = job.waitingSince.time_since_epoch().count();
-    if (now <= job.latestUsefulStart)
-        return rank;
-    if (now < job.latestUsefulStart + longestUselessWait)
-        rank.group |= std::uint64_t{1} << uselessShift;
-    else
-        rank.setStartClass(StartClass::First);
+    rank.group = groupOf(isOfNoUse && !hasWaitedLongest, job);
+    rank.weightedShare = job.isInProfile ? 0 : job.weightedShare;
+    const TimePoint position = isLate ? job.waitingSince : job.latestStart;
+    rank.position = position.time_since_epoch().count();
+    if (job.isLongRunning || hasWaitedLongest)
+        rank.startClass = StartClass::First;
+    else if (isLate)
+        rank.startClass = StartClass::Late;
     return rank;
 }
 
@@ -87,14 +80,18 @@
 public:
     explicit PoolPlan(Duration busyTime) : m_planned(busyTime) { }
 
-    /// The jobs planned so far are not put back for those that follow.
-    void beginGroup() { m_group = {}; }
+    /// The jobs planned so far are not put back for those that follow, and all start before them.
+    void beginGroup()
+    {
+        m_group = {};
+        m_planned += std::exchange(m_putBack, Duration{0});
+    }
 
     void add(TimePoint now, const WaitingJob &job, Rank &rank)
     {
         const Duration before = m_planned;
         m_planned += job.poolTime;
-        if (rank.startClass() != StartClass::InTime)
+        if (rank.startClass != StartClass::InTime)
             return;
         m_group.emplace(job.poolTime, &rank);
         if (now + before <= job.latestStart)
@@ -102,7 +99,8 @@
         auto [time, largest] = m_group.top();
         m_group.pop();
         m_planned -= time;
-        largest->setStartClass(StartClass::PutBack);
+        m_putBack += time;
+        largest->startClass = StartClass::PutBack;
         largest->position = time.count();
     }
 
@@ -117,9 +115,21 @@
     };
 
     Duration m_planned;
+    Duration m_putBack{0}; ///< of the current group
     std::priority_queue<Entry, std::vector<Entry>, IsSmaller> m_group;
 };
 
+/// Moves the jobs that were put back to their place; the others are sorted already.
+void movePutBack(std::vector<Rank> &ranks)
+{
+    const auto isPutBack = [](const Rank &rank) {
+        return rank.startClass == StartClass::PutBack;
+    };
+    const auto putBack = std::stable_partition(ranks.begin(), ranks.end(), std::not_fn(isPutBack));
+    std::sort(putBack, ranks.end());
+    std::inplace_merge(ranks.begin(), putBack, ranks.end());
+}
+
 } // namespace
 
 void sortForStart(TimePoint now, Duration busyTime, std::vector<WaitingJob> &jobs)
@@ -132,14 +142,13 @@
     }
     std::sort(ranks.begin(), ranks.end());
     PoolPlan plan(busyTime);
-    const Rank *group = nullptr;
+    std::uint64_t group = 0;
     for (Rank &rank : ranks) {
-        if (group == nullptr || !group->isSameGroup(rank))
+        if (rank.group != std::exchange(group, rank.group))
             plan.beginGroup();
-        group = &rank;
         plan.add(now, jobs[rank.index], rank);
     }
-    std::sort(ranks.begin(), ranks.end());
+    movePutBack(ranks);
     std::vector<WaitingJob> sorted;
     sorted.reserve(jobs.size());
     for (const Rank &rank : ranks)
--- a/Kernel/include/Kernel/Jobs/PoolDemand.h
+++ b/Kernel/include/Kernel/Jobs/PoolDemand.h
@@ -74,6 +74,7 @@
 private:
     struct State
     {
+        TimePoint observedAt;
         HostNeed need;
         unsigned neededHosts = 0; ///< its share
         unsigned expectedHosts = 0;
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -1,5 +1,6 @@
 #include "JobService.h"
 
+#include <Kernel/Jobs/Authorization.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibMembership/ProcessClock.h>
@@ -121,9 +122,10 @@
 {
     if (row.version <= m_configurationVersion)
         return;
-    const auto configuration = m_ports.decodeConfiguration(row);
-    if (!configuration)
+    const auto decoded = m_ports.decodeConfiguration(row);
+    if (!decoded)
         return;
+    const auto configuration = succeedingConfiguration(m_configuration.load(), decoded);
     m_configuration = configuration;
     m_configurationVersion = row.version;
     m_metrics.setConfiguration(configuration->version, configuration->refusedEntries);
@@ -351,7 +353,7 @@
         entry["phase"] = std::string(jobPhaseNames.nameOf(job.phase()));
         if (!job.submitted().organisation.empty())
             entry["organisation"] = job.submitted().organisation;
-        if (scheduler->waitsForQuota(id))
+        if (JobScheduler::waitsForQuota(job))
             entry["waits_for"] = "organisation-quota";
         state["jobs"][id] = std::move(entry);
     }
