Kernel/Jobs: End the search of a pool when it has become full

Cause: after the room in a pool was used up, a pass still looked at each of the jobs that wait. Change: when a job finds no room, the pass checks whether any worker still has room for the smallest waiting task, and leaves the pool if none has. Queues with placement advice are excepted: their tickets are requested ahead of the room. "A task is placed although larger ones before it in the queue find no room" fails when the check is left out.

--- a/Kernel/Jobs/JobSchedulerOrder.cpp
+++ b/Kernel/Jobs/JobSchedulerOrder.cpp
@@ -38,6 +38,13 @@
             std::max(left.accelerators, right.accelerators)};
 }
 
+TaskSize smallest(const TaskSize &left, const TaskSize &right)
+{
+    return {std::min(left.milliProcessors, right.milliProcessors),
+            std::min(left.megabytes, right.megabytes),
+            std::min(left.accelerators, right.accelerators)};
+}
+
 /// Whole microseconds, so that the order does not depend on how a machine rounds fractions.
 Duration fromSeconds(double seconds)
 {
@@ -92,9 +99,10 @@
         PoolQueue *queue = known->second;
         if (queue == nullptr)
             continue; // the pool has no workers
-        // Tickets of the placement advice are requested ahead of the room.
-        queue->hasRoom |= settings.adviceValidity.count() > 0
-                          || fitsInto(job.smallestTask(), queue->largestRoom);
+        queue->needsAdvice |= settings.adviceValidity.count() > 0;
+        queue->hasRoom |= queue->needsAdvice || fitsInto(job.smallestTask(), queue->largestRoom);
+        queue->smallest
+            = smallest(queue->smallest.value_or(job.smallestTask()), job.smallestTask());
         WaitingJob &waiting = queue->jobs.emplace_back();
         waiting.job = &job;
         waiting.priority = settings.priority;
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -4,6 +4,7 @@
 #include "UnplaceableSizes.h"
 #include <Kernel/Jobs/JobScheduler.h>
 #include <algorithm>
+#include <utility>
 
 namespace Peridot::Jobs {
 
@@ -43,7 +44,15 @@
 {
     std::map<std::string, UnplaceableSizes> unplaceable;
     sortForStart(now, queue.busyTime, queue.jobs);
+    const auto isFull = [&] {
+        return std::none_of(workers.begin(), workers.end(), [&](const Worker *worker) {
+            return fitsInto(*queue.smallest, worker->freeCapacity());
+        });
+    };
+    const bool canBecomeFull = !queue.needsAdvice && !m_hooks.defects.ignoreCapacity;
+    bool maySearch = canBecomeFull;
     for (const WaitingJob &entry : queue.jobs) {
+        const std::size_t placements = m_placements;
         for (auto &[number, occurrence] : entry.job->occurrences()) {
             for (unsigned step = 0; step < occurrence.steps.size(); ++step) {
                 if (occurrence.steps[step].ready > 0)
@@ -52,6 +61,11 @@
         }
         if (m_placements >= maximumPlacementsPerPass)
             return false;
+        // Once a job finds no room, there may be none for the others either, which are many.
+        if (m_placements != placements)
+            maySearch = canBecomeFull;
+        else if (std::exchange(maySearch, false) && isFull())
+            return true;
     }
     return true;
 }
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -205,7 +206,9 @@
         TaskSize capacity; ///< for tasks that end by themselves
         TaskSize reserved; ///< by such tasks
         TaskSize largestRoom; ///< on one worker, by resource
+        std::optional<TaskSize> smallest; ///< amounts that each of the tasks needs at least
         bool hasRoom = false; ///< one of the tasks may fit
+        bool needsAdvice = false; ///< tickets are requested ahead of the room
         Duration busyTime{0}; ///< until half of what runs has ended
         std::vector<WaitingJob> jobs;
     };
