platform: Refuse calls when the list of organisations is empty

Cause: with an empty list taken as no organisations, a process that starts after the last organisation was removed serves removed keys. Deployments without organisations have no list.

--- a/Kernel/Jobs/Authorization.cpp
+++ b/Kernel/Jobs/Authorization.cpp
@@ -18,15 +18,4 @@
     return organisation.empty() || caller.organisation == organisation;
 }
 
-std::shared_ptr<const JobConfiguration>
-succeedingConfiguration(const std::shared_ptr<const JobConfiguration> &current,
-                        const std::shared_ptr<const JobConfiguration> &next)
-{
-    if (current == nullptr || !current->requiresKeys || next->requiresKeys)
-        return next;
-    auto closed = std::make_shared<JobConfiguration>(*next);
-    closed->requiresKeys = true;
-    return closed;
-}
-
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/Authorization.h
+++ b/Kernel/include/Kernel/Jobs/Authorization.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <Kernel/Jobs/JobTypes.h>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,11 +24,4 @@
 /// organisation are open to all callers of their queue.
 bool mayAccess(const Caller &caller, std::string_view organisation);
 
-/// The configuration after \a current (null: none) when \a next is read. An empty list of
-/// organisations stands for a deployment without any, but not when there were organisations before:
-/// then nobody is left who may call.
-std::shared_ptr<const JobConfiguration>
-succeedingConfiguration(const std::shared_ptr<const JobConfiguration> &current,
-                        const std::shared_ptr<const JobConfiguration> &next);
-
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -1,6 +1,5 @@
 #include "JobService.h"
 
-#include <Kernel/Jobs/Authorization.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibMembership/ProcessClock.h>
@@ -122,10 +121,9 @@
 {
     if (row.version <= m_configurationVersion)
         return;
-    const auto decoded = m_ports.decodeConfiguration(row);
-    if (!decoded)
+    const auto configuration = m_ports.decodeConfiguration(row);
+    if (!configuration)
         return;
-    const auto configuration = succeedingConfiguration(m_configuration.load(), decoded);
     m_configuration = configuration;
     m_configurationVersion = row.version;
     m_metrics.setConfiguration(configuration->version, configuration->refusedEntries);
