Tests/Kernel/Jobs: Measure peaks where submissions are refused

FleetModel refuses submissions while more than a given time of work waits in the pool, as the admission does.

--- a/Tests/Kernel/Jobs/Overload/FleetModel.h
+++ b/Tests/Kernel/Jobs/Overload/FleetModel.h
@@ -102,6 +102,9 @@
     JobConfiguration configuration;
     std::unique_ptr<HostPlanner> planner;
     std::map<std::string, unsigned> events; ///< of the planner, by kind
+    /// Submissions are refused while the work that waits in the pool would take longer; they count
+    /// as late.
+    std::optional<Duration> acceptedWait;
 
 private:
     static constexpr std::chrono::milliseconds tick{50};
@@ -121,6 +124,7 @@
     double runTick(unsigned hosts, unsigned peakPool)
     {
         const double peak = hosts * 32.0 * 0.9; // processors; a tenth is lost by packing
+        m_loads = poolLoads(scheduler, now, now);
         for (unsigned pool = 0; pool < poolCount; ++pool)
             submitJobs(pool, pool == peakPool ? peak : peak / 4.5 / 20);
         if (now >= m_nextList)
@@ -182,14 +186,26 @@
             job.specification.steps = {step, step};
             job.specification.steps[1].after = {0};
             const Duration path = step.estimatedRuntime * 2;
-            m_submitted[job.id] = now + path * 16 / 10 + 600ms;
-            scheduler.addJob(now, job, std::nullopt, absentVersion);
+            if (acceptsJob(pool)) {
+                m_submitted[job.id] = now + path * 16 / 10 + 600ms;
+                scheduler.addJob(now, job, std::nullopt, absentVersion);
+            } else {
+                ++m_late;
+            }
             // In each step 8 tasks of 4 processors. Arrivals are random (Poisson).
             const double chance = (static_cast<double>(m_random()) + 1) / 4294967296.0;
             due -= 8 * 4 * toSeconds(path) * -std::log(chance);
         }
     }
 
+    bool acceptsJob(unsigned pool)
+    {
+        // A pool with few hosts is about to get more.
+        const double processors = std::max(hostsUp(pool), 20U) * 32.0;
+        const double work = m_loads[poolName(pool)].waitingMilliProcessorSeconds / 1000;
+        return !acceptedWait || work <= processors * toSeconds(*acceptedWait);
+    }
+
     /// Brings hosts back that have moved, and lists hosts and workers.
     void list()
     {
@@ -278,6 +294,7 @@
     std::map<std::string, SimulatedHost *> m_hostOf; ///< by worker
     std::vector<HostOrder> m_orders;
     std::map<std::string, TimePoint> m_submitted; ///< when unfinished jobs are due
+    std::map<std::string, PoolLoad> m_loads;
     double m_dueWork[poolCount] = {};
     std::mt19937 m_random{20261204};
     std::size_t m_jobCount = 0;
