--- a/Tests/Kernel/Jobs/Overload/FleetModel.h
+++ b/Tests/Kernel/Jobs/Overload/FleetModel.h
@@ -124,7 +124,8 @@
     double runTick(unsigned hosts, unsigned peakPool)
     {
         const double peak = hosts * 32.0 * 0.9; // processors; a tenth is lost by packing
-        m_loads = poolLoads(scheduler, now, now);
+        if (acceptedWait)
+            m_loads = poolLoads(scheduler, now, now);
         for (unsigned pool = 0; pool < poolCount; ++pool)
             submitJobs(pool, pool == peakPool ? peak : peak / 4.5 / 20);
         if (now >= m_nextList)
