Kernel/Jobs: Look only at runs that may have changed for due orders

Cause: each planning pass visited all runs of all workers to find due orders and to decide about polls, each check of 50 ms looked up the job of every run, and the end of a job built its key once for each worker. Change: WorkerRuns knows whether a run may have changed since it was last found that no order is due. Every access through which a run can be changed counts, so that no order can be missed. A run whose progress is recent is not looked up.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -176,11 +176,13 @@
 
 void JobScheduler::stopRunsOf(TimePoint now, const std::string &job)
 {
+    const RunName first{{job, 0, 0, 0}, 0};
     for (auto &[id, worker] : m_workers) {
         // The names are copied, because stopRun() removes runs that have not been started.
         std::vector<RunName> names;
         const auto end = std::as_const(worker.runs).end();
-        for (auto run = worker.runs.firstOf(job); run != end && run->first.task.job == job; ++run)
+        for (auto run = worker.runs.firstFrom(first); run != end && run->first.task.job == job;
+             ++run)
             names.push_back(run->first);
         for (const RunName &name : names)
             stopRun(now, worker, name);
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -12,16 +12,8 @@
     for (auto &[id, worker] : m_workers) {
         if (worker.description.address.empty())
             continue; // known from a job row only, not from the list
-        for (auto &[name, run] : worker.runs) {
-            if (run.orderInFlight || now < run.nextOrderAt)
-                continue;
-            if (m_hooks.defects.startBeforeRecording && run.phase == RunPhase::Recording)
-                run.phase = RunPhase::Starting;
-            if (run.phase == RunPhase::Starting)
-                sendStart(now, worker, name, run);
-            else if (run.phase == RunPhase::Stopping && !run.stopAccepted)
-                sendStop(now, worker, name, run);
-        }
+        if (worker.runs.mayHaveChanged())
+            sendDueOrdersOf(now, worker);
         for (auto &[name, nextStop] : worker.orphanedRuns) {
             if (now < nextStop)
                 continue;
@@ -32,6 +24,29 @@
     }
 }
 
+void JobScheduler::sendDueOrdersOf(TimePoint now, Worker &worker)
+{
+    bool anyDueLater = false;
+    for (auto &[name, run] : worker.runs) {
+        if (m_hooks.defects.startBeforeRecording && run.phase == RunPhase::Recording)
+            run.phase = RunPhase::Starting;
+        const bool isOrdered = run.phase == RunPhase::Starting
+                               || (run.phase == RunPhase::Stopping && !run.stopAccepted);
+        if (!isOrdered)
+            continue;
+        if (!run.orderInFlight && now >= run.nextOrderAt) {
+            if (run.phase == RunPhase::Starting)
+                sendStart(now, worker, name, run);
+            else
+                sendStop(now, worker, name, run);
+        }
+        // The answer to an order in flight changes the run.
+        anyDueLater |= !run.orderInFlight;
+    }
+    if (!anyDueLater)
+        worker.runs.settle();
+}
+
 void JobScheduler::sendDuePolls(TimePoint now)
 {
     for (auto &[id, worker] : m_workers) {
@@ -42,12 +57,12 @@
 
 void JobScheduler::sendPollIfDue(TimePoint now, Worker &worker)
 {
-    const bool mayPause
-        = worker.contacted && worker.failedPolls == 0 && !worker.nextPollDecidesRuns();
-    if (mayPause && now < worker.lastPoll + m_pollPause)
-        return;
     const bool mayPoll = !worker.pollInFlight || answerIsLate(now, worker);
-    if (needsPoll(worker) && mayPoll && now >= worker.nextPoll)
+    if (!mayPoll || now < worker.nextPoll || !needsPoll(worker))
+        return;
+    const bool mayPause
+        = worker.contacted && worker.failedPolls == 0 && now < worker.lastPoll + m_pollPause;
+    if (!mayPause || worker.nextPollDecidesRuns())
         sendPoll(now, worker);
 }
 
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -360,17 +360,17 @@
 {
     for (auto &[id, worker] : m_workers) {
         std::vector<RunName> stalled;
-        for (const auto &[name, run] : worker.runs) {
-            if (run.phase != RunPhase::Running || run.throttlePercent < 100
-                || worker.failedPolls > 0 || !isCurrentRun(name, id))
+        for (const auto &[name, run] : std::as_const(worker.runs)) {
+            // Only the time up to the latest report counts: a scheduler that was suspended has
+            // not read the later ones yet.
+            const Duration observedTime = worker.lastContact - run.progressChangedAt;
+            if (observedTime <= stallLimit || run.phase != RunPhase::Running
+                || run.throttlePercent < 100 || worker.failedPolls > 0 || !isCurrentRun(name, id))
                 continue;
             const StepSpecification &step = jobOf(name.task)->step(name.task.step);
             const Duration limit
                 = std::max<Duration>(stallLimit, step.estimatedRuntime * stallRuntimeFactor);
             const bool inService = step.longRunning && run.progressPercent == 100;
-            // Only the time up to the latest report counts: a scheduler that was suspended has
-            // not read the later ones yet.
-            const Duration observedTime = worker.lastContact - run.progressChangedAt;
             if (!inService && !step.bestEffort && observedTime > limit)
                 stalled.push_back(name);
         }
--- a/Kernel/Jobs/WorkerRuns.cpp
+++ b/Kernel/Jobs/WorkerRuns.cpp
@@ -8,6 +8,7 @@
 {
     if (!m_runs.emplace(name, run).second)
         return;
+    m_mayHaveChanged = true;
     m_reserved = plus(m_reserved, run.reserved);
     if (run.longRunning)
         m_reservedByLongRunning = plus(m_reservedByLongRunning, run.reserved);
@@ -43,7 +44,10 @@
 WorkerRun *WorkerRuns::find(const RunName &name)
 {
     const auto found = m_runs.find(name);
-    return found == m_runs.end() ? nullptr : &found->second;
+    if (found == m_runs.end())
+        return nullptr;
+    m_mayHaveChanged = true;
+    return &found->second;
 }
 
 const WorkerRun *WorkerRuns::find(const RunName &name) const
@@ -52,9 +56,4 @@
     return found == m_runs.end() ? nullptr : &found->second;
 }
 
-WorkerRuns::Map::const_iterator WorkerRuns::firstOf(const std::string &job) const
-{
-    return m_runs.lower_bound({{job, 0, 0, 0}, 0});
-}
-
 } // namespace Peridot::Jobs
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -456,6 +456,7 @@
 
     // JobSchedulerOrders.cpp
     void sendDueOrders(TimePoint now);
+    void sendDueOrdersOf(TimePoint now, Worker &worker);
     /// Whether the answer to the poll in flight, or its timeout, waits to be handled.
     static bool answerIsLate(TimePoint now, const Worker &worker);
     void sendStart(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
--- a/Kernel/include/Kernel/Jobs/WorkerRuns.h
+++ b/Kernel/include/Kernel/Jobs/WorkerRuns.h
@@ -30,12 +30,21 @@
     /// object, until they are removed.
     void countIn(OrganisationUsage &usage) { m_usage = &usage; }
 
-    Map::iterator begin() { return m_runs.begin(); }
+    /// Whether a run was added, or may have been changed, since settle(). Every access through
+    /// which a run can be changed counts.
+    bool mayHaveChanged() const { return m_mayHaveChanged; }
+    void settle() { m_mayHaveChanged = false; }
+
+    Map::iterator begin()
+    {
+        m_mayHaveChanged = true;
+        return m_runs.begin();
+    }
     Map::iterator end() { return m_runs.end(); }
     Map::const_iterator begin() const { return m_runs.begin(); }
     Map::const_iterator end() const { return m_runs.end(); }
-    /// First run of \a job, in the order of names.
-    Map::const_iterator firstOf(const std::string &job) const;
+    /// First run that has this name or a later one.
+    Map::const_iterator firstFrom(const RunName &name) const { return m_runs.lower_bound(name); }
 
 private:
     void removed(const WorkerRun &run);
@@ -44,6 +53,7 @@
     TaskSize m_reserved;
     TaskSize m_reservedByLongRunning;
     OrganisationUsage *m_usage = nullptr;
+    bool m_mayHaveChanged = false;
 };
 
 } // namespace Peridot::Jobs
