Kernel/Jobs: Put back the newest of equal jobs

Cause: which of equal jobs was put back was arbitrary. The place of a job is found again in each pass, so that the newest may be in time when the pool has grown by then. Change: ties go by the latest start.

--- a/Kernel/Jobs/StartOrder.cpp
+++ b/Kernel/Jobs/StartOrder.cpp
@@ -33,6 +33,9 @@
     std::uint32_t index = 0; ///< of the job
     double weightedShare = 0; ///< only of jobs out of profile
     Duration::rep position = 0; ///< within the class
+    /// Among jobs that were put back and take equally long: the one that can wait longest first, as
+    /// it may still be in time.
+    Duration::rep slack = 0;
 };
 
 bool operator<(const Rank &left, const Rank &right)
@@ -45,6 +48,8 @@
         return left.weightedShare < right.weightedShare;
     if (left.position != right.position)
         return left.position < right.position;
+    if (left.slack != right.slack)
+        return left.slack > right.slack;
     return left.index < right.index;
 }
 
@@ -93,30 +98,39 @@
         m_planned += job.poolTime;
         if (rank.startClass != StartClass::InTime)
             return;
-        m_group.emplace(job.poolTime, &rank);
+        m_group.push({job.poolTime, job.latestStart, &rank});
         if (now + before <= job.latestStart)
             return;
-        auto [time, largest] = m_group.top();
+        const auto [time, latestStart, largest] = m_group.top();
         m_group.pop();
         m_planned -= time;
         m_putBack += time;
         largest->startClass = StartClass::PutBack;
         largest->position = time.count();
+        largest->slack = latestStart.time_since_epoch().count();
     }
 
 private:
-    using Entry = std::pair<Duration, Rank *>;
-    struct IsSmaller
+    struct Entry
+    {
+        Duration time{0};
+        TimePoint latestStart;
+        Rank *rank = nullptr;
+    };
+    struct IsPutBackLater
     {
         bool operator()(const Entry &left, const Entry &right) const
         {
-            return left.first < right.first;
+            if (left.time != right.time)
+                return left.time < right.time;
+            // Of equal jobs, the newest, for which the pool may still grow.
+            return left.latestStart < right.latestStart;
         }
     };
 
     Duration m_planned;
     Duration m_putBack{0}; ///< of the current group
-    std::priority_queue<Entry, std::vector<Entry>, IsSmaller> m_group;
+    std::priority_queue<Entry, std::vector<Entry>, IsPutBackLater> m_group;
 };
 
 /// Moves the jobs that were put back to their place; the others are sorted already.
