--- a/Tests/Kernel/Jobs/TestOrganisationAdmission.cpp
+++ b/Tests/Kernel/Jobs/TestOrganisationAdmission.cpp
@@ -1,5 +1,7 @@
 // One organisation that submits far more than its rate, beside ordinary ones, on a full pool.
 
+#include "SchedulerFixture.h"
+
 #include <Kernel/Jobs/AdmissionControl.h>
 #include <Kernel/Jobs/OfferedLoad.h>
 #include <Kernel/Jobs/OrganisationProfiles.h>
@@ -343,6 +345,44 @@
     }
 }
 
+TEST_CASE("The scheduler tells what organisations submitted, and what waits beyond their rates")
+{
+    // Guards against limits that follow from counts that nobody takes.
+    Test::SchedulerFixture fixture;
+    JobConfiguration configuration;
+    configuration.queues = {fixture.queue};
+    configuration.pools = {{"pool", false}};
+    configuration.organisations = {{"north", {}, 0, 2}, {"south", {}}};
+    const auto queue = [&] {
+        fixture.scheduler.setConfiguration(std::make_shared<JobConfiguration>(configuration));
+        fixture.scheduler.setWorkers(fixture.now, {Test::SchedulerFixture::worker("a")});
+        for (unsigned number = 0; number < 6; ++number) {
+            SubmittedJob job;
+            job.id = std::to_string(number);
+            job.organisation = number == 0 ? "south" : "north";
+            job.queue = fixture.queue;
+            job.specification.steps = {Test::SchedulerFixture::stepOf(2)};
+            fixture.scheduler.addJob(fixture.now, job, std::nullopt, absentVersion);
+        }
+        fixture.scheduler.plan(fixture.now);
+        return fixture.scheduler.demand(fixture.now).queues.at("queue");
+    };
+
+    SECTION("with a weight of 2 jobs a second, 3 of 5 jobs at once are beyond it")
+    {
+        QueueBacklog backlog = queue();
+        CHECK(backlog.outOfProfileTasks == 6);
+        CHECK(backlog.organisations["north"].acceptedJobs == 5);
+        CHECK(backlog.organisations["south"].acceptedJobs == 1);
+    }
+    SECTION("without weights, nothing of it")
+    {
+        configuration.organisations = {{"north", {}}, {"south", {}}};
+        CHECK(queue().outOfProfileTasks == 0);
+        CHECK(queue().organisations.empty());
+    }
+}
+
 TEST_CASE("What is accepted is divided by the rates")
 {
     const std::map<std::string, OrganisationOffer> offers{
