--- a/Tests/platform/TestOrganisationDecoder.cpp
+++ b/Tests/platform/TestOrganisationDecoder.cpp
@@ -57,7 +57,7 @@
 TEST_CASE("Invalid organisations are left out, and the others are used")
 {
     const auto valid = [](const std::string &entries) {
-        const auto configuration = configurationWith(",\"tenants\":" + entries);
+        auto configuration = configurationWith(",\"tenants\":" + entries);
         REQUIRE(configuration);
         CHECK(configuration->requiresKeys);
         return configuration;
