Kernel/Jobs: Bound leases by what workers grant after a restart

Cause: the end of a lease in an order is a time on the clock of the known incarnation. A later incarnation, whose clock begins anew, takes it for a time far ahead and grants its longest lease (10 s there). The scheduler assumed the 6 s that it asks for.

Change: Worker::extensionEnded() raises the bound of the leases when an order may have reached a later incarnation: by the clock in its answer, or without an answer by the limit of the workers and the longest delay of an order, unless it was sent on a connection to the known incarnation. The bounds after a detected restart and after a takeover use the limit of the workers as well, and takeover polls no longer forget earlier leases.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -22,14 +22,18 @@
     updateOrganisations();
 }
 
+Duration JobScheduler::longestLease() const
+{
+    return m_timing.maximumWorkerLease * maximumLeasePercent / 100;
+}
+
 Worker &JobScheduler::findOrAddWorker(const WorkerDescription &description)
 {
     const auto [entry, isNew] = m_workers.try_emplace(description.id, description);
     if (isNew) {
         entry->second.runs.countIn(m_usage);
         // A previous scheduler that has not learned of its successor may still extend leases.
-        entry->second.assumeLeasesUntil(m_startedAt + m_timing.expiredLeaseGrace
-                                        + m_timing.workerLease * maximumLeasePercent / 100);
+        entry->second.assumeLeasesUntil(m_startedAt + m_timing.expiredLeaseGrace + longestLease());
     }
     return entry->second;
 }
--- a/Kernel/Jobs/JobSchedulerIncarnations.cpp
+++ b/Kernel/Jobs/JobSchedulerIncarnations.cpp
@@ -34,9 +34,8 @@
 void JobScheduler::beginIncarnation(TimePoint now, Worker &worker, std::int64_t startedAt)
 {
     observe("worker-life-ended", {}, worker.description.id, std::to_string(startedAt));
-    worker.beginIncarnation(startedAt);
+    worker.beginIncarnation(startedAt, now + longestLease());
     worker.pollAgain(now); // the poll in flight may wait for the end of a run
-    worker.assumeLeasesUntil(now + m_timing.workerLease * maximumLeasePercent / 100);
     std::vector<RunName> notOrdered;
     for (auto &[name, run] : worker.runs) {
         if (run.wasOrdered())
@@ -69,7 +68,7 @@
     observe("worker-life-ended", {}, worker.description.id,
             std::to_string(worker.description.startedAt));
     const auto runs = worker.runs.takeAll();
-    worker.beginIncarnation(worker.description.startedAt);
+    worker.beginIncarnation(worker.description.startedAt, {});
     worker.listed = false;
     for (const auto &[name, run] : runs)
         requeueTask(now, name, RunOutcome::LeaseExpired, worker.description.id);
--- a/Kernel/Jobs/JobSchedulerQuota.cpp
+++ b/Kernel/Jobs/JobSchedulerQuota.cpp
@@ -48,8 +48,7 @@
     m_usage.remove(std::exchange(m_foreignUsage, {}));
     if (m_organisations.empty())
         return;
-    const bool leasesAreOver = now > m_startedAt + m_timing.expiredLeaseGrace
-                                         + m_timing.workerLease * maximumLeasePercent / 100;
+    const bool leasesAreOver = now > m_startedAt + m_timing.expiredLeaseGrace + longestLease();
     bool anyListed = false;
     bool allContacted = true;
     for (const auto &[id, worker] : m_workers) {
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -29,6 +29,14 @@
     return &worker;
 }
 
+void JobScheduler::extensionEnded(TimePoint now, const std::string &id,
+                                  const LeaseExtension &extension, const OrderReply &reply)
+{
+    const auto worker = m_workers.find(id);
+    if (worker != m_workers.end())
+        worker->second.extensionEnded(now, extension, reply, m_timing.maximumWorkerLease);
+}
+
 void JobScheduler::orderEnded(TimePoint now, Worker &worker, OrderOutcome outcome) const
 {
     const bool isAnswered = outcome != OrderOutcome::Unknown && outcome != OrderOutcome::NotSent;
@@ -53,6 +61,7 @@
 {
     observe("start-answered", order.run, order.worker,
             std::string(orderOutcomeNames.nameOf(reply.outcome)));
+    extensionEnded(now, order.worker, {order.incarnation, order.leaseEnd}, reply);
     Worker *answering = answeringWorker(now, order.worker, order.incarnation, reply);
     WorkerRun *orderedRun = answeredRun(answering, order.run, order.incarnation);
     if (orderedRun == nullptr)
@@ -72,8 +81,6 @@
     case OrderOutcome::Unknown:
         run.earlierOrderUnanswered = true;
         run.nextOrderAt = now + orderRetryDelay;
-        // If the worker has started again, its lease may be as long as the arrival was late.
-        worker.assumeLeasesUntil(now + m_timing.workerLease * maximumLeasePercent / 100);
         if (run.phase == RunPhase::Starting && run.ordersSent >= maximumStartOrders)
             stopRun(now, worker, order.run);
         return;
@@ -130,6 +137,9 @@
     const auto found = m_workers.find(order.worker);
     if (found != m_workers.end() && order.sentAt >= found->second.lastPoll)
         found->second.pollInFlight = false;
+    if (order.leaseEnd)
+        extensionEnded(now, order.worker, {order.incarnation, *order.leaseEnd},
+                       {reply.outcome, reply.clock, reply.waited, reply.connectionAge});
     if (reply.outcome != OrderOutcome::Accepted)
         return pollFailed(now, order, reply.outcome);
     if (found == m_workers.end())
@@ -138,6 +148,7 @@
     worker.nextPoll = now;
     if (!checkIncarnation(now, worker, order, reply))
         return;
+    worker.confirmIncarnation(order.sentAt);
     worker.failedPolls = 0;
     if (!worker.contacted)
         worker.contactedSince = now;
--- a/Kernel/Jobs/TakeoverLeases.cpp
+++ b/Kernel/Jobs/TakeoverLeases.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-TakeoverLeases::TakeoverLeases(std::uint64_t epoch, Duration lease, Hooks hooks)
-    : m_epoch(epoch), m_lease(lease), m_hooks(std::move(hooks))
+TakeoverLeases::TakeoverLeases(std::uint64_t epoch, Duration lease, Duration maximumLease,
+                               Hooks hooks)
+    : m_epoch(epoch), m_lease(lease), m_maximumLease(maximumLease), m_hooks(std::move(hooks))
 {
 }
 
@@ -93,12 +94,18 @@
     if (reply.outcome == OrderOutcome::Fenced)
         return m_hooks.fenced();
     polled.nextPoll = now + failedPollDelay;
+    if (order.leaseEnd)
+        polled.worker.extensionEnded(
+            now, {order.incarnation, *order.leaseEnd},
+            {reply.outcome, reply.clock, reply.waited, reply.connectionAge}, m_maximumLease);
     if (reply.outcome != OrderOutcome::Accepted)
         return;
     if (reply.startedAt < polled.worker.description.startedAt)
         return; // an earlier incarnation
     if (reply.startedAt > polled.worker.description.startedAt)
-        polled.worker.beginIncarnation(reply.startedAt);
+        polled.worker.beginIncarnation(reply.startedAt,
+                                       now + m_maximumLease * maximumLeasePercent / 100);
+    polled.worker.confirmIncarnation(order.sentAt);
     if (reply.clock)
         polled.worker.updateClock(*reply.clock, now - reply.waited);
     m_answered += polled.answered ? 0 : 1;
--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -1,5 +1,6 @@
 #include <Kernel/Jobs/Worker.h>
 
+#include "SchedulerLimits.h"
 #include <algorithm>
 
 namespace Peridot::Jobs {
@@ -16,7 +17,7 @@
 
 } // namespace
 
-void Worker::beginIncarnation(std::int64_t startedAt)
+void Worker::beginIncarnation(std::int64_t startedAt, TimePoint leasesEnd)
 {
     description.startedAt = startedAt;
     orphanedRuns.clear();
@@ -27,7 +28,8 @@
     failures.clear();
     m_unansweredOrders = 0;
     m_clockKnown = false;
-    m_leasesEnd = TimePoint{};
+    m_leasesEnd = leasesEnd;
+    m_confirmedAt.reset();
     contacted = false;
     incarnationReported = false;
     announcedIncarnation = 0;
@@ -84,6 +86,30 @@
     m_leasesEnd = std::max(m_leasesEnd, end);
 }
 
+void Worker::extensionEnded(TimePoint now, const LeaseExtension &extension, const OrderReply &reply,
+                            Duration maximumLease)
+{
+    if (reply.outcome == OrderOutcome::NotSent)
+        return;
+    // A connection ends with the incarnation that accepted it.
+    const TimePoint connectedAt = now - reply.waited - reply.connectionAge;
+    const bool reachedSameIncarnation = extension.incarnation == description.startedAt
+                                        && m_confirmedAt && connectedAt <= *m_confirmedAt;
+    if (reachedSameIncarnation)
+        return;
+    if (!reply.clock)
+        return assumeLeasesUntil(now + longestOrderDelay
+                                 + maximumLease * maximumLeasePercent / 100);
+    const std::chrono::milliseconds asked{extension.end - *reply.clock};
+    const Duration granted = std::min<Duration>(maximumLease, asked);
+    assumeLeasesUntil(now + granted * maximumLeasePercent / 100 + leaseEndMargin);
+}
+
+void Worker::confirmIncarnation(TimePoint sentAt)
+{
+    m_confirmedAt = std::max(m_confirmedAt.value_or(sentAt), sentAt);
+}
+
 std::uint64_t
 Worker::endsStoredUpTo(const std::function<bool(const UnstoredEnd &end)> &isUnstored) const
 {
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -28,6 +28,8 @@
 {
     /// Length of worker leases. Must leave a successor enough time to take over and extend them.
     Duration workerLease = std::chrono::seconds(6);
+    /// Longest lease that workers grant, whatever lease end an order has.
+    Duration maximumWorkerLease = std::chrono::seconds(10);
     /// How long a scheduler keeps sending orders after the last time at which it certainly held
     /// its lease, as long as it does not learn of a successor.
     Duration expiredLeaseGrace = std::chrono::seconds(5);
@@ -270,6 +272,11 @@
     static WorkerRun *answeredRun(Worker *worker, const RunName &name, std::int64_t incarnation);
     /// Takes the outcome of a start or stop order as a sign of whether the worker receives orders.
     void orderEnded(TimePoint now, Worker &worker, OrderOutcome outcome) const;
+    /// An order to the worker that extends its lease has ended.
+    void extensionEnded(TimePoint now, const std::string &id, const LeaseExtension &extension,
+                        const OrderReply &reply);
+    /// Upper bound of the time for which a worker grants a lease, on the clock of this process.
+    Duration longestLease() const;
     void pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome);
     void markStarted(const TaskName &name);
     /// Compares the incarnation that answered a poll with the known one, and begins a later one.
--- a/Kernel/include/Kernel/Jobs/TakeoverLeases.h
+++ b/Kernel/include/Kernel/Jobs/TakeoverLeases.h
@@ -25,7 +25,8 @@
         std::function<void()> fenced;
     };
 
-    TakeoverLeases(std::uint64_t epoch, Duration lease, Hooks hooks);
+    /// \a lease is the length of the leases, \a maximumLease the longest one that workers grant.
+    TakeoverLeases(std::uint64_t epoch, Duration lease, Duration maximumLease, Hooks hooks);
 
     /// Takes the complete list of workers.
     void setWorkers(const std::vector<WorkerDescription> &workers);
@@ -55,6 +56,7 @@
 
     std::uint64_t m_epoch;
     Duration m_lease;
+    Duration m_maximumLease;
     Hooks m_hooks;
     std::map<std::string, PolledWorker> m_workers;
     std::size_t m_inFlight = 0;
--- a/Kernel/include/Kernel/Jobs/Worker.h
+++ b/Kernel/include/Kernel/Jobs/Worker.h
@@ -16,6 +16,13 @@
     std::uint64_t change = 0; ///< number of changes of the job with this end
 };
 
+/// Lease end in an order.
+struct LeaseExtension
+{
+    std::int64_t incarnation = 0; ///< of the worker whose clock it was computed with
+    WorkerClock end = 0;
+};
+
 /// Scheduler state of one worker: its clock, leases, runs, and the sequence numbers of the ended
 /// runs that were processed, stored and acknowledged. Apart from the description, it is built up
 /// from the first successful poll of this process under its epoch.
@@ -24,8 +31,9 @@
 public:
     explicit Worker(WorkerDescription newDescription) : description(std::move(newDescription)) { }
 
-    /// Discards the state of the previous incarnation of the worker, except its runs.
-    void beginIncarnation(std::int64_t startedAt);
+    /// Discards the state of the previous incarnation of the worker, except its runs. Orders that
+    /// were meant for the previous one may have given the new one leases until \a leasesEnd.
+    void beginIncarnation(std::int64_t startedAt, TimePoint leasesEnd);
 
     /// Takes the later incarnation of an entry of the list. Until the worker has confirmed or
     /// refuted it, it gets no new runs, and it is polled without delay.
@@ -42,6 +50,13 @@
     TimePoint leasesEnd() const { return m_leasesEnd; }
     /// Raises leasesEnd() to cover leases that a previous scheduler may have extended.
     void assumeLeasesUntil(TimePoint end);
+    /// Raises leasesEnd() when the order with \a extension, which ended with \a reply, may have
+    /// reached a later incarnation than it was meant for. The clock of that one starts anew, so
+    /// that only \a maximumLease limits the lease that it grants.
+    void extensionEnded(TimePoint now, const LeaseExtension &extension, const OrderReply &reply,
+                        Duration maximumLease);
+    /// The current incarnation has answered a poll that was sent at \a sentAt.
+    void confirmIncarnation(TimePoint sentAt);
 
     /// Highest number up to which no ended run is one for which \a isUnstored.
     std::uint64_t
@@ -111,6 +126,8 @@
     unsigned m_unansweredOrders = 0; ///< since the last one that has arrived
     TimePoint m_unansweredSince; ///< when the first of them ended
     bool m_clockKnown = false;
+    /// When the latest poll was sent that the current incarnation has answered.
+    std::optional<TimePoint> m_confirmedAt;
     WorkerClock m_clock = 0; ///< latest time that the worker reported
     TimePoint m_clockReceivedAt;
     TimePoint m_leasesEnd;
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -100,6 +100,8 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
     std::optional<WorkerClock> clock;
     Duration waited{0}; ///< between the arrival of the reply and its handling
+    /// Age of the connection on which an order was not answered; 0: not known.
+    Duration connectionAge{0};
 };
 
 struct ActiveRun
@@ -126,6 +128,7 @@
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
     Duration waited{0}; ///< between the arrival of the reply and its handling
+    Duration connectionAge{0}; ///< as in OrderReply
 };
 
 /// Asks the placement advice which of these workers may run a step.
--- a/Libraries/LibHttp/ClientConnection.cpp
+++ b/Libraries/LibHttp/ClientConnection.cpp
@@ -87,6 +87,7 @@
         if (BootClock::now() >= self->m_sendBefore)
             return self->finish(ExchangeEnd::NotConnected);
         self->m_connected = true;
+        self->m_connectedAt = BootClock::now();
         asio::error_code ignored;
         self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         self->m_socket.non_blocking(true, ignored);
@@ -181,6 +182,8 @@
     m_timer.cancel();
     Exchange result;
     result.end = end;
+    if (m_connected)
+        result.connectionAge = BootClock::now() - m_connectedAt;
     if (m_parser.started()) {
         result.response.status = m_parser.status();
         result.response.headers = std::move(m_parser.headers);
--- a/Libraries/LibHttp/include/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientConnection.h
@@ -34,6 +34,8 @@
 {
     ExchangeEnd end = ExchangeEnd::NotConnected;
     ResponseMessage response;
+    /// Time since the connection was established; 0 when there was none.
+    BootClock::duration connectionAge{0};
 };
 
 /// Time limits of one exchange.
@@ -109,6 +111,7 @@
     BootClock::time_point m_sendBefore; ///< the request is not sent after this time
     Callback m_callback;
     bool m_connected = false;
+    BootClock::time_point m_connectedAt;
     bool m_busy = false;
     bool m_reading = false; ///< a read of the current connection is pending
     std::uint64_t m_exchangeNumber = 0; ///< handlers of an earlier exchange are ignored
--- a/Services/Jobs/SchedulerSessionTakeover.cpp
+++ b/Services/Jobs/SchedulerSessionTakeover.cpp
@@ -30,8 +30,8 @@
     hooks.fenced = [this] {
         reportFenced();
     };
-    m_takeoverLeases
-        = std::make_unique<TakeoverLeases>(m_epoch, m_timing.workerLease, std::move(hooks));
+    m_takeoverLeases = std::make_unique<TakeoverLeases>(
+        m_epoch, m_timing.workerLease, m_timing.maximumWorkerLease, std::move(hooks));
     readWorkers({});
     takeoverTick();
 }
--- a/Tests/Kernel/Jobs/JobSimulation.cpp
+++ b/Tests/Kernel/Jobs/JobSimulation.cpp
@@ -241,6 +241,8 @@
     run.size = m_jobs.at(name.task.job).submitted.specification.steps[name.task.step].size;
     run.fails = chance(m_faults.failedRuns);
     run.endsAt = m_now + randomDuration(100ms, 1500ms);
+    if (m_faults.longRuns && chance(0.15))
+        run.endsAt += randomDuration(5s, 10s);
     worker.runs.emplace(name, run);
     const std::string id = worker.description.id;
     const std::int64_t incarnation = worker.description.startedAt;
@@ -478,18 +480,26 @@
             if (m_faults.takeovers && chance(0.4))
                 startScheduler();
             if (m_faults.restarts && chosen.up) {
-                restart(chosen, randomDuration(0ms, 900ms));
+                const Duration downtime = randomDuration(0ms, 900ms);
+                restart(chosen, downtime);
+                if (m_faults.partitions)
+                    cutOff(chosen, m_now + downtime + randomDuration(20ms, 800ms));
             } else if (m_faults.crashes && chance(0.4) && chosen.up) {
                 restart(chosen, randomDuration(300ms, 9s));
             } else if (m_faults.partitions && chance(0.4)) {
-                chosen.reachable = false;
-                scheduleAt(m_now + randomDuration(300ms, 9s),
-                           [&chosen] { chosen.reachable = true; });
+                cutOff(chosen, m_now);
             }
         });
     }
 }
 
+void JobSimulation::cutOff(SimulatedWorker &worker, TimePoint from)
+{
+    const TimePoint until = from + randomDuration(300ms, 9s);
+    scheduleAt(from, [&worker] { worker.reachable = false; });
+    scheduleAt(until, [&worker] { worker.reachable = true; });
+}
+
 void JobSimulation::restart(SimulatedWorker &worker, Duration downtime)
 {
     worker.up = false;
--- a/Tests/Kernel/Jobs/JobSimulation.h
+++ b/Tests/Kernel/Jobs/JobSimulation.h
@@ -25,9 +25,12 @@
     /// Workers start again under their ids within a second, and the list shows it up to 500 ms
     /// late.
     bool restarts = false;
-    bool partitions = false; ///< workers become unreachable and keep running
+    /// Workers become unreachable and keep running; with restarts, soon after they have started
+    /// again.
+    bool partitions = false;
     bool takeovers = false; ///< schedulers are replaced, and keep running for a while
     bool cancellations = false; ///< some jobs are cancelled
+    bool longRuns = false; ///< some runs last longer than a lease
     bool quotas = false; ///< jobs belong to two organisations, one of which has a small quota
 };
 
@@ -110,6 +113,8 @@
     void listWorkers(SchedulerInstance &instance);
     /// Takes the registrations of the workers that are up as the list.
     void updateList();
+    /// The worker is unreachable from a time on, and keeps running.
+    void cutOff(SimulatedWorker &worker, TimePoint from);
     /// The worker crashes, and starts again under its id after \a downtime.
     void restart(SimulatedWorker &worker, Duration downtime);
     /// Delivers \a order to its worker and the reply to the scheduler, with delays and faults.
--- a/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
+++ b/Tests/Kernel/Jobs/TestTakeoverLeases.cpp
@@ -17,7 +17,7 @@
 {
 public:
     TakeoverFixture()
-        : leases(7, 6s,
+        : leases(7, 6s, 10s,
                  {[this](const PollOrder &order) { polls.push_back(order); },
                   [this] {
                       fenced = true;
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -98,7 +98,12 @@
 
     SECTION("its task starts elsewhere once every lease that it may have has expired")
     {
-        fixture.now += 12s;
+        // The earlier scheduler may have extended it for 5 s, to at most 10 s from then on.
+        fixture.now += 15s;
+        fixture.answerPoll("w");
+        fixture.planAndCommit();
+        REQUIRE(fixture.starts.empty());
+        fixture.now += 500ms;
         fixture.answerPoll("w");
         fixture.planAndCommit();
         REQUIRE(fixture.starts.size() == 1);
--- a/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
@@ -77,6 +77,86 @@
     }
 }
 
+TEST_CASE("A task does not run twice when its worker starts again and is then cut off")
+{
+    // Guards against leases that are longer than the scheduler assumes: an order for the earlier
+    // incarnation has a lease end on its clock, which is far ahead on the clock of the later one,
+    // so that only the limit of the worker (10 s) ends the lease.
+    SchedulerFixture fixture;
+    fixture.now += 20s; // leases of an earlier scheduler have expired
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001");
+    fixture.planAndCommit();
+    REQUIRE(fixture.starts.size() == 1);
+    const StartOrder first = fixture.starts.front();
+    fixture.starts.clear();
+    fixture.scheduler.setWorkers(fixture.now,
+                                 {SchedulerFixture::worker("w"), SchedulerFixture::worker("x")});
+    fixture.answerPoll("x");
+    fixture.now += 20ms;
+    constexpr WorkerClock newClock = 300;
+    // New connections to the worker are not established.
+    PollReply notSent;
+    notSent.outcome = OrderOutcome::NotSent;
+    const auto cutOffFor = [&](Duration time) {
+        for (const TimePoint end = fixture.now + time; fixture.now < end; fixture.now += 100ms) {
+            for (const PollOrder &order : std::exchange(fixture.polls, {})) {
+                if (order.worker == "w")
+                    fixture.scheduler.pollFinished(fixture.now, order, notSent);
+                else
+                    fixture.answerPoll("x");
+            }
+            fixture.planAndCommit();
+        }
+    };
+
+    const auto startsElsewhere = [&] {
+        return std::count_if(fixture.starts.begin(), fixture.starts.end(),
+                             [](const StartOrder &order) { return order.worker == "x"; });
+    };
+
+    SECTION("after it accepted the start order")
+    {
+        fixture.scheduler.startFinished(fixture.now, first, {OrderOutcome::Accepted, newClock});
+        cutOffFor(10s);
+        CHECK(startsElsewhere() == 0);
+        cutOffFor(15s);
+        CHECK(startsElsewhere() == 1);
+    }
+    SECTION("after a poll has shown that it started again")
+    {
+        fixture.scheduler.startFinished(fixture.now, first,
+                                        {OrderOutcome::Accepted, toUnixMilliseconds(fixture.now)});
+        fixture.answerPoll("w", 9000, {{first.run, {}, 50, {}}});
+        cutOffFor(10s);
+        CHECK(startsElsewhere() == 0);
+        cutOffFor(15s);
+        CHECK(startsElsewhere() == 1);
+    }
+    SECTION("and may have accepted a start order on a new connection, which was not answered")
+    {
+        fixture.scheduler.startFinished(fixture.now, first, {});
+        cutOffFor(10s);
+        CHECK(startsElsewhere() == 0);
+    }
+    SECTION("unless the order was sent on a connection to the known incarnation")
+    {
+        // A worker that is only cut off ends its runs when the lease of the latest poll expires.
+        OrderReply reply;
+        reply.connectionAge = 1s;
+        fixture.scheduler.startFinished(fixture.now, first, reply);
+        for (const PollOrder &order : std::exchange(fixture.polls, {})) {
+            PollReply unanswered;
+            unanswered.connectionAge = 1s;
+            if (order.worker == "w")
+                fixture.scheduler.pollFinished(fixture.now, order, unanswered);
+        }
+        cutOffFor(7s);
+        CHECK(startsElsewhere() == 1);
+    }
+}
+
 TEST_CASE("A worker that came back as another kind gets tasks by its new entry only")
 {
     // Guards against labels and capacity of the earlier incarnation: a poll showed the restart
