Utilities/Control, platform: Check a configuration before it is sent

Administrators learned of an invalid or contradictory configuration of the job service only from its effects: entries were left out, some without a log line, and queues without a pool, without an objective or behind another queue's prefix were accepted.

Change: 'peridotctl check FILE [--in-force=FILE]' lists invalid entries, entries without effect, settings that contradict each other, and what differs from the configuration in force; keys are only counted.

--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -141,6 +141,9 @@
     /// How long a ticket of the placement advice is valid; 0: starts need no ticket.
     Duration adviceValidity{0};
     bool isPublic = false; ///< calls need no key, also where organisations are configured
+    /// Time that the placement advice takes to decide, and in addition for each worker.
+    Duration adviceDelay{0};
+    Duration adviceDelayPerWorker{0};
 
     bool operator==(const QueueSettings &) const = default;
 };
@@ -188,7 +191,7 @@
     std::vector<OrganisationSettings> organisations;
     /// Calls need the key of an organisation, except those to public queues.
     bool requiresKeys = false;
-    unsigned refusedEntries = 0; ///< invalid organisations and keys, which were left out
+    unsigned refusedEntries = 0; ///< invalid entries and keys, which were left out
 
     /// Queue with the longest prefix of \a path for \a hostName, or a null pointer.
     const QueueSettings *route(std::string_view hostName, std::string_view path) const;
--- a/Tests/Utilities/Control/TestControl.cpp
+++ b/Tests/Utilities/Control/TestControl.cpp
@@ -134,6 +134,9 @@
     value["hosts"][0]["pool"] = "absent";
     const auto bad = files.write("bad.json", writeJson(value));
     const auto broken = files.write("broken.json", "{");
+    const auto jobs = files.write("jobs.json", R"({"version":7,"routes":[],"services":[]})");
+    const auto unusable = files.write("unusable.json", R"({"version":7,"services":[],"routes":
+        [{"name":"q","hostname":"h","prefix":"/q/","backend":"absent","slo_ms":600}]})");
     const auto settings = files.write("settings.json", R"({"addresses": [")" + fleet.address()
                                                            + R"("], "token": "right"})");
     const auto wrongSettings = files.write("wrong.json", R"({"adresses": []})");
@@ -151,6 +154,11 @@
         {"validate " + bad, 5, "unknown-reference at hosts/0/pool"},
         {"validate " + broken, 5, "invalid-json"},
         {"validate /absent", 2, "file-unreadable"},
+        {"check " + jobs, 0, "0 findings, 0 differences"},
+        {"check " + jobs + " --in-force=" + jobs, 5, "error old-version: version 7"},
+        {"check " + unusable + " --json", 5, R"("kind":"unknown-pool")"},
+        {"check " + broken, 5, "invalid-json"},
+        {"check /absent", 2, "file-unreadable"},
         {"fly", 2, ""},
         {"--settings=/absent status", 2, "file-unreadable"},
         {"--settings=" + wrongSettings + " status", 2, "adresses"},
--- a/Utilities/Control/Main.cpp
+++ b/Utilities/Control/Main.cpp
@@ -1,3 +1,4 @@
+#include "ConfigurationOutput.h"
 #include "ControlClient.h"
 #include "ControlOptions.h"
 #include "ControlOutput.h"
@@ -22,6 +23,7 @@
 
 Usage:
   peridotctl [options] validate FILE
+  peridotctl [options] check FILE [--in-force=FILE]
   peridotctl [options] diff FILE
   peridotctl [options] apply FILE [--parent=VERSION] [--no-wait]
   peridotctl [options] status
@@ -34,7 +36,9 @@
   peridotctl (-h | --help)
 
 DESCRIPTION
-  validate checks a manifest without a connection. diff compares it with the version in force.
+  validate checks a manifest without a connection. check does so with a configuration of the job
+  service: errors, entries without effect, limits that contradict each other, and what differs from
+  the configuration in force. diff compares it with the version in force.
   apply writes it as the next version and waits until every serving process acts on it. Another
   operator's change since the parent version is a conflict that names what changed. watch prints
   the status once a second.
@@ -46,6 +50,7 @@
   --timeout=SECONDS  Longest time of one call.
   --json             Print the answer as JSON.
   --parent=VERSION   Version that the manifest was made from; the newest one otherwise.
+  --in-force=FILE    Configuration that the job service has now.
   --no-wait          Return when the version is written.
   --reason=TEXT      Reason, kept in the audit row.
   --count=N          Number of times that watch prints; 0 for no end [default: 0].
@@ -57,7 +62,7 @@
   2  wrong arguments or settings
   3  no fleet process answered
   4  conflict: the configuration or the row was changed by another operator
-  5  the manifest is not valid
+  5  the manifest or the configuration is not valid
   6  the token is not known
   7  written, but not yet in force everywhere or of unknown outcome; ask for the status
 )";
@@ -158,6 +163,22 @@
         });
 }
 
+int check(const Options &options, bool json)
+{
+    return valueOrElse(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(text, readFile(options.at("FILE").asString()));
+            std::optional<std::string> inForce;
+            if (options.at("--in-force")) {
+                BOOST_LEAF_ASSIGN(inForce, readFile(options.at("--in-force").asString()));
+            }
+            BOOST_LEAF_AUTO(review, Platform::reviewConfiguration(text, inForce));
+            std::cout << (json ? writeJson(encodeReview(review)) + '\n' : formatReview(review));
+            return review.hasErrors() ? ExitInvalid : ExitDone;
+        },
+        [&](const Error &error) { return printError(toRpcError(error), json); });
+}
+
 std::string commandOf(const Options &options)
 {
     for (const auto *name : {"validate", "diff", "apply", "status", "explain", "drain", "undrain",
@@ -273,6 +294,8 @@
 
 int run(const Options &options)
 {
+    if (options.at("check").asBool())
+        return check(options, options.at("--json").asBool());
     const std::string command = commandOf(options);
     if (command == "validate")
         return validate(options.at("FILE").asString(), options.at("--json").asBool());
