Tests/Services/Jobs: Keep limits in force until the first report

Cause: the service of the fixture also schedules. Its scheduler lifts the limits of the test, as its load needs none, 0.25 s after it has begun. When the first report was due after that, none was ever written.

Its checks are the same.

--- a/Tests/Services/Jobs/TestOfferedReports.cpp
+++ b/Tests/Services/Jobs/TestOfferedReports.cpp
@@ -122,9 +122,11 @@
     AdmissionLimit limit{500, 1s};
     limit.othersPermille = 1000;
     limit.organisations["large"] = {1, 7s};
-    fixture.write({std::string(admissionKey), encodeAdmissionLimits({{"checks", limit}})});
     unsigned submitted = 0;
     const auto isReported = [&] {
+        // The scheduler of the fixture lifts limits that its load does not need, which may come
+        // before the first report.
+        fixture.write({std::string(admissionKey), encodeAdmissionLimits({{"checks", limit}})});
         JobCall call;
         call.kind = CallKind::Submit;
         call.hostName = "host";
