Kernel/Jobs, Services/Jobs: Refuse large jobs first where a queue is limited

Where a queue accepted only a share of its submissions, it refused them by chance, whatever their work. A refusal costs each caller one job, so that callers with small jobs paid for the large ones.

Change: the entry process splits the share by the estimated work of the latest 200 submissions to the queue (shareBySize). No row, message or setting is added, and it acts only while a limit is in force.

--- a/Services/Jobs/AdmissionGate.cpp
+++ b/Services/Jobs/AdmissionGate.cpp
@@ -1,5 +1,6 @@
 #include "AdmissionGate.h"
 
+#include <Kernel/Jobs/SizeShares.h>
 #include <LibBase/Log.h>
 
 namespace Peridot::Jobs {
@@ -9,7 +10,9 @@
 // The scheduler repeats the limits once a second while there are any. Without a scheduler, nobody
 // would lift them.
 constexpr std::chrono::seconds limitsValidity{6};
-constexpr unsigned wholePermille = 1000;
+constexpr double wholePermille = 1000;
+// The sizes of jobs change slowly.
+constexpr std::size_t rememberedWorks = 200;
 
 } // namespace
 
@@ -37,30 +40,45 @@
 }
 
 std::optional<std::chrono::seconds> AdmissionGate::refuse(TimePoint now, const std::string &queue,
-                                                          const std::string &organisation)
+                                                          const std::string &organisation,
+                                                          double work)
 {
-    const auto retryAfter = applyLimit(now, queue, organisation);
+    addWork(queue, work);
+    const auto retryAfter = applyLimit(now, queue, organisation, work);
     OfferedCount &count = m_counts[queue][organisation];
     ++count.offered;
     count.refused += retryAfter ? 1 : 0;
     return retryAfter;
 }
 
-std::optional<std::chrono::seconds>
-AdmissionGate::applyLimit(TimePoint now, const std::string &queue, const std::string &organisation)
+void AdmissionGate::addWork(const std::string &queue, double work)
+{
+    auto &works = m_works[queue];
+    works.push_back(work);
+    if (works.size() > rememberedWorks)
+        works.pop_front();
+}
+
+std::optional<std::chrono::seconds> AdmissionGate::applyLimit(TimePoint now,
+                                                              const std::string &queue,
+                                                              const std::string &organisation,
+                                                              double work)
 {
     const auto limit = m_limits.find(queue);
     if (limit == m_limits.end() || now >= m_receivedAt + limitsValidity)
         return std::nullopt;
-    const auto initial = static_cast<unsigned>(m_random.below(wholePermille));
-    const bool hasOwnLimit = limit->second.organisations.contains(organisation);
-    const auto key = std::pair(queue, hasOwnLimit ? organisation : std::string());
-    unsigned &credit = m_credits.try_emplace(key, initial).first->second;
     const OrganisationLimit applied = limit->second.of(organisation);
-    credit += applied.acceptedPermille;
-    if (credit < wholePermille)
+    const auto &works = m_works.at(queue);
+    const SizeShares shares
+        = shareBySize(applied.acceptedPermille / wholePermille, {works.begin(), works.end()});
+    const bool hasOwnLimit = limit->second.organisations.contains(organisation);
+    const CreditKey key{queue, hasOwnLimit ? organisation : std::string(),
+                        work >= shares.largeFrom};
+    double &credit = m_credits.try_emplace(key, m_random.unit()).first->second;
+    credit += shares.of(work);
+    if (credit < 1)
         return applied.retryAfter;
-    credit -= wholePermille;
+    credit -= 1;
     return std::nullopt;
 }
 
--- a/Services/Jobs/AdmissionGate.h
+++ b/Services/Jobs/AdmissionGate.h
@@ -5,10 +5,11 @@
 #include <LibBase/Random.h>
 #include <LibBase/Time.h>
 #include <LibStore/Transaction.h>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
+#include <tuple>
 
 namespace Peridot::Jobs {
 
@@ -22,10 +23,11 @@
 
     /// Takes the row of the limits. A malformed row removes all limits.
     void limitsChanged(TimePoint now, const Row &row);
-    /// Decides about a submission of \a organisation (empty: none) to \a queue: nothing when it is
-    /// accepted, otherwise the time after which it should be repeated.
+    /// Decides about a submission of \a organisation (empty: none) to \a queue, whose job has this
+    /// estimated work: nothing when it is accepted, otherwise the time after which it should be
+    /// repeated.
     std::optional<std::chrono::seconds> refuse(TimePoint now, const std::string &queue,
-                                               const std::string &organisation);
+                                               const std::string &organisation, double work);
     /// What was submitted since the process started.
     const OfferedCounts &counts() const { return m_counts; }
     /// Whether limits are in force at \a now.
@@ -34,17 +36,22 @@
     AdmissionLimits limits(TimePoint now) const;
 
 private:
+    /// Queue, organisation with a limit of its own (empty: the others), and whether the job is
+    /// large.
+    using CreditKey = std::tuple<std::string, std::string, bool>;
+
     std::optional<std::chrono::seconds> applyLimit(TimePoint now, const std::string &queue,
-                                                   const std::string &organisation);
+                                                   const std::string &organisation, double work);
+    void addWork(const std::string &queue, double work);
 
     AdmissionLimits m_limits;
     OfferedCounts m_counts;
     TimePoint m_receivedAt;
     RandomSource m_random;
-    /// Sum of the accepted shares of the submissions since the latest accepted one, by queue and by
-    /// organisation with a limit of its own (empty: the others). It begins at random, so that a
-    /// small share holds for many processes with few submissions each.
-    std::map<std::pair<std::string, std::string>, unsigned> m_credits;
+    std::map<std::string, std::deque<double>> m_works; ///< of the latest submissions, by queue
+    /// Sum of the accepted shares of the submissions since the latest accepted one. It begins at
+    /// random, so that a small share holds for many processes with few submissions each.
+    std::map<CreditKey, double> m_credits;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/JobFrontend.cpp
+++ b/Services/Jobs/JobFrontend.cpp
@@ -111,8 +111,7 @@
     if (!isShort(pending->call.specification))
         return submit(pending);
     if (m_hooks.refuse) {
-        if (const auto retryAfter
-            = m_hooks.refuse(pending->call.queue, pending->caller.organisation))
+        if (const auto retryAfter = m_hooks.refuse(pending->call, pending->caller.organisation))
             return refuseUnlessAccepted(pending, *retryAfter);
     }
     if (!m_submissionThrottle.admit(m_hooks.clock()))
--- a/Services/Jobs/JobFrontend.h
+++ b/Services/Jobs/JobFrontend.h
@@ -30,10 +30,10 @@
         std::function<std::shared_ptr<const JobConfiguration>()> configuration;
         /// Called for each answer with the time since the call arrived, for metrics. May be empty.
         std::function<void(const JobCall &, CallOutcome, Duration)> onAnswered = {};
-        /// Decides about a submission of an organisation (empty: none) to the queue: nothing when
-        /// it is accepted, otherwise the time after which the caller should repeat it. May be
-        /// empty: all are accepted.
-        std::function<std::optional<std::chrono::seconds>(const std::string &queue,
+        /// Decides about a submission of an organisation (empty: none): nothing when it is
+        /// accepted, otherwise the time after which the caller should repeat it. May be empty: all
+        /// are accepted.
+        std::function<std::optional<std::chrono::seconds>(const JobCall &call,
                                                           const std::string &organisation)>
             refuse = {};
     };
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -1,5 +1,6 @@
 #include "JobService.h"
 
+#include <Kernel/Jobs/SizeShares.h>
 #include <LibBase/Json.h>
 #include <LibBase/Log.h>
 #include <LibMembership/ProcessClock.h>
@@ -172,10 +173,11 @@
     hooks.configuration = [this] {
         return configuration();
     };
-    hooks.refuse = [this](const std::string &queue, const std::string &organisation) {
-        const auto retryAfter = m_admissionGate.refuse(m_clock(), queue, organisation);
+    hooks.refuse = [this](const JobCall &call, const std::string &organisation) {
+        const auto retryAfter = m_admissionGate.refuse(m_clock(), call.queue, organisation,
+                                                       estimatedWork(call.specification));
         if (!organisation.empty())
-            m_metrics.countSubmission(queue, organisation, retryAfter.has_value());
+            m_metrics.countSubmission(call.queue, organisation, retryAfter.has_value());
         return retryAfter;
     };
     hooks.onAnswered = [this](const JobCall &call, CallOutcome outcome, Duration duration) {
--- a/Tests/Services/Jobs/OverloadFixture.h
+++ b/Tests/Services/Jobs/OverloadFixture.h
@@ -92,7 +92,7 @@
         hooks.configuration = [this] {
             return configuration;
         };
-        hooks.refuse = [this](const std::string &, const std::string &) {
+        hooks.refuse = [this](const JobCall &, const std::string &) {
             return refusal;
         };
         return hooks;
--- a/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
+++ b/Tests/Services/Jobs/TestOverloadedSubmissions.cpp
@@ -1,5 +1,6 @@
 #include "OverloadFixture.h"
 
+#include <Kernel/Jobs/SizeShares.h>
 #include <Services/Jobs/AdmissionGate.h>
 
 using namespace Peridot;
@@ -41,7 +42,7 @@
     const auto accepted = [&](const std::string &queue, TimePoint at) {
         unsigned count = 0;
         for (unsigned number = 0; number < 100; ++number)
-            count += gate.refuse(at, queue, {}) ? 0 : 1;
+            count += gate.refuse(at, queue, {}, 1) ? 0 : 1;
         return count;
     };
 
@@ -59,7 +60,7 @@
             now, {std::string(admissionKey), 2, encodeAdmissionLimits({{"checks", limit}})});
         unsigned refused = 0;
         for (unsigned number = 0; number < 100; ++number) {
-            const auto retryAfter = gate.refuse(now, "checks", "large");
+            const auto retryAfter = gate.refuse(now, "checks", "large", 1);
             refused += retryAfter ? 1 : 0;
             CHECK(retryAfter.value_or(6s) == 6s);
         }
@@ -80,6 +81,26 @@
         CHECK(sum >= 10);
         CHECK(sum <= 30);
     }
+    SECTION("large jobs are refused first, but accepted more than half as often as all")
+    {
+        // Three of ten jobs have twenty times the work of the others.
+        std::vector<double> works;
+        for (unsigned number = 0; number < 200; ++number)
+            works.push_back(number % 10 >= 7 ? 20 : 1);
+        for (const double work : works)
+            gate.refuse(now, "checks", {}, work);
+        double small = 0;
+        double large = 0;
+        for (unsigned number = 0; number < 1000; ++number) {
+            const double work = works[number % works.size()];
+            const bool isAccepted = !gate.refuse(now, "checks", {}, work);
+            (work > 1 ? large : small) += isAccepted ? 1 : 0;
+        }
+        const SizeShares shares = shareBySize(0.25, works);
+        CHECK(small == Approx(700 * shares.usual).margin(1));
+        CHECK(large == Approx(300 * shares.large).margin(1));
+        CHECK(small / 700 > 1.5 * 0.25);
+    }
     SECTION("limits that nobody repeats end")
     {
         CHECK(accepted("checks", now + 10s) == 100);
