Kernel/Jobs: Compute the latency objective in one place

The objective of a job and the multiple of it after which its result is of no use stood in the order of starts and in the load for the admission, and PoolDemand had its own multiplied(). They are QueueSettings::objective(), latestObjectives in SchedulerLimits.h and multiplied() now. No behaviour changes: TestJobs, with the digest of the recorded schedule, and TestJobsOverload pass.

--- a/Kernel/Jobs/JobSchedulerDemand.cpp
+++ b/Kernel/Jobs/JobSchedulerDemand.cpp
@@ -18,8 +18,6 @@
 
 // A transaction takes some tenths of a second while the process is behind.
 constexpr std::chrono::milliseconds lateTransaction{900};
-// A result is late after this multiple of the latency objective, and of no use.
-constexpr int latestObjectives = 3;
 
 std::uint64_t tasksWithin(const OrganisationSettings *quota, OrganisationUsage &usage,
                           const TaskSize &size, std::uint64_t tasks)
@@ -64,15 +62,11 @@
     return pools;
 }
 
-Duration objectiveOf(const Job &job, const QueueSettings &queue)
-{
-    const Duration runtime = job.criticalPathEstimate();
-    return std::chrono::duration_cast<Duration>(runtime * queue.stretch) + queue.latencyAllowance;
-}
-
+/// Time for which the job can wait until its result is of no use.
 Duration tolerableWait(const Job &job, const QueueSettings &queue)
 {
-    return objectiveOf(job, queue) * latestObjectives - job.criticalPathEstimate();
+    const Duration path = job.criticalPathEstimate();
+    return queue.objective(path) * latestObjectives - path;
 }
 
 std::map<std::string, double> weightsOf(const JobConfiguration &configuration)
@@ -117,7 +111,7 @@
         const auto pool = pools.find(settings.pool);
         if (pool != pools.end())
             addWaitingTasks(queue, waitingTasks(job, pool->second, quotaOf(job), usage),
-                            now > job.receivedAt + objectiveOf(job, settings),
+                            now > job.receivedAt + settings.objective(job.criticalPathEstimate()),
                             job.isInProfile.value_or(true));
         // The mean of the jobs so far.
         const auto count = static_cast<Duration::rep>(++jobs[settings.name]);
--- a/Kernel/Jobs/JobSchedulerOrder.cpp
+++ b/Kernel/Jobs/JobSchedulerOrder.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// A result is late after this multiple of the latency objective, and of no use.
-constexpr int latestObjectives = 3;
 // Tasks of different sizes leave some capacity unused.
 constexpr double usableFraction = 0.9;
 // Runtimes are predicted from some hundred tasks, which change little in this time.
@@ -52,12 +50,6 @@
         std::chrono::duration<double>(seconds));
 }
 
-Duration objectiveOf(Duration criticalPath, const QueueSettings &queue)
-{
-    return std::chrono::duration_cast<Duration>(criticalPath * queue.stretch)
-           + queue.latencyAllowance;
-}
-
 TimePoint waitingSince(const Job &job)
 {
     const TimePoint dueAt = job.occurrences().begin()->second.dueAt;
@@ -198,7 +190,7 @@
             += static_cast<double>(size.milliProcessors) * taskSeconds;
         path.waitingMegabyteSeconds += static_cast<double>(size.megabytes) * taskSeconds;
     }
-    path.objective = objectiveOf(path.whole, queueOf(job));
+    path.objective = queueOf(job).objective(path.whole);
     return path;
 }
 
--- a/Kernel/Jobs/JobTypes.cpp
+++ b/Kernel/Jobs/JobTypes.cpp
@@ -57,6 +57,11 @@
     return name;
 }
 
+Duration QueueSettings::objective(Duration criticalPath) const
+{
+    return std::chrono::duration_cast<Duration>(criticalPath * stretch) + latencyAllowance;
+}
+
 const QueueSettings *JobConfiguration::route(std::string_view hostName, std::string_view path) const
 {
     const QueueSettings *best = nullptr;
--- a/Kernel/Jobs/PoolDemand.cpp
+++ b/Kernel/Jobs/PoolDemand.cpp
@@ -45,16 +45,12 @@
 void addStepLoad(PoolLoad &load, const StepSpecification &step, const Job::Step &state,
                  unsigned ready, Duration expectedRuntime, bool isLate)
 {
-    const auto multiply = [](const TaskSize &size, unsigned count) {
-        return TaskSize{size.milliProcessors * count, size.megabytes * count,
-                        size.accelerators * count};
-    };
     TaskSize size = step.size;
     if (step.bestEffort)
         size.milliProcessors = 0;
     load.waitingTasks += ready;
     if (step.longRunning) {
-        load.longRunning = plus(load.longRunning, multiply(size, ready + state.active));
+        load.longRunning = plus(load.longRunning, multiplied(size, ready + state.active));
         if (step.maximumPerWorker == 0)
             return;
         const auto workersFor = [&](unsigned tasks) {
@@ -66,8 +62,8 @@
             = std::max(load.minimumHostsInMaintenance, workersFor(step.count - movable));
         return;
     }
-    load.active = plus(load.active, multiply(size, state.active));
-    load.waiting = plus(load.waiting, multiply(size, ready));
+    load.active = plus(load.active, multiplied(size, state.active));
+    load.waiting = plus(load.waiting, multiplied(size, ready));
     const double seconds = toSeconds(expectedRuntime) * ready;
     const double milliProcessorSeconds = static_cast<double>(size.milliProcessors) * seconds;
     const double megabyteSeconds = static_cast<double>(size.megabytes) * seconds;
@@ -75,7 +71,7 @@
     load.waitingMegabyteSeconds += megabyteSeconds;
     if (!isLate)
         return;
-    load.lateActive = plus(load.lateActive, multiply(size, state.active));
+    load.lateActive = plus(load.lateActive, multiplied(size, state.active));
     load.lateMilliProcessorSeconds += milliProcessorSeconds;
     load.lateMegabyteSeconds += megabyteSeconds;
 }
--- a/Kernel/Jobs/SchedulerLimits.h
+++ b/Kernel/Jobs/SchedulerLimits.h
@@ -10,6 +10,10 @@
 /// may be up to 2% slow.
 constexpr int maximumLeasePercent = 103;
 
+/// The result of a job is late after its latency objective, and of no use to its caller after this
+/// multiple of it.
+constexpr int latestObjectives = 3;
+
 /// Delay before an unanswered order is sent again.
 constexpr std::chrono::milliseconds orderRetryDelay{150};
 /// The delay doubles with each unanswered stop order of a run, up to this one.
--- a/Kernel/include/Kernel/Jobs/JobTypes.h
+++ b/Kernel/include/Kernel/Jobs/JobTypes.h
@@ -145,6 +145,9 @@
     Duration adviceDelay{0};
     Duration adviceDelayPerWorker{0};
 
+    /// Latency objective of a job with this critical path.
+    Duration objective(Duration criticalPath) const;
+
     bool operator==(const QueueSettings &) const = default;
 };
 
