Kernel/Jobs: Clamp the lease that an answer shows before it is scaled

An answer with a clock far from any real one made the length of the lease that it shows a very large negative number, which overflowed when the tolerance of clocks was added (undefined behaviour; found by reading).

Change: the length is clamped to what workers grant. The new section answers a start order with such a clock; TestJobs passes.

--- a/Kernel/Jobs/Worker.cpp
+++ b/Kernel/Jobs/Worker.cpp
@@ -101,7 +101,7 @@
         return assumeLeasesUntil(now + longestOrderDelay
                                  + maximumLease * maximumLeasePercent / 100);
     const std::chrono::milliseconds asked{extension.end - *reply.clock};
-    const Duration granted = std::min<Duration>(maximumLease, asked);
+    const Duration granted = std::clamp<Duration>(asked, Duration{0}, maximumLease);
     assumeLeasesUntil(now + granted * maximumLeasePercent / 100 + leaseEndMargin);
 }
 
--- a/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerRestarts.cpp
@@ -140,6 +140,14 @@
         cutOffFor(10s);
         CHECK(startsElsewhere() == 0);
     }
+    SECTION("and answered with a clock that no worker can have")
+    {
+        // Guards against an overflow, which the sanitizers report.
+        constexpr WorkerClock latestClock = 4'000'000'000'000;
+        fixture.scheduler.startFinished(fixture.now, first, {OrderOutcome::Accepted, latestClock});
+        cutOffFor(5s);
+        CHECK(startsElsewhere() == 0);
+    }
     SECTION("unless the order was sent on a connection to the known incarnation")
     {
         // A worker that is only cut off ends its runs when the lease of the latest poll expires.
