--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -49,6 +49,7 @@
 
 def run_case(main):
     """Exits with the status of main(), and with 2 when it fails."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = main()
     except SystemExit as end:
@@ -63,7 +64,7 @@
 class Node:
     def __init__(self, deployment, index):
         self.deployment, self.name = deployment, f"edge-a-{index}"
-        first = deployment.nodes[-1].base + 10 if deployment.nodes else 21000 + os.getpid() % 500 * 20
+        first = deployment.nodes[-1].base + 10 if deployment.nodes else 21000 + os.getpid() % 250 * 40
         self.base = free_port_range(first, 10)
         self.path = os.path.join(deployment.directory, f"{self.name}.json")
         self.log = os.path.join(deployment.directory, f"{self.name}.log")
@@ -126,7 +127,7 @@
     """Context manager: stand-ins, entry processes and a temporary folder."""
 
     def __init__(self, folder, nodes=3, executors=4, routes=None, settings=None, machines=True, advice=None,
-                 capacity=None):
+                 capacity=None, tenants=None):
         self.folder, self.settings = folder, dict(settings or {})
         self.platform = Platform()
         self.record = self.platform.record
@@ -140,6 +141,8 @@
                                   "max_attempts": 3, "stretch": 1.6, "slo_ms": 600, "priority": 0}]
         self.config = {"version": 1, "routes": self.routes,
                        "services": [{"name": "pool", "rejects_overload": False}], "limits": {}}
+        if tenants:
+            self.config["tenants"] = tenants
         self.platform.do_put("op", "config", self.config)
         for index in range(executors):
             self.platform.do_add_executor(f"x{index}", capacity=capacity, labels=["kind-a", f"r{index // 2}"])
@@ -186,7 +189,7 @@
                     latest, found = epoch, node
         return found
 
-    def submit(self, identifier, steps, node, prefix="/checks/", extra=None):
+    def submit(self, identifier, steps, node, prefix="/checks/", extra=None, headers=None):
         """Hands a job in once. steps: members of the step; those that begin with "_" are for the executors."""
         spec, wire = [], []
         for step in steps:
@@ -198,21 +201,21 @@
         text = json.dumps(spec)
         self.platform.jobs.add(identifier, text)
         body = {"spec": text, "steps": wire, **(extra or {})}
-        status, _ = node.call("POST", prefix + identifier, body)
+        status, _ = node.call("POST", prefix + identifier, body, headers)
         self.record.add(f"POST {prefix}{identifier} at {node.name} -> {status}")
         return status
 
-    def submit_until_accepted(self, identifier, steps, prefix="/checks/", extra=None, nodes=None):
+    def submit_until_accepted(self, identifier, steps, prefix="/checks/", extra=None, nodes=None, headers=None):
         nodes = nodes or self.nodes
         for attempt in range(60):
             node = nodes[attempt % len(nodes)]
-            if self.submit(identifier, steps, node, prefix, extra) == 200:
+            if self.submit(identifier, steps, node, prefix, extra, headers) == 200:
                 return seconds()
             time.sleep(0.2)
         print("a job was not accepted", file=sys.stderr)
         raise SystemExit(2)
 
-    def state(self, identifier, node, prefix="/checks/"):
-        status, body = node.call("GET", prefix + identifier)
+    def state(self, identifier, node, prefix="/checks/", headers=None):
+        status, body = node.call("GET", prefix + identifier, None, headers)
         self.record.add(f"GET {prefix}{identifier} at {node.name} -> {status} {body.get('state', '')}")
         return status, body.get("state")
