Kernel/Jobs: Bound the requests for placement advice by their answers

Callers saw accepted jobs that never started, with all workers idle: after a burst, each request was given up after 3 s, before its turn at a service that handles one call after another, and was repeated 200 ms later, one for each waiting step.

CallLimiter bounds the calls in flight by how answer times follow them (a Vegas limit), and gives a call up only after a multiple of the time that the calls before it take. PlacementAdvice takes the tickets of all steps out of JobScheduler, and asks for those that need it most.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -11,7 +11,11 @@
     : m_epoch(epoch), m_epochRowVersion(epochRowVersion), m_timing(timing),
       m_hooks(std::move(hooks)), m_startedAt(now),
       m_configuration(std::make_shared<JobConfiguration>()),
-      m_placement(PlacementPolicyRegistry::create("pack-and-spread").value())
+      m_placement(PlacementPolicyRegistry::create("pack-and-spread").value()),
+      m_advice({m_hooks.orders.advise,
+                [this](std::string_view kind, const TaskName &step, std::string detail) {
+                    observe(kind, {step, 0}, {}, std::move(detail));
+                }})
 {
 }
 
@@ -303,6 +307,9 @@
     SchedulerBacklog backlog;
     backlog.jobs = m_jobs.size();
     backlog.changedJobs = m_dirty.size();
+    backlog.stepsWithoutAdvice = m_advice.waitingSteps();
+    backlog.adviceCalls = m_advice.calls().inFlight();
+    backlog.adviceCallLimit = m_advice.calls().limit();
     for (const auto &[id, worker] : m_workers) {
         backlog.unacknowledgedEnds += worker.processedEnds - worker.acknowledgedEnds;
         if (worker.runs.empty())
--- a/Kernel/Jobs/JobSchedulerOrders.cpp
+++ b/Kernel/Jobs/JobSchedulerOrders.cpp
@@ -85,9 +85,7 @@
     order.checkpoint = checkpointOf(*job, name.task);
     order.leaseEnd = worker.extendLease(now, m_timing.workerLease);
     order.fencingEpoch = m_epoch;
-    const auto advice = m_advice.find({name.task.job, name.task.occurrence, name.task.step, 0});
-    if (advice != m_advice.end())
-        order.ticket = advice->second.ticket(order.worker, now).value_or(std::string());
+    order.ticket = m_advice.ticket(name.task, order.worker, now).value_or(std::string());
     run.orderInFlight = true;
     ++run.ordersSent;
     m_hooks.orders.start(order);
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -17,7 +17,9 @@
     updateForeignUsage(now);
     const auto workers = candidatesByPool(now);
     auto queues = queuesByPool(now, workers);
-    return queues.empty() || placePools(now, queues, workers);
+    const bool complete = queues.empty() || placePools(now, queues, workers);
+    m_advice.sendRequests(now);
+    return complete;
 }
 
 bool JobScheduler::placePools(TimePoint now, std::map<std::string, PoolQueue> &queues,
@@ -42,6 +44,7 @@
 
 bool JobScheduler::placePool(TimePoint now, PoolQueue &queue, const std::vector<Worker *> &workers)
 {
+    m_advice.beginPool();
     std::map<std::string, UnplaceableSizes> unplaceable;
     const UnplaceableSizes &ofAnyWorker = unplaceable[{}];
     sortForStart(now, queue.busyTime, queue.jobs);
@@ -132,28 +135,6 @@
     return candidates;
 }
 
-std::vector<Worker *> JobScheduler::workersWithAdvice(TimePoint now, const Job &job,
-                                                      const TaskName &step,
-                                                      const std::vector<Worker *> &workers)
-{
-    if (queueOf(job).adviceValidity.count() == 0 || !m_hooks.orders.advise)
-        return workers;
-    StepAdvice &advice = m_advice[step];
-    std::vector<std::string> usable;
-    std::vector<Worker *> allowed;
-    for (Worker *worker : workers) {
-        usable.push_back(worker->description.id);
-        if (advice.ticket(worker->description.id, now))
-            allowed.push_back(worker);
-    }
-    const std::vector<std::string> unknown = advice.workersToQuery(usable, now);
-    if (!unknown.empty()) {
-        advice.requestSent();
-        m_hooks.orders.advise({step, unknown});
-    }
-    return allowed;
-}
-
 void JobScheduler::placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                              const std::vector<Worker *> &usable,
                              std::map<std::string, UnplaceableSizes> &unplaceable)
@@ -168,32 +149,42 @@
     if (allowed == 0)
         return;
     const TaskName first{job.id(), occurrence, step, 0};
-    const std::vector<Worker *> workers = workersWithAdvice(now, job, first, usable);
-    if (specification.gang) {
-        placeGang(now, job, occurrence, step, workers);
-        if (state.ready > 0 && !hasRoom(now, usable, specification))
-            sizes.add(size);
-        return;
-    }
+    const QueueSettings &queue = queueOf(job);
+    const bool needsAdvice = m_advice.isNeededFor(queue);
+    const std::vector<Worker *> workers
+        = needsAdvice ? m_advice.allowedWorkers(now, first, usable) : usable;
+    const std::int64_t placed = specification.gang
+                                    ? placeGang(now, job, occurrence, step, workers)
+                                    : placeReadyTasks(now, job, first, workers, allowed);
+    if (needsAdvice && placed < allowed)
+        m_advice.add(now, {first, &specification, &queue, &usable});
+    if (placed == 0 && !hasRoom(now, usable, specification))
+        sizes.add(size);
+}
+
+std::int64_t JobScheduler::placeReadyTasks(TimePoint now, Job &job, const TaskName &firstTask,
+                                           const std::vector<Worker *> &workers, std::int64_t limit)
+{
+    const StepSpecification &specification = job.step(firstTask.step);
+    const Job::Step &state = job.occurrences().at(firstTask.occurrence).steps[firstTask.step];
     // All tasks of a step have the same size, so placing one affects only whether its own worker
     // remains a candidate.
-    auto candidates = candidatesFor(now, job, first, workers);
-    if (candidates.empty() && !hasRoom(now, usable, specification))
-        sizes.add(size);
+    auto candidates = candidatesFor(now, job, firstTask, workers);
     std::int64_t placed = 0;
-    for (unsigned index = 0; index < state.tasks.size() && !candidates.empty() && placed < allowed;
-         ++index) {
-        const Job::Task &task = state.tasks[index];
+    TaskName name = firstTask;
+    for (; name.index < state.tasks.size() && !candidates.empty() && placed < limit; ++name.index) {
+        const Job::Task &task = state.tasks[name.index];
         if (task.phase != TaskPhase::Ready)
             continue;
         ++placed;
-        const auto chosen = chooseCandidate(job.step(step), task, candidates);
-        assign(now, job, {job.id(), occurrence, step, index}, task.run + 1, *chosen->worker);
+        const auto chosen = chooseCandidate(specification, task, candidates);
+        assign(now, job, name, task.run + 1, *chosen->worker);
         probePlaced(now, *chosen->worker);
         ++chosen->runsOfStep;
-        if (!canRunAnother(now, job.step(step), *chosen))
+        if (!canRunAnother(now, specification, *chosen))
             candidates.erase(chosen);
     }
+    return placed;
 }
 
 std::vector<PlacementCandidate>::iterator
@@ -226,18 +217,21 @@
     return trusted.empty() ? others : trusted;
 }
 
-void JobScheduler::placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                             const std::vector<Worker *> &workers)
+std::int64_t JobScheduler::placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
+                                     const std::vector<Worker *> &workers)
 {
     const Job::Step &state = job.occurrences().at(occurrence).steps[step];
     if (state.ready != state.tasks.size())
-        return; // some members of the previous run have not ended
+        return 0; // some members of the previous run have not ended
+    const auto members = static_cast<std::int64_t>(state.tasks.size());
     // A worker that fails all runs fails the gang, so that the others are tried first.
     std::vector<Worker *> trusted = workers;
     std::erase_if(trusted, [&](const Worker *worker) { return isQuarantined(*worker); });
-    if (placeGangOn(trusted, now, job, occurrence, step) || trusted.size() == workers.size())
-        return;
-    placeGangOn(workers, now, job, occurrence, step);
+    if (placeGangOn(trusted, now, job, occurrence, step))
+        return members;
+    if (trusted.size() == workers.size())
+        return 0;
+    return placeGangOn(workers, now, job, occurrence, step) ? members : 0;
 }
 
 bool JobScheduler::placeGangOn(const std::vector<Worker *> &workers, TimePoint now, Job &job,
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -85,8 +85,7 @@
             stopRun(now, worker, order.run);
         return;
     case OrderOutcome::TicketRejected:
-        m_advice[{order.run.task.job, order.run.task.occurrence, order.run.task.step, 0}]
-            .ticketRejected(order.worker);
+        m_advice.ticketRejected(order.run.task, order.worker);
         break;
     default:
         worker.avoidUntil = now + refusalBackoff;
@@ -109,9 +108,8 @@
                                   const AdviceReply &reply)
 {
     const Job *job = jobOf(request.step);
-    const auto advice = m_advice.find(request.step);
-    if (job != nullptr && advice != m_advice.end())
-        advice->second.requestFinished(now, request, reply, queueOf(*job).adviceValidity);
+    const Duration validity = job == nullptr ? Duration{0} : queueOf(*job).adviceValidity;
+    m_advice.requestFinished(now, request, reply, validity);
 }
 
 void JobScheduler::stopFinished(TimePoint now, const StopOrder &order, const OrderReply &reply)
--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -200,7 +200,7 @@
         if (!isFinished(job.phase()) || m_dirty.contains(id))
             continue;
         retainJob(now, id, now);
-        std::erase_if(m_advice, [&](const auto &entry) { return entry.first.job == id; });
+        m_advice.removeJob(id);
         m_jobs.erase(id);
     }
     for (const auto &id : flush.expired) {
--- a/Kernel/Jobs/StepAdvice.cpp
+++ b/Kernel/Jobs/StepAdvice.cpp
@@ -25,11 +25,16 @@
     return found->second.ticket;
 }
 
+bool StepAdvice::mustQuery(const std::string &worker, TimePoint now) const
+{
+    return !m_denied.contains(worker) && !ticket(worker, now);
+}
+
 std::vector<std::string> StepAdvice::workersToQuery(const std::vector<std::string> &usable,
                                                     TimePoint now) const
 {
     std::vector<std::string> result;
-    if (m_inFlight || now < m_nextRequestAt)
+    if (!mayRequest(now))
         return result;
     // While requests are not answered, each one names the next workers.
     std::vector<std::string> inTurn = usable;
@@ -37,29 +42,43 @@
     if (next != inTurn.end())
         std::rotate(inTurn.begin(), std::next(next), inTurn.end());
     for (const std::string &worker : inTurn) {
-        if (result.size() < maximumWorkersPerRequest && !m_denied.contains(worker)
-            && !ticket(worker, now))
+        if (result.size() < maximumWorkersPerRequest && mustQuery(worker, now))
             result.push_back(worker);
     }
     return result;
 }
 
+TimePoint StepAdvice::needRequest(TimePoint now)
+{
+    if (!m_needsRequestSince)
+        m_needsRequestSince = now;
+    return *m_needsRequestSince;
+}
+
+void StepAdvice::requestSent()
+{
+    m_inFlight = true;
+    m_needsRequestSince.reset();
+}
+
 void StepAdvice::requestFinished(TimePoint now, const AdviceRequest &request,
                                  const AdviceReply &reply, Duration validity)
 {
     m_inFlight = false;
-    if (!reply.answered) {
+    if (reply.end != CallEnd::Answered) {
         m_nextRequestAt = now + requestRetryDelay;
         if (!request.workers.empty())
             m_lastUnanswered = request.workers.back();
         return;
     }
+    m_lastUnanswered.clear();
+    const TimePoint grantedAt = now - reply.waited;
     for (const std::string &worker : request.workers) {
         const auto found = reply.tickets.find(worker);
         if (found == reply.tickets.end())
             m_denied.insert(worker);
         else
-            m_granted[worker] = {found->second, now + validity - ticketExpiryMargin};
+            m_granted[worker] = {found->second, grantedAt + validity - ticketExpiryMargin};
     }
 }
 
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -4,10 +4,10 @@
 #include <Kernel/Jobs/ChangedJobs.h>
 #include <Kernel/Jobs/Job.h>
 #include <Kernel/Jobs/OrganisationProfiles.h>
+#include <Kernel/Jobs/PlacementAdvice.h>
 #include <Kernel/Jobs/PlacementPolicy.h>
 #include <Kernel/Jobs/RuntimeModel.h>
 #include <Kernel/Jobs/StartOrder.h>
-#include <Kernel/Jobs/StepAdvice.h>
 #include <Kernel/Jobs/Worker.h>
 #include <LibStore/Transaction.h>
 #include <array>
@@ -57,6 +57,10 @@
     std::uint64_t unacknowledgedEnds = 0; ///< ended runs that the workers list again
     std::size_t unreachableWorkers = 0; ///< with runs, and whose latest poll failed
     Duration oldestContact{0}; ///< age of the oldest successful poll of a worker with runs
+    std::size_t stepsWithoutAdvice
+        = 0; ///< that the service of the placement advice has no place for
+    std::size_t adviceCalls = 0; ///< requests to that service in flight
+    std::size_t adviceCallLimit = 0; ///< upper bound of them
 };
 
 /// A decision or observation of the scheduler, for logs and metrics.
@@ -176,6 +180,11 @@
     std::map<std::string, std::uint64_t> tasksWaitingForQuota() const;
     /// Whether tasks of the job wait for the quota of its organisation.
     static bool waitsForQuota(const Job &job);
+    /// Whether tasks of the job wait for placement advice.
+    bool waitsForAdvice(const Job &job) const
+    {
+        return job.hasReadyTasks() && m_advice.isAwaitedBy(job.id());
+    }
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
@@ -359,9 +368,6 @@
     bool acceptsRuns(TimePoint now, const Worker &worker) const;
     /// Workers that accept new runs.
     WorkersByPool candidatesByPool(TimePoint now);
-    /// Workers that the placement advice allows for the step. Requests advice about the others.
-    std::vector<Worker *> workersWithAdvice(TimePoint now, const Job &job, const TaskName &step,
-                                            const std::vector<Worker *> &workers);
     /// Workers with free capacity for a task of the step.
     std::vector<PlacementCandidate> candidatesFor(TimePoint now, const Job &job,
                                                   const TaskName &name,
@@ -381,13 +387,17 @@
     /// Whether one of the workers has the label of the step and room for one of its tasks.
     bool hasRoom(TimePoint now, const std::vector<Worker *> &workers,
                  const StepSpecification &step) const;
-    /// Places the ready tasks of a step. Adds its size to \a unplaceable, by the required label,
-    /// when no worker has room.
+    /// Places the ready tasks of a step, and asks for the advice that it lacks. Adds its size to
+    /// \a unplaceable, by the required label, when no worker has room.
     void placeStep(TimePoint now, Job &job, unsigned occurrence, unsigned step,
                    const std::vector<Worker *> &workers,
                    std::map<std::string, UnplaceableSizes> &unplaceable);
-    void placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
-                   const std::vector<Worker *> &workers);
+    /// Places up to \a limit ready tasks of the step on the workers. Returns their number.
+    std::int64_t placeReadyTasks(TimePoint now, Job &job, const TaskName &firstTask,
+                                 const std::vector<Worker *> &workers, std::int64_t limit);
+    /// Returns the number of placed members: all or none.
+    std::int64_t placeGang(TimePoint now, Job &job, unsigned occurrence, unsigned step,
+                           const std::vector<Worker *> &workers);
     /// Places the whole gang on the workers. Returns false when it does not fit.
     bool placeGangOn(const std::vector<Worker *> &workers, TimePoint now, Job &job,
                      unsigned occurrence, unsigned step);
@@ -487,7 +497,7 @@
     std::uint64_t m_configurationNumber = 1; ///< rises with each configuration
     std::unique_ptr<PlacementPolicy> m_placement;
     std::map<std::string, RuntimeModel> m_runtimes; ///< by queue
-    std::map<TaskName, StepAdvice> m_advice; ///< by the first task of the step
+    PlacementAdvice m_advice;
     std::map<std::string, Job> m_jobs; ///< unfinished, or finished without a durable row yet
     std::map<std::string, Worker> m_workers;
     std::map<std::string, std::uint64_t> m_startedTasks; ///< by pool, since the scheduler began
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Kernel/Jobs/CallLimiter.h>
 #include <Kernel/Jobs/JobTypes.h>
 #include <functional>
 #include <map>
@@ -136,12 +137,14 @@
 {
     TaskName step; ///< any task of the step
     std::vector<std::string> workers;
+    IssuedCall call = {};
 };
 
 struct AdviceReply
 {
-    bool answered = false;
-    std::map<std::string, std::string> tickets; ///< by worker; other workers are denied
+    CallEnd end = CallEnd::NoAnswer;
+    std::map<std::string, std::string> tickets = {}; ///< by worker; other workers are denied
+    Duration waited{0}; ///< between the arrival of the reply and its handling
 };
 
 /// Sends orders to workers. Each order is answered exactly once, after the call, through the
--- a/Services/Jobs/JobMetrics.cpp
+++ b/Services/Jobs/JobMetrics.cpp
@@ -55,7 +55,11 @@
                        .Add({})),
       m_unacknowledgedEnds(registerFamily(prometheus::BuildGauge(), "peridot_unacknowledged_ends",
                                           "Ended runs that the workers list again.", m_registry)
-                               .Add({}))
+                               .Add({})),
+      m_adviceRequests(registerFamily(
+          prometheus::BuildGauge(), "peridot_advice_requests",
+          "Requests for placement advice: in flight, their limit, and steps that wait for one.",
+          m_registry))
 {
 }
 
@@ -127,6 +131,12 @@
     m_schedulerDelays.Add({{"kind", "planning-pass"}}).Set(toSeconds(load.longestPass));
     m_schedulerDelays.Add({{"kind", "job-rows"}}).Set(toSeconds(load.jobRowsAge));
     m_unacknowledgedEnds.Set(static_cast<double>(load.unacknowledgedEnds));
+    const auto setRequests = [this](const char *state, std::size_t count) {
+        m_adviceRequests.Add({{"state", state}}).Set(static_cast<double>(count));
+    };
+    setRequests("in-flight", load.adviceCalls);
+    setRequests("limit", load.adviceCallLimit);
+    setRequests("waiting", load.stepsWithoutAdvice);
 }
 
 std::string JobMetrics::serialize() const
--- a/Services/Jobs/JobMetrics.h
+++ b/Services/Jobs/JobMetrics.h
@@ -21,6 +21,9 @@
     Duration longestPass{0}; ///< longest planning pass
     Duration jobRowsAge{0}; ///< age of the known state of the rows of jobs
     std::uint64_t unacknowledgedEnds = 0; ///< ended runs that the workers list again
+    std::size_t stepsWithoutAdvice = 0; ///< steps whose request for placement advice waits
+    std::size_t adviceCalls = 0; ///< requests for placement advice in flight
+    std::size_t adviceCallLimit = 0; ///< upper bound of them
 };
 
 /// Metrics of one job service. serialize() and countRefusal() may be called on any thread, the
@@ -65,6 +68,7 @@
     prometheus::Gauge &m_refusedEntries;
     prometheus::Gauge &m_scheduling;
     prometheus::Gauge &m_unacknowledgedEnds;
+    Family<prometheus::Gauge> &m_adviceRequests;
     std::map<std::string, prometheus::Gauge *> m_quotaWaitGauges; ///< by organisation
     std::map<std::string, prometheus::Counter *, std::less<>> m_eventCounters; ///< by event kind
 };
--- a/Services/Jobs/JobService.cpp
+++ b/Services/Jobs/JobService.cpp
@@ -358,6 +358,8 @@
             entry["organisation"] = job.submitted().organisation;
         if (JobScheduler::waitsForQuota(job))
             entry["waits_for"] = "organisation-quota";
+        else if (scheduler->waitsForAdvice(job))
+            entry["waits_for"] = "placement-advice";
         state["jobs"][id] = std::move(entry);
     }
     for (const auto &[id, worker] : scheduler->workers()) {
--- a/Services/Jobs/SchedulerLoadReport.cpp
+++ b/Services/Jobs/SchedulerLoadReport.cpp
@@ -46,8 +46,9 @@
                                  Duration jobRowsAge)
 {
     m_nextReport = now + reportPeriod;
-    m_metrics.setSchedulerLoad(
-        {m_eventDelay, m_longestPass, jobRowsAge, backlog.unacknowledgedEnds});
+    m_metrics.setSchedulerLoad({m_eventDelay, m_longestPass, jobRowsAge, backlog.unacknowledgedEnds,
+                                backlog.stepsWithoutAdvice, backlog.adviceCalls,
+                                backlog.adviceCallLimit});
     if (std::max({m_eventDelay, m_backgroundDelay, m_answerDelay}) >= notableEventDelay
         || jobRowsAge >= notableJobRowsAge) {
         logEvent(LogLevel::Warning, "scheduler-load",
--- a/Tests/Kernel/Jobs/SchedulerFixture.h
+++ b/Tests/Kernel/Jobs/SchedulerFixture.h
@@ -112,6 +112,7 @@
     std::vector<StopOrder> stops;
     std::vector<ThrottleOrder> throttles;
     std::vector<PollOrder> polls;
+    std::vector<AdviceRequest> adviceRequests;
     std::map<std::string, std::optional<std::string>> rows; ///< latest values by key
     std::map<std::string, unsigned> events; ///< numbers by kind
     JobScheduler scheduler;
@@ -132,6 +133,9 @@
         hooks.orders.poll = [this](const PollOrder &order) {
             polls.push_back(order);
         };
+        hooks.orders.advise = [this](const AdviceRequest &request) {
+            adviceRequests.push_back(request);
+        };
         hooks.observe = [this](const SchedulerEvent &event) {
             ++events[std::string(event.kind)];
         };
--- a/Tests/Kernel/Jobs/TestStepAdvice.cpp
+++ b/Tests/Kernel/Jobs/TestStepAdvice.cpp
@@ -17,7 +17,7 @@
     const AdviceRequest request{{"job", 0, 0, 0}, usable};
     SECTION("a worker without a ticket in the reply is not queried again")
     {
-        advice.requestFinished(now, request, {true, {{"w1", "ticket"}}}, 3s);
+        advice.requestFinished(now, request, {CallEnd::Answered, {{"w1", "ticket"}}}, 3s);
         CHECK(advice.ticket("w1", now) == "ticket");
         CHECK_FALSE(advice.ticket("w0", now));
         CHECK(advice.workersToQuery(usable, now).empty());
--- a/Tests/platform/TestMalformedMessages.cpp
+++ b/Tests/platform/TestMalformedMessages.cpp
@@ -170,7 +170,7 @@
     for (const char *body : {"[]", "5", "\"x\"", "null", "{}", "{", "[[[]]]"}) {
         CHECK_NOTHROW(decodeAll(body));
         CHECK_FALSE(decodeHostPage(answered(200, body)));
-        CHECK_FALSE(decodeAdviceReply(answered(200, body)).answered);
+        CHECK(decodeAdviceReply(answered(200, body)).end == Jobs::CallEnd::Refused);
         CHECK(decodePollReply(answered(200, body)).outcome == Jobs::OrderOutcome::Unknown);
     }
     SECTION("a token of the next page that is not a text ends the list")
--- a/Tests/platform/TestWorkerConnections.cpp
+++ b/Tests/platform/TestWorkerConnections.cpp
@@ -50,8 +50,7 @@
     WorkerThatHoldsStarts server;
     asio::io_context context(1);
     TaskQueue tasks(context);
-    PlatformHttp adviceHttp(context, tasks, TaskPriority::Normal);
-    PlatformWorkers workers(context, tasks, adviceHttp);
+    PlatformWorkers workers(context, tasks);
     workers.setEndpoint("w", {"127.0.0.1", server.port()});
     for (unsigned index = 0; index < 20; ++index) {
         Jobs::StartOrder start;
--- a/Tests/platform/TestWrittenMessages.cpp
+++ b/Tests/platform/TestWrittenMessages.cpp
@@ -51,7 +51,7 @@
     asio::io_context context(1);
     TaskQueue tasks(context);
     PlatformHttp http(context, tasks, TaskPriority::Normal);
-    PlatformWorkers workers(context, tasks, http);
+    PlatformWorkers workers(context, tasks);
     workers.setEndpoint("w", server.endpoint());
     const auto ignore = [](const auto &, const auto &) {
     };
--- a/Utilities/Measure/OrderMeasurement.cpp
+++ b/Utilities/Measure/OrderMeasurement.cpp
@@ -88,7 +88,7 @@
     asio::io_context m_context;
     TaskQueue m_tasks{m_context};
     PlatformHttp m_http{m_context, m_tasks, TaskPriority::Normal};
-    PlatformWorkers m_workers{m_context, m_tasks, m_http};
+    PlatformWorkers m_workers{m_context, m_tasks};
 };
 
 void OrderMeasurement::measureCalls(
