Kernel/Jobs: Take back runs whose ticket expired before they were stored

A start order was sent although the ticket of its run had expired while the row was being stored: the worker rejects it, and the run is placed again. The run is now taken back without an order (ticket-expired), and its step asks for advice anew.

"A start is not sent with a ticket that has expired meanwhile" failed before: one start without a ticket.

--- a/Kernel/Jobs/JobSchedulerTransactions.cpp
+++ b/Kernel/Jobs/JobSchedulerTransactions.cpp
@@ -215,6 +215,11 @@
         WorkerRun *run = worker->second.runs.find(name);
         if (run == nullptr || run->phase != RunPhase::Recording)
             continue;
+        if (lacksTicket(now, name, workerId)) {
+            observe("ticket-expired", name, workerId);
+            discardRun(now, worker->second, name);
+            continue;
+        }
         run->phase = RunPhase::Starting;
         run->nextOrderAt = now;
         ++m_startedTasks[worker->second.description.pool];
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -411,6 +411,9 @@
     std::string gangRack(TimePoint now, const Job &job, unsigned step,
                          const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
+    /// Whether the run needs a ticket for its worker and has no valid one, so that the worker would
+    /// reject its start.
+    bool lacksTicket(TimePoint now, const RunName &run, const std::string &worker);
 
     // JobSchedulerDemand.cpp
     /// Adds the accepted jobs by organisation, where organisations have rates.
--- a/Tests/Kernel/Jobs/TestPlacementAdvice.cpp
+++ b/Tests/Kernel/Jobs/TestPlacementAdvice.cpp
@@ -249,3 +249,44 @@
         CHECK(asked == std::vector<std::string>{"b", "c", "urgent0", "d", "urgent1", "urgent2"});
     }
 }
+
+TEST_CASE("A start is not sent with a ticket that has expired meanwhile")
+{
+    // Guards against the use of a permission that was valid when the run was placed, but not any
+    // more when its row was stored.
+    AdvisedScheduler test(1, {1, 100ms, 0ms});
+    test.submit("job", AdvisedScheduler::stepOf(1));
+    const auto answer = [&] {
+        test.scheduler.plan(test.now);
+        REQUIRE(test.adviceRequests.size() == 1);
+        const AdviceRequest request = test.adviceRequests.front();
+        test.adviceRequests.clear();
+        test.scheduler.adviceFinished(test.now, request, {CallEnd::Answered, {{"w0", "ticket"}}});
+        test.scheduler.plan(test.now);
+    };
+    answer();
+    const auto transaction = test.scheduler.takeTransaction(test.now);
+    REQUIRE(transaction);
+    CommitResult result;
+    result.status = CommitStatus::Committed;
+    result.revision = ++test.revision;
+    SECTION("the store answers in time")
+    {
+        test.scheduler.transactionFinished(test.now + 1s, result);
+        REQUIRE(test.starts.size() == 1);
+        CHECK(test.starts.front().ticket == "ticket");
+    }
+    SECTION("the store answers late")
+    {
+        test.now += 4s;
+        test.answerPoll("w0");
+        test.scheduler.transactionFinished(test.now, result);
+        CHECK(test.starts.empty());
+        CHECK(test.runsOn("w0") == 0);
+        answer();
+        test.planAndCommit();
+        REQUIRE(test.starts.size() == 1);
+        CHECK(test.starts.front().ticket == "ticket");
+        CHECK(test.starts.front().run.run == 2);
+    }
+}
