Kernel/Jobs, platform: Take nothing for a fact from lists with odd entries

An answer of which an entry can't be read was used as if what it leaves out did not exist: a run that a worker lists in an odd way was taken for ended and started again elsewhere; an end that could not be read was acknowledged with the next one, and its run repeated; a worker with an odd ticket was denied to a step for good.

Entries that can't be read are counted where the answer is decoded. With any of them, no run ends because it is missing, ends are taken up to the first odd one, and no worker is denied (worker-reply-unreadable).

--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -156,8 +156,7 @@
         worker.acknowledgedEnds = std::max(worker.acknowledgedEnds, order.acknowledgedEnds);
     if (reply.clock)
         worker.updateClock(*reply.clock, now - reply.waited);
-    for (const EndedRun &end : reply.ended)
-        processEnd(now, worker, end);
+    processEnds(now, worker, reply);
     for (const ActiveRun &active : reply.active)
         processActive(now, worker, active);
     discardMissingRuns(now, worker, order, reply);
@@ -175,6 +174,20 @@
     observe("look-failed", {}, order.worker, std::string(orderOutcomeNames.nameOf(outcome)));
 }
 
+void JobScheduler::processEnds(TimePoint now, Worker &worker, const PollReply &reply)
+{
+    // An end is acknowledged together with all before it, so that those after one that could not be
+    // read wait for a reply in which it can.
+    const std::size_t count = reply.endsBeforeUnreadable.value_or(reply.ended.size());
+    for (std::size_t index = 0; index < count; ++index)
+        processEnd(now, worker, reply.ended[index]);
+    if (reply.unreadableEntries == 0)
+        return;
+    worker.nextPoll = now + unwrittenEndsPollInterval;
+    observe("worker-reply-unreadable", {}, worker.description.id,
+            std::to_string(reply.unreadableEntries));
+}
+
 void JobScheduler::processEnd(TimePoint now, Worker &worker, const EndedRun &end)
 {
     if (end.number <= worker.processedEnds)
@@ -316,6 +329,8 @@
 void JobScheduler::discardMissingRuns(TimePoint now, Worker &worker, const PollOrder &order,
                                       const PollReply &reply)
 {
+    if (reply.unreadableEntries > 0)
+        return;
     const auto listed = [&](const RunName &name) {
         return std::any_of(reply.active.begin(), reply.active.end(),
                            [&](const ActiveRun &active) { return active.run == name; });
--- a/Kernel/Jobs/PlacementAdvice.cpp
+++ b/Kernel/Jobs/PlacementAdvice.cpp
@@ -164,7 +164,8 @@
     const std::string end(callEndNames.nameOf(reply.end));
     if (reply.end == CallEnd::Answered)
         m_hooks.observe("advice-answered", request.step,
-                        fmt::format("granted={} {}", reply.tickets.size(), state));
+                        fmt::format("granted={} unreadable={} {}", reply.tickets.size(),
+                                    reply.unreadableEntries, state));
     else
         m_hooks.observe("advice-failed", request.step, end + ' ' + state);
     if (m_calls.isFailing() && !wasFailing)
--- a/Kernel/Jobs/StepAdvice.cpp
+++ b/Kernel/Jobs/StepAdvice.cpp
@@ -14,6 +14,8 @@
 // host are handled one after the other.
 constexpr std::size_t maximumWorkersPerRequest = 30;
 constexpr std::chrono::milliseconds requestRetryDelay{200};
+// An answer that could not be read as a whole is likely to come again.
+constexpr std::chrono::milliseconds unreadableRetryDelay{1000};
 
 } // namespace
 
@@ -75,10 +77,12 @@
     const TimePoint grantedAt = now - reply.waited;
     for (const std::string &worker : request.workers) {
         const auto found = reply.tickets.find(worker);
-        if (found == reply.tickets.end())
+        if (found != reply.tickets.end())
+            m_granted[worker] = {found->second, grantedAt + validity - ticketExpiryMargin};
+        else if (reply.unreadableEntries == 0)
             m_denied.insert(worker);
         else
-            m_granted[worker] = {found->second, grantedAt + validity - ticketExpiryMargin};
+            m_nextRequestAt = now + unreadableRetryDelay;
     }
 }
 
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -299,6 +299,7 @@
     void carryOver(TimePoint now, Worker &worker, const RunName &name, WorkerRun &run);
     /// Requeues the tasks of a worker that does not exist any more, and counts it as not listed.
     void removeWorker(TimePoint now, Worker &worker);
+    void processEnds(TimePoint now, Worker &worker, const PollReply &reply);
     void processEnd(TimePoint now, Worker &worker, const EndedRun &end);
     /// Changes the task of an ended run.
     void applyEnd(TimePoint now, Worker &worker, const EndedRun &end);
--- a/Kernel/include/Kernel/Jobs/WorkerOrders.h
+++ b/Kernel/include/Kernel/Jobs/WorkerOrders.h
@@ -130,6 +130,10 @@
     std::vector<EndedRun> ended;
     Duration waited{0}; ///< between the arrival of the reply and its handling
     Duration connectionAge{0}; ///< as in OrderReply
+    /// Entries that could not be read. A run that is not listed may be one of them.
+    std::size_t unreadableEntries = 0;
+    /// Number of ended runs before the first of them; nothing: all ended runs could be read.
+    std::optional<std::size_t> endsBeforeUnreadable = {};
 };
 
 /// Asks the placement advice which of these workers may run a step.
@@ -144,6 +148,8 @@
 {
     CallEnd end = CallEnd::NoAnswer;
     std::map<std::string, std::string> tickets = {}; ///< by worker; other workers are denied
+    /// Entries that could not be read. With any of them, the answer denies no worker.
+    std::size_t unreadableEntries = 0;
     Duration waited{0}; ///< between the arrival of the reply and its handling
 };
 
--- a/Tests/Kernel/Jobs/SchedulerFixture.h
+++ b/Tests/Kernel/Jobs/SchedulerFixture.h
@@ -35,17 +35,23 @@
     void answerPoll(const std::string &id, std::int64_t startedAt = 1000,
                     const std::vector<ActiveRun> &active = {},
                     const std::vector<EndedRun> &ended = {})
+    {
+        PollReply reply;
+        reply.startedAt = startedAt;
+        reply.active = active;
+        reply.ended = ended;
+        answerPoll(id, reply);
+    }
+
+    /// The same with what is in \a reply.
+    void answerPoll(const std::string &id, PollReply reply)
     {
         PollOrder order;
         order.worker = id;
-        order.incarnation = startedAt;
+        order.incarnation = reply.startedAt;
         order.sentAt = now;
-        PollReply reply;
         reply.outcome = OrderOutcome::Accepted;
         reply.clock = toUnixMilliseconds(now);
-        reply.startedAt = startedAt;
-        reply.active = active;
-        reply.ended = ended;
         scheduler.pollFinished(now, order, reply);
     }
 
--- a/Tests/Kernel/Jobs/TestStepAdvice.cpp
+++ b/Tests/Kernel/Jobs/TestStepAdvice.cpp
@@ -31,6 +31,16 @@
             CHECK(advice.workersToQuery(usable, now) == std::vector<std::string>{"w1"});
         }
     }
+    SECTION("an entry that can't be read denies no worker")
+    {
+        // Guards against a step that never starts because of one odd entry in a list.
+        AdviceReply reply{CallEnd::Answered, {{"w1", "ticket"}}};
+        reply.unreadableEntries = 1;
+        advice.requestFinished(now, request, reply, 3s);
+        CHECK(advice.ticket("w1", now) == "ticket");
+        CHECK(advice.workersToQuery(usable, now).empty());
+        CHECK(advice.workersToQuery(usable, now + 2s) == std::vector<std::string>{"w0"});
+    }
     SECTION("a request without an answer is repeated after a delay")
     {
         advice.requestFinished(now, request, {}, 3s);
--- a/Tests/Kernel/Jobs/TestWorkerReports.cpp
+++ b/Tests/Kernel/Jobs/TestWorkerReports.cpp
@@ -394,3 +394,44 @@
         CHECK(extendsLease());
     }
 }
+
+TEST_CASE("A reply with an entry that can't be read ends no run by what it leaves out")
+{
+    // Guards against one odd entry in a list: its run was taken for ended, and was started again
+    // elsewhere while it ran, or after it was done.
+    SchedulerFixture fixture;
+    fixture.scheduler.setWorkers(fixture.now, {SchedulerFixture::worker("w")});
+    fixture.answerPoll("w");
+    fixture.submit("0000000000000001", SchedulerFixture::stepOf(2));
+    const auto runs = fixture.startAll().at("w");
+    REQUIRE(runs.size() == 2);
+    fixture.now += 100ms;
+    PollReply reply;
+    reply.startedAt = 1000;
+    reply.active = {{runs[0], {}, 0, {}}};
+    reply.unreadableEntries = 1;
+    SECTION("among the active runs")
+    {
+        fixture.answerPoll("w", reply);
+        CHECK(fixture.runsOn("w") == 2);
+        SECTION("until a reply could be read and does not list the run")
+        {
+            fixture.now += 500ms;
+            fixture.answerPoll("w", 1000, {{runs[0], {}, 0, {}}});
+            CHECK(fixture.runsOn("w") == 1);
+        }
+    }
+    SECTION("among the ended ones")
+    {
+        const EndedRun end{2, runs[1], RunOutcome::Done, {}};
+        reply.ended = {end};
+        reply.endsBeforeUnreadable = 0;
+        fixture.answerPoll("w", reply);
+        CHECK(fixture.runsOn("w") == 2);
+        fixture.now += 500ms;
+        fixture.answerPoll("w", 1000, {}, {{1, runs[0], RunOutcome::Done, {}}, end});
+        CHECK(fixture.runsOn("w") == 0);
+        CHECK(fixture.scheduler.jobs().begin()->second.allDone());
+    }
+    CHECK(fixture.events["worker-reply-unreadable"] == 1);
+}
--- a/Tests/platform/TestMalformedMessages.cpp
+++ b/Tests/platform/TestMalformedMessages.cpp
@@ -192,12 +192,33 @@
     }
     SECTION("runs and ends with impossible numbers are left out, and the others are used")
     {
-        CHECK(decodePollReply(answered(200, replaced(pollText, "17\",2", "17\",1e19")))
-                  .active.empty());
+        const auto oddRun
+            = decodePollReply(answered(200, replaced(pollText, "17\",2", "17\",1e19")));
+        CHECK(oddRun.active.empty());
+        CHECK(oddRun.unreadableEntries == 1);
+        CHECK_FALSE(oddRun.endsBeforeUnreadable);
         const auto reply = decodePollReply(answered(
             200, replaced(pollText, "[[58", "[[18446744073709551615,\"x\",1,\"done\"],[58")));
         REQUIRE(reply.ended.size() == 1);
         CHECK(reply.ended.front().number == 58);
+        CHECK(reply.unreadableEntries == 1);
+        CHECK(reply.endsBeforeUnreadable == 0U);
+    }
+}
+
+TEST_CASE("Odd entries in an answer of the placement advice deny no worker")
+{
+    const auto decode = [](const std::string &granted) {
+        return decodeAdviceReply(answered(200, R"({"granted":[)" + granted + "]}"));
+    };
+    const auto usual = decode(R"(["w0","t0"],["w1","t1"])");
+    CHECK(usual.tickets.size() == 2);
+    CHECK(usual.unreadableEntries == 0);
+    for (const char *odd : {R"(["w1",5])", R"(["w1"])", R"(["w1","t1",0])", R"(["w1",""])", "7"}) {
+        const auto reply = decode(std::string(R"(["w0","t0"],)") + odd);
+        CHECK(reply.end == Jobs::CallEnd::Answered);
+        CHECK(reply.tickets.size() == 1);
+        CHECK(reply.unreadableEntries == 1);
     }
 }
 
--- a/Tests/platform/TestUsualReplies.cpp
+++ b/Tests/platform/TestUsualReplies.cpp
@@ -33,7 +33,8 @@
                && one.checkpoint == other.checkpoint;
     };
     return left.outcome == right.outcome && left.clock == right.clock
-           && left.startedAt == right.startedAt
+           && left.startedAt == right.startedAt && left.unreadableEntries == right.unreadableEntries
+           && left.endsBeforeUnreadable == right.endsBeforeUnreadable
            && std::equal(left.active.begin(), left.active.end(), right.active.begin(),
                          right.active.end(), isSameRun)
            && std::equal(left.ended.begin(), left.ended.end(), right.ended.begin(),
