Kernel/Jobs, platform: Keep hosts that an unreadable entry may hide

A host of the provider's list with an unknown state, or without a pool, was left out as if it did not exist: a wave could complete without it, and the runs of its worker, if it was silent, were started again elsewhere.

Entries that can't be read are counted. With any of them, hosts that the list leaves out stay as they were, and no worker is taken for gone (host-list-unreadable).

The check "hosts that can't be read are counted" has no counterpart in the code before: the page did not tell.

--- a/Kernel/Jobs/HostPlanner.cpp
+++ b/Kernel/Jobs/HostPlanner.cpp
@@ -31,14 +31,15 @@
         m_hooks.observe(kind, host, detail);
 }
 
-void HostPlanner::setHosts(TimePoint requestedAt, const std::vector<HostDescription> &hosts)
+void HostPlanner::setHosts(TimePoint requestedAt, const HostList &list)
 {
     m_listRequestedAt = requestedAt;
-    m_listedHosts.clear();
-    for (const auto &description : hosts)
+    m_listIsComplete = list.unreadableEntries == 0;
+    auto previouslyListed = std::exchange(m_listedHosts, {});
+    for (const auto &description : list.hosts)
         m_listedHosts.emplace(description.id, description);
     std::map<std::string, Host> updatedHosts;
-    for (const auto &description : hosts) {
+    for (const auto &description : list.hosts) {
         const auto known = m_hosts.find(description.id);
         Host host = known == m_hosts.end() ? Host{} : std::move(known->second);
         // A list that was requested before the last order for the host was answered may not show
@@ -56,6 +57,11 @@
             host.description = description;
         updatedHosts.emplace(description.id, std::move(host));
     }
+    if (!m_listIsComplete) {
+        observe("host-list-unreadable", {}, std::to_string(list.unreadableEntries));
+        m_listedHosts.merge(previouslyListed);
+        updatedHosts.merge(m_hosts);
+    }
     m_hosts = std::move(updatedHosts);
 }
 
--- a/Kernel/include/Kernel/Jobs/HostOrders.h
+++ b/Kernel/include/Kernel/Jobs/HostOrders.h
@@ -33,6 +33,14 @@
     std::string worker; ///< id of the worker that runs on the host; empty: none
 };
 
+/// The host provider's list of hosts.
+struct HostList
+{
+    std::vector<HostDescription> hosts;
+    /// Entries that could not be read. A host that is not listed may be one of them.
+    std::size_t unreadableEntries = 0;
+};
+
 /// An administrator's request to maintain each of the listed hosts once within a period.
 struct MaintenanceWave
 {
--- a/Kernel/include/Kernel/Jobs/HostPlanner.h
+++ b/Kernel/include/Kernel/Jobs/HostPlanner.h
@@ -41,8 +41,9 @@
 public:
     HostPlanner(std::uint64_t epoch, HostPlannerTiming timing, HostPlannerHooks hooks);
 
-    /// Replaces the hosts with the provider's complete list, which was requested at \a requestedAt.
-    void setHosts(TimePoint requestedAt, const std::vector<HostDescription> &hosts);
+    /// Replaces the hosts with the provider's list of all hosts, which was requested at
+    /// \a requestedAt. When entries of it could not be read, hosts that it leaves out stay.
+    void setHosts(TimePoint requestedAt, const HostList &list);
     /// Adds a wave unless it is already known. \a maintained lists the hosts whose maintenance has
     /// already begun, for example under a previous scheduler.
     void addWave(const MaintenanceWave &wave, const std::set<std::string> &maintained);
@@ -74,6 +75,9 @@
     std::set<std::string> existingWorkers() const;
     /// When the latest list of hosts was requested.
     TimePoint listRequestedAt() const { return m_listRequestedAt; }
+    /// Whether all entries of the latest list could be read, so that hosts which are not listed do
+    /// not exist.
+    bool isListComplete() const { return m_listIsComplete; }
 
     /// Hosts of the wave whose maintenance has begun.
     const std::set<std::string> &maintainedHosts(std::uint64_t wave) const;
@@ -235,6 +239,7 @@
     /// Moves that the provider does not allow: host and target pool.
     std::set<std::pair<std::string, std::string>> m_invalidMoves;
     TimePoint m_listRequestedAt;
+    bool m_listIsComplete = true;
 };
 
 } // namespace Peridot::Jobs
--- a/Services/Jobs/HostSession.cpp
+++ b/Services/Jobs/HostSession.cpp
@@ -259,11 +259,11 @@
 void HostSession::listHosts()
 {
     const TimePoint requestedAt = m_hooks.clock();
-    m_ports.listHosts([this, requestedAt, alive = std::weak_ptr(m_alive)](const auto &hosts) {
+    m_ports.listHosts([this, requestedAt, alive = std::weak_ptr(m_alive)](const auto &list) {
         if (alive.expired())
             return;
-        if (hosts)
-            m_planner.setHosts(requestedAt, *hosts);
+        if (list)
+            m_planner.setHosts(requestedAt, *list);
         const bool pending = m_planner.hasPendingChanges();
         if (pending)
             m_hooks.refreshWorkers();
@@ -277,7 +277,9 @@
     addNewWaves();
     if (m_appliedListRequestedAt != m_planner.listRequestedAt()) {
         m_appliedListRequestedAt = m_planner.listRequestedAt();
-        scheduler.setExistingWorkers(now, m_appliedListRequestedAt, m_planner.existingWorkers());
+        if (m_planner.isListComplete())
+            scheduler.setExistingWorkers(now, m_appliedListRequestedAt,
+                                         m_planner.existingWorkers());
     }
     const bool ready = m_wavesLoaded && m_ordersLoaded && m_hooks.storeTime() != 0;
     if (!ready || now < m_lastPlan + planPeriod || !m_hooks.leaseHeld())
--- a/Services/Jobs/PlatformPorts.h
+++ b/Services/Jobs/PlatformPorts.h
@@ -56,7 +56,7 @@
     std::function<void(const WorkerDescription &)> setWorkerAddress;
 
     /// Receives the list of hosts; nothing when it is not available.
-    using HostListCallback = std::function<void(std::optional<std::vector<HostDescription>>)>;
+    using HostListCallback = std::function<void(std::optional<HostList>)>;
     using HostOrderCallback = std::function<void(const HostOrder &, HostOrderOutcome)>;
 
     /// Decodes a wave requested by an administrator. Returns nothing for another or a malformed
--- a/Tests/Kernel/Jobs/Overload/FleetModel.h
+++ b/Tests/Kernel/Jobs/Overload/FleetModel.h
@@ -223,7 +223,7 @@
             workers.push_back(description);
         }
         scheduler.setWorkers(now, workers);
-        planner->setHosts(now, hosts);
+        planner->setHosts(now, {hosts});
         scheduler.setExistingWorkers(now, now, planner->existingWorkers());
     }
 
--- a/Tests/Kernel/Jobs/TestHostPlanner.cpp
+++ b/Tests/Kernel/Jobs/TestHostPlanner.cpp
@@ -31,7 +31,7 @@
             hosts.push_back(host);
         }
         registerWorkers();
-        planner.setHosts(now, hosts);
+        planner.setHosts(now, {hosts});
     }
 
     /// Registers the workers and answers a poll of each, so that the scheduler places runs on them.
@@ -179,7 +179,7 @@
             if (host.pool != "spare")
                 host.phase = HostPhase::Down;
         }
-        starting.planner.setHosts(starting.now, starting.hosts);
+        starting.planner.setHosts(starting.now, {starting.hosts});
         starting.plan();
         CHECK(starting.orders.empty());
         SECTION("unless the pool has work for them")
@@ -235,7 +235,7 @@
             for (const HostOrder &order : fleet.orders)
                 fleet.planner.orderFinished(fleet.now, order, HostOrderOutcome::Accepted);
             fleet.now += 2s;
-            fleet.planner.setHosts(fleet.now, fleet.hosts);
+            fleet.planner.setHosts(fleet.now, {fleet.hosts});
             fleet.plan();
             CHECK(fleet.maintenanceOrders() <= 2);
         }
@@ -308,7 +308,7 @@
         REQUIRE_FALSE(refused.contains(move.host));
         refused.insert(move.host);
         fleet.planner.orderFinished(fleet.now, move, HostOrderOutcome::Invalid);
-        fleet.planner.setHosts(fleet.now + 1ms, fleet.hosts);
+        fleet.planner.setHosts(fleet.now + 1ms, {fleet.hosts});
     }
 }
 
@@ -328,7 +328,7 @@
     fleet.planner.orderFinished(fleet.now, first, HostOrderOutcome::Accepted);
     fleet.plan();
     CHECK(fleet.maintenanceOrders() == 0);
-    fleet.planner.setHosts(fleet.now + 3s, fleet.hosts);
+    fleet.planner.setHosts(fleet.now + 3s, {fleet.hosts});
     fleet.plan(3s);
     CHECK(fleet.maintenanceOrders() == 1);
 }
@@ -353,7 +353,7 @@
         const HostOrder order = fleet.orders.front();
         CHECK(order.host == "h1");
         fleet.planner.orderFinished(fleet.now, order, HostOrderOutcome::Accepted);
-        fleet.planner.setHosts(fleet.now + 1ms, fleet.hosts);
+        fleet.planner.setHosts(fleet.now + 1ms, {fleet.hosts});
         fleet.plan(2s);
         REQUIRE(fleet.maintenanceOrders() == 1);
         CHECK(fleet.orders.front().host == "h0");
@@ -362,7 +362,7 @@
         "a host that takes no orders counts until the earlier one can't be carried out any more")
     {
         fleet.hosts[1].phase = HostPhase::Down;
-        fleet.planner.setHosts(fleet.now + 1ms, fleet.hosts);
+        fleet.planner.setHosts(fleet.now + 1ms, {fleet.hosts});
         fleet.plan(11s);
         CHECK(fleet.maintenanceOrders() == 0);
         fleet.plan(2s);
@@ -404,3 +404,29 @@
     CHECK(reservedHosts(true) == 0);
     CHECK(reservedHosts(false) == 1); // one round for each host
 }
+
+TEST_CASE("A list with a host that can't be read hides no host")
+{
+    // Guards against a wave that completes without a host, and runs that are started again
+    // elsewhere, because of one odd entry in the list of hosts.
+    Fleet fleet;
+    fleet.planner.addWave({1, {"h3"}, 10s, 1, fleet.now}, {});
+    HostList list{fleet.hosts};
+    list.hosts.erase(list.hosts.begin() + 3);
+    SECTION("the host stays as it was")
+    {
+        list.unreadableEntries = 1;
+        fleet.planner.setHosts(fleet.now + 1ms, list);
+        CHECK_FALSE(fleet.planner.isListComplete());
+        CHECK(fleet.planner.existingWorkers().contains("w3"));
+        fleet.plan();
+        CHECK_FALSE(fleet.waveCompleted);
+        CHECK(fleet.maintenanceOrders() == 1);
+    }
+    SECTION("a complete list without it tells that it is gone")
+    {
+        fleet.planner.setHosts(fleet.now + 1ms, list);
+        CHECK(fleet.planner.isListComplete());
+        CHECK_FALSE(fleet.planner.existingWorkers().contains("w3"));
+    }
+}
--- a/Tests/Kernel/Jobs/TestMaintainedPool.cpp
+++ b/Tests/Kernel/Jobs/TestMaintainedPool.cpp
@@ -137,7 +137,7 @@
                 workers.push_back(worker(host.description.worker));
         }
         scheduler.setWorkers(now, workers);
-        planner->setHosts(now, list);
+        planner->setHosts(now, {list});
         scheduler.setExistingWorkers(now, now, planner->existingWorkers());
         for (auto &[id, host] : m_hosts) {
             if (host.description.phase == HostPhase::Up)
--- a/Tests/Services/Jobs/TestHostSession.cpp
+++ b/Tests/Services/Jobs/TestHostSession.cpp
@@ -30,7 +30,7 @@
         configuration.pools = {{"pool", false}};
         ports.store = &store;
         ports.listHosts = [this](const PlatformPorts::HostListCallback &callback) {
-            callback(hosts);
+            callback(HostList{hosts});
         };
         ports.orderHost
             = [this](const HostOrder &order, const PlatformPorts::HostOrderCallback &callback) {
--- a/Tests/platform/TestMalformedMessages.cpp
+++ b/Tests/platform/TestMalformedMessages.cpp
@@ -173,12 +173,22 @@
         CHECK(decodeAdviceReply(answered(200, body)).end == Jobs::CallEnd::Refused);
         CHECK(decodePollReply(answered(200, body)).outcome == Jobs::OrderOutcome::Unknown);
     }
+    SECTION("hosts that can't be read are counted")
+    {
+        for (const char *odd : {"\"rebooting\"", "7", "null"}) {
+            const auto page = decodeHostPage(answered(200, replaced(hostsText, "\"up\"", odd)));
+            REQUIRE(page);
+            CHECK(page->list.hosts.empty());
+            CHECK(page->list.unreadableEntries == 1);
+        }
+    }
     SECTION("a token of the next page that is not a text ends the list")
     {
         const auto page = decodeHostPage(answered(200, replaced(hostsText, "\"t\"", "{}")));
         REQUIRE(page);
         CHECK(page->nextToken.empty());
-        CHECK(page->hosts.size() == 1);
+        CHECK(page->list.hosts.size() == 1);
+        CHECK(page->list.unreadableEntries == 0);
     }
     SECTION("numbers outside their range take the nearest value, on every kind of processor")
     {
