LibHttp, platform: Send orders to workers also when little time is left

The rule for queued requests left out starts that had waited for over half of their time, as on a process that handles its events late. A start that is sent has its effect although its answer comes too late, and the next poll shows it; one that is left out is placed again, after a pause of its worker.

--- a/Kernel/Jobs/JobScheduler.cpp
+++ b/Kernel/Jobs/JobScheduler.cpp
@@ -217,6 +217,12 @@
     return &found->second;
 }
 
+void JobScheduler::markStarted(const TaskName &name)
+{
+    if (Job *job = jobOf(name))
+        job->started = true;
+}
+
 bool JobScheduler::isCurrentRun(const RunName &run, const std::string &worker)
 {
     Job *job = jobOf(run.task);
--- a/Kernel/Jobs/JobSchedulerPlacement.cpp
+++ b/Kernel/Jobs/JobSchedulerPlacement.cpp
@@ -336,11 +336,4 @@
     observe("run-placed", runName, worker.description.id);
 }
 
-bool JobScheduler::lacksTicket(TimePoint now, const RunName &run, const std::string &worker)
-{
-    const Job *job = jobOf(run.task);
-    return job != nullptr && m_advice.isNeededFor(queueOf(*job))
-           && !m_advice.ticket(run.task, worker, now);
-}
-
 } // namespace Peridot::Jobs
--- a/Kernel/Jobs/JobSchedulerReplies.cpp
+++ b/Kernel/Jobs/JobSchedulerReplies.cpp
@@ -98,20 +98,6 @@
     discardRun(now, worker, order.run);
 }
 
-void JobScheduler::markStarted(const TaskName &name)
-{
-    if (Job *job = jobOf(name))
-        job->started = true;
-}
-
-void JobScheduler::adviceFinished(TimePoint now, const AdviceRequest &request,
-                                  const AdviceReply &reply)
-{
-    const Job *job = jobOf(request.step);
-    const Duration validity = job == nullptr ? Duration{0} : queueOf(*job).adviceValidity;
-    m_advice.requestFinished(now, request, reply, validity);
-}
-
 void JobScheduler::stopFinished(TimePoint now, const StopOrder &order, const OrderReply &reply)
 {
     observe("stop-answered", order.run, order.worker,
--- a/Kernel/include/Kernel/Jobs/JobScheduler.h
+++ b/Kernel/include/Kernel/Jobs/JobScheduler.h
@@ -59,7 +59,7 @@
     Duration oldestContact{0}; ///< age of the oldest successful poll of a worker with runs
     std::size_t stepsWithoutAdvice
         = 0; ///< that the service of the placement advice has no place for
-    std::size_t adviceCalls = 0; ///< requests to that service in flight
+    std::size_t adviceCalls = 0; ///< requests for placement advice in flight
     std::size_t adviceCallLimit = 0; ///< upper bound of them
 };
 
@@ -93,6 +93,8 @@
 public:
     JobScheduler(std::uint64_t epoch, Version epochRowVersion, SchedulerTiming timing,
                  SchedulerHooks hooks, TimePoint now);
+    JobScheduler(const JobScheduler &) = delete;
+    JobScheduler &operator=(const JobScheduler &) = delete;
 
     void setConfiguration(std::shared_ptr<const JobConfiguration> configuration);
     /// Replaces the workers by the platform's complete list of registrations.
@@ -181,10 +183,7 @@
     /// Whether tasks of the job wait for the quota of its organisation.
     static bool waitsForQuota(const Job &job);
     /// Whether tasks of the job wait for placement advice.
-    bool waitsForAdvice(const Job &job) const
-    {
-        return job.hasReadyTasks() && m_advice.isAwaitedBy(job.id());
-    }
+    bool waitsForAdvice(const Job &job) const;
     /// Expected runtime of one task of \a step, from past runs of the job's queue.
     Duration expectedRuntime(const Job &job, const StepSpecification &step) const;
 
@@ -250,6 +249,7 @@
     void restoreRuns(TimePoint now, Job &job, unsigned occurrence, unsigned step);
     /// Unfinished job of the task, or a null pointer.
     Job *jobOf(const TaskName &name);
+    void markStarted(const TaskName &name);
     /// Whether \a run is the active run of its task, and placed on \a worker.
     bool isCurrentRun(const RunName &run, const std::string &worker);
     /// Looks the queue and the organisation of the job up when the configuration has changed.
@@ -287,7 +287,6 @@
     /// Upper bound of the time for which a worker grants a lease, on the clock of this process.
     Duration longestLease() const;
     void pollFailed(TimePoint now, const PollOrder &order, OrderOutcome outcome);
-    void markStarted(const TaskName &name);
     /// Compares the incarnation that answered a poll with the known one, and begins a later one.
     /// Returns false for an answer of an earlier incarnation.
     bool checkIncarnation(TimePoint now, Worker &worker, const PollOrder &order,
@@ -412,6 +411,8 @@
     std::string gangRack(TimePoint now, const Job &job, unsigned step,
                          const std::vector<Worker *> &workers) const;
     void assign(TimePoint now, Job &job, const TaskName &name, std::uint64_t run, Worker &worker);
+
+    // JobSchedulerAdvice.cpp
     /// Whether the run needs a ticket for its worker and has no valid one, so that the worker would
     /// reject its start.
     bool lacksTicket(TimePoint now, const RunName &run, const std::string &worker);
--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -95,9 +95,11 @@
     server.answerTime += (duration - server.answerTime) / answerTimeSmoothing;
 }
 
-bool ClientPool::isInTime(const Server &server, const Request &request)
+bool ClientPool::isInTime(const Server &server, const Request &request) const
 {
     const BootClock::duration left = request.deadline - BootClock::now();
+    if (m_settings.sendsLate)
+        return left > shortestExchange;
     const BootClock::duration needed = std::min<BootClock::duration>(
         server.answerTime * answerTimeFactor, request.total / sufficientPart);
     return left > std::max<BootClock::duration>(needed, shortestExchange);
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -17,6 +17,9 @@
     /// A connection that was not used for this time is closed, so that the server can accept those
     /// of others. 0: it is kept.
     std::chrono::milliseconds idleTimeout{0};
+    /// Requests have their effect also when their answer comes too late, so that they are sent when
+    /// they have waited for nearly their whole time.
+    bool sendsLate = false;
 };
 
 /// Sends requests to many servers over reused plain connections. Requests to a server that has all
@@ -66,7 +69,7 @@
     void exchangeEnded(const asio::ip::tcp::endpoint &endpoint, const Connection &connection);
     static void addAnswerTime(Server &server, BootClock::duration duration);
     /// Whether the answer to a request that has waited is likely to come within its time.
-    static bool isInTime(const Server &server, const Request &request);
+    bool isInTime(const Server &server, const Request &request) const;
     void dropUnused();
     /// Closes idle connections after their timeout, for as long as there are any.
     void scheduleIdleCheck();
