--- a/Libraries/LibHttp/ClientPool.cpp
+++ b/Libraries/LibHttp/ClientPool.cpp
@@ -11,14 +11,8 @@
 
 // Servers come and go; entries of those without a connection are removed once in so many requests.
 constexpr std::size_t requestsBetweenDrops = 1000;
-// A request that has waited is not sent when it has less time left than the largest of these: this
-// one, and a multiple of the time that answers take.
+// A request that has waited and has less time left would be sent in vain.
 constexpr std::chrono::milliseconds shortestExchange{20};
-constexpr int answerTimeFactor = 2;
-// It is sent in any case while it has this part of its time left. Some answers, which wait for a
-// change at the server, take much longer than others.
-constexpr int sufficientPart = 2;
-constexpr int answerTimeSmoothing = 8;
 constexpr int idleChecksPerTimeout = 2;
 
 } // namespace
@@ -42,7 +36,7 @@
     if (++m_requestsSinceDrop >= requestsBetweenDrops)
         dropUnused();
     Server &server = m_servers[endpoint];
-    Request request{std::move(requestText), BootClock::now() + timeout.total, timeout.total,
+    Request request{std::move(requestText), BootClock::now() + timeout.total,
                     timeout.receiveExtension, std::move(callback)};
     if (server.busy >= m_settings.connectionsPerServer) {
         server.waiting.push_back(std::move(request));
@@ -72,37 +66,17 @@
                    m_context, endpoint, ClientConnectionSettings{m_settings.connectTimeout, true});
     using std::chrono::milliseconds;
     const auto left = std::chrono::ceil<milliseconds>(request.deadline - BootClock::now());
-    connection->exchange(std::move(request.text), false,
-                         {std::max(left, milliseconds(1)), request.receiveExtension},
-                         // The connection owns this callback, so that it must not be owned by it.
-                         [this, endpoint, weakConnection = std::weak_ptr(connection),
-                          callback = std::move(request.callback), sentAt = BootClock::now(),
-                          alive = std::weak_ptr(m_alive)](Exchange result) {
-                             const Connection ended = weakConnection.lock();
-                             if (alive.expired() || !ended)
-                                 return;
-                             if (result.end == ExchangeEnd::Complete)
-                                 addAnswerTime(m_servers[endpoint], BootClock::now() - sentAt);
-                             exchangeEnded(endpoint, ended);
-                             callback(std::move(result));
-                         });
-}
-
-void ClientPool::addAnswerTime(Server &server, BootClock::duration duration)
-{
-    if (server.answerTime.count() == 0)
-        server.answerTime = duration;
-    server.answerTime += (duration - server.answerTime) / answerTimeSmoothing;
-}
-
-bool ClientPool::isInTime(const Server &server, const Request &request) const
-{
-    const BootClock::duration left = request.deadline - BootClock::now();
-    if (m_settings.sendsLate)
-        return left > shortestExchange;
-    const BootClock::duration needed = std::min<BootClock::duration>(
-        server.answerTime * answerTimeFactor, request.total / sufficientPart);
-    return left > std::max<BootClock::duration>(needed, shortestExchange);
+    connection->exchange(
+        std::move(request.text), false, {std::max(left, milliseconds(1)), request.receiveExtension},
+        // The connection owns this callback, so that it must not be owned by it.
+        [this, endpoint, weakConnection = std::weak_ptr(connection),
+         callback = std::move(request.callback), alive = std::weak_ptr(m_alive)](Exchange result) {
+            const Connection ended = weakConnection.lock();
+            if (alive.expired() || !ended)
+                return;
+            exchangeEnded(endpoint, ended);
+            callback(std::move(result));
+        });
 }
 
 void ClientPool::exchangeEnded(const asio::ip::tcp::endpoint &endpoint,
@@ -112,7 +86,7 @@
     while (!server.waiting.empty()) {
         Request next = std::move(server.waiting.front());
         server.waiting.pop_front();
-        if (isInTime(server, next))
+        if (next.deadline > BootClock::now() + shortestExchange)
             return send(endpoint, connection, std::move(next));
         asio::post(m_context,
                    [callback = std::move(next.callback), alive = std::weak_ptr(m_alive)] {
--- a/Libraries/LibHttp/include/LibHttp/ClientPool.h
+++ b/Libraries/LibHttp/include/LibHttp/ClientPool.h
@@ -17,15 +17,10 @@
     /// A connection that was not used for this time is closed, so that the server can accept those
     /// of others. 0: it is kept.
     std::chrono::milliseconds idleTimeout{0};
-    /// Requests have their effect also when their answer comes too late, so that they are sent when
-    /// they have waited for nearly their whole time.
-    bool sendsLate = false;
 };
 
 /// Sends requests to many servers over reused plain connections. Requests to a server that has all
-/// its connections in use wait in order of arrival. One whose answer would not come in time any
-/// more is not sent: otherwise, once requests wait for about their whole time, the server would
-/// only work on those that are given up before their answer. Single-threaded on its context.
+/// its connections in use wait in order of arrival. Single-threaded on its context.
 class ClientPool
 {
 public:
@@ -46,7 +41,6 @@
     {
         std::string text;
         BootClock::time_point deadline;
-        std::chrono::milliseconds total; ///< time from its arrival to the deadline
         std::chrono::milliseconds receiveExtension;
         ClientConnection::Callback callback;
     };
@@ -60,16 +54,12 @@
         std::vector<IdleConnection> idle; ///< the one that was used last at the end
         std::size_t busy = 0;
         std::deque<Request> waiting;
-        BootClock::duration answerTime{0}; ///< smoothed, of the complete exchanges
     };
 
     Connection takeIdle(Server &server);
     void send(const asio::ip::tcp::endpoint &endpoint, const Connection &connection,
               Request request);
     void exchangeEnded(const asio::ip::tcp::endpoint &endpoint, const Connection &connection);
-    static void addAnswerTime(Server &server, BootClock::duration duration);
-    /// Whether the answer to a request that has waited is likely to come within its time.
-    bool isInTime(const Server &server, const Request &request) const;
     void dropUnused();
     /// Closes idle connections after their timeout, for as long as there are any.
     void scheduleIdleCheck();
